--- /dev/null
+++ b/libs/routing/include/gaugevalve/routing/cold_start_ramp.h
@@ -0,0 +1,28 @@
+// Cold start: a freshly started endpoint gets its share in steps.
+#pragma once
+
+#include <cstdint>
+
+#include "gaugevalve/routing/share_policy.h"
+
+namespace gaugevalve::routing {
+
+// Scales an agent's share by the part of the ramp its endpoint has behind it, in equal steps, so
+// that the table changes `steps` times and not with every second. The first step is above zero.
+class ColdStartRamp final : public SharePolicy {
+ public:
+  // A ramp of length zero, or of no steps, is off.
+  ColdStartRamp(base::Duration ramp, std::uint32_t steps) : ramp_(ramp), steps_(steps) {}
+
+  void Adjust(std::span<const AgentView> agents, base::TimePoint now,
+              std::span<double> shares) override;
+
+  // Returns the fraction in (0, 1] for an endpoint of this age.
+  double FractionAt(base::Duration age) const;
+
+ private:
+  base::Duration ramp_;
+  std::uint32_t steps_;
+};
+
+}  // namespace gaugevalve::routing
--- /dev/null
+++ b/libs/routing/include/gaugevalve/routing/move_budget.h
@@ -0,0 +1,31 @@
+// A bound on moves over time.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "gaugevalve/base/time.h"
+
+namespace gaugevalve::routing {
+
+// Token bucket for moves: at most `per_step` at once and `per_minute` on average, with up to one
+// minute's allowance saved up. Not thread-safe.
+class MoveBudget {
+ public:
+  MoveBudget(std::uint32_t per_step, std::uint32_t per_minute)
+      : per_step_(per_step), per_minute_(per_minute), saved_(per_minute) {}
+
+  // Returns how many moves are allowed at `now`. Time mustn't go backwards.
+  std::size_t Available(base::TimePoint now);
+
+  // Takes `moves` off; at most what Available() returned.
+  void Spend(std::size_t moves) { saved_ -= static_cast<double>(moves); }
+
+ private:
+  std::uint32_t per_step_;
+  std::uint32_t per_minute_;
+  double saved_;
+  base::TimePoint refilled_at_{};
+};
+
+}  // namespace gaugevalve::routing
--- /dev/null
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -0,0 +1,124 @@
+// The planner of one service: decides which agent owns which bucket.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/routing/agent_report.h"
+#include "gaugevalve/routing/agent_status.h"
+#include "gaugevalve/routing/assignment_policy.h"
+#include "gaugevalve/routing/bucket_table.h"
+#include "gaugevalve/routing/move_budget.h"
+#include "gaugevalve/routing/planner_settings.h"
+#include "gaugevalve/routing/report_ledger.h"
+#include "gaugevalve/routing/share_policy.h"
+
+namespace gaugevalve::routing {
+
+// The rules a planner goes by. Tests and the emulator leave out or replace single ones.
+struct PlannerPolicies {
+  std::vector<std::unique_ptr<SharePolicy>> shares;  // applied in this order
+  std::unique_ptr<AssignmentPolicy> assignment;
+};
+
+// Returns the rules for these settings: cold start, outlier ejection, zones, steering, and
+// assignment with minimal movement.
+PlannerPolicies MakePlannerPolicies(const PlannerSettings& settings);
+
+// Counts since the planner was made, for metrics.
+struct PlannerCounters {
+  std::uint64_t deltas = 0;
+  std::uint64_t forced_moves = 0;    // away from dead or leaving owners
+  std::uint64_t optional_moves = 0;  // steering, ramps, weights, zones
+  std::uint64_t chain_updates = 0;   // buckets whose chain changed without a move
+  std::uint64_t blocked_moves = 0;   // forced moves put off because the chain was full
+  std::uint64_t reports_refused = 0;
+};
+
+// Decision core `(event, now) -> optional table delta` of one service. It holds the service's table
+// and is its only writer while its (epoch, generation) is the newest; the caller sees to that.
+//
+// What it keeps to:
+// - Every bucket is owned by a live agent while there is one; with none alive the last table stays.
+// - A previous owner stays in a bucket's chain until a report of it that names the bucket's present
+//   version, or a later one, shows no flow there, or it is dead. The chain has no duplicates and at
+//   most kMaxPreviousOwners members; a bucket with a full chain only goes back to one of them.
+// - An alive agent that reports flows in a bucket that doesn't name it is put (back) in the chain:
+//   so an agent wrongly taken for dead gets its flows back.
+// - Moves that aren't forced by a dead or leaving owner are bounded per step and per minute.
+//
+// Memory: one table, one report for each agent. Not thread-safe; time mustn't go backwards.
+class ServicePlanner {
+ public:
+  // `epoch` and `generation` stamp every delta, see TableVersion.
+  ServicePlanner(base::ServiceId service, std::uint64_t epoch, std::uint32_t generation,
+                 const PlannerSettings& settings);
+
+  // The same with other rules than MakePlannerPolicies(settings).
+  ServicePlanner(base::ServiceId service, std::uint64_t epoch, std::uint32_t generation,
+                 PlannerSettings settings, PlannerPolicies policies);
+
+  // Goes on from a former planner's table instead of from none. Call before the first Step().
+  // Throws std::invalid_argument when the table is another service's, has no buckets, or isn't
+  // older than (epoch, generation, 1).
+  void TakeOver(BucketTable table);
+
+  // Replaces the list of the service's agents. One that is missing counts as dead. When two entries
+  // name one node the larger incarnation counts.
+  void SetAgents(std::vector<AgentStatus> agents, base::TimePoint now);
+
+  // Takes an agent's report.
+  ReportOutcome TakeReport(const AgentReport& report, base::TimePoint now);
+
+  // Decides what changes at `now`. Call it after events and at least once a step interval. Returns
+  // the delta to spread; table() already has it applied.
+  std::optional<TableDelta> Step(base::TimePoint now);
+
+  // The present table; valid until the next TakeOver() or Step().
+  const BucketTable& Table() const { return table_; }
+
+  const PlannerCounters& Counters() const { return counters_; }
+
+ private:
+  // Since when this planner knows a life of an agent.
+  struct Life {
+    base::Incarnation incarnation;
+    base::TimePoint first_seen;
+  };
+
+  const AgentStatus* FindStatus(base::NodeId node) const;
+  bool IsAlive(base::NodeId node) const;
+  void NoteLife(const AgentStatus& status, base::TimePoint now);
+  ReportOutcome Check(const AgentReport& report) const;
+  std::vector<AssignmentCandidate> MakeCandidates(base::TimePoint now);
+  std::vector<AssignmentBucket> MakeAssignmentBuckets(const BucketTable& table) const;
+  bool HoldsNothing(base::NodeId node, std::size_t index, const Bucket& bucket) const;
+  void ListAgents(BucketTable& next) const;
+  void DropDeadFromChains(BucketTable& next) const;
+  void UpdateChains(BucketTable& next);
+  bool UpdateChain(std::size_t index, Bucket& bucket) const;
+  void ApplyMoves(const std::vector<BucketMove>& moves, BucketTable& next) const;
+  std::optional<TableDelta> Publish(BucketTable next);
+
+  PlannerSettings settings_;
+  PlannerPolicies policies_;
+  std::uint64_t epoch_;
+  std::uint32_t generation_;
+  std::uint32_t sequence_ = 0;
+  BucketTable table_;
+  std::vector<AgentStatus> agents_;  // sorted by node
+  std::map<base::NodeId, Life> lives_;
+  ReportLedger ledger_;
+  MoveBudget budget_;
+  bool urgent_ = true;  // the agents changed since the last step
+  base::TimePoint next_step_{};
+  PlannerCounters counters_;
+};
+
+}  // namespace gaugevalve::routing
--- /dev/null
+++ b/libs/routing/src/report_ledger.cpp
@@ -0,0 +1,91 @@
+#include "gaugevalve/routing/report_ledger.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace gaugevalve::routing {
+namespace {
+
+// A queue longer than this many times the slots adds nothing to the measure of load, so that one
+// absurd report can't outweigh all others.
+constexpr double kMostUtilisation = 4.0;
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+// Returns the agent's own measure of how busy its endpoint is; 0 for an endpoint without slots.
+double SlotUtilisation(const AgentReport& report) {
+  if (report.total_slots == 0) {
+    return 0.0;
+  }
+  const double wanted = static_cast<double>(report.busy_slots) + report.queued_requests;
+  return std::min(kMostUtilisation, wanted / report.total_slots);
+}
+
+}  // namespace
+
+ReportLedger::ReportLedger(base::Duration smoothing_time, base::Duration report_timeout)
+    : smoothing_time_(smoothing_time), report_timeout_(report_timeout) {}
+
+ReportOutcome ReportLedger::Take(const AgentReport& report, base::TimePoint now) {
+  const auto found = records_.find(report.node);
+  if (found == records_.end() || found->second.report.incarnation != report.incarnation) {
+    records_[report.node] = Record{report, now, SlotUtilisation(report), 0.0};
+    return ReportOutcome::kTaken;
+  }
+  Record& record = found->second;
+  if (report.table_version < record.report.table_version) {
+    return ReportOutcome::kOlderThanKnown;
+  }
+  constexpr double kLeastInterval = 1e-3;  // seconds; reports that arrive together
+  const double interval = std::max(kLeastInterval, Seconds(now - record.received_at));
+  const double part = 1.0 - std::exp(-interval / Seconds(smoothing_time_));
+  record.slot_utilisation += part * (SlotUtilisation(report) - record.slot_utilisation);
+  record.failure_rate += part * (report.endpoint_failures / interval - record.failure_rate);
+  record.report = report;
+  record.received_at = now;
+  return ReportOutcome::kTaken;
+}
+
+const AgentReport* ReportLedger::Find(base::NodeId node) const {
+  const auto found = records_.find(node);
+  return found == records_.end() ? nullptr : &found->second.report;
+}
+
+std::optional<std::uint32_t> ReportLedger::FlowsInBucket(base::NodeId node,
+                                                         std::size_t bucket) const {
+  const AgentReport* report = Find(node);
+  if (report == nullptr || bucket >= report->flows_in_buckets.size()) {
+    return std::nullopt;
+  }
+  return report->flows_in_buckets[bucket];
+}
+
+double ReportLedger::Trust(const Record& record, base::TimePoint now) const {
+  const double age = Seconds(now - record.received_at) / Seconds(report_timeout_);
+  return std::clamp(1.0 - age, 0.0, 1.0);
+}
+
+AgentView ReportLedger::View(const AgentStatus& status, base::TimePoint first_seen,
+                             base::TimePoint now) const {
+  AgentView view;
+  view.node = status.entry.node;
+  view.zone = status.entry.zone;
+  view.weight = status.weight;
+  view.age_of_service = now - first_seen;
+  const auto found = records_.find(status.entry.node);
+  if (found == records_.end()) {
+    return view;
+  }
+  const Record& record = found->second;
+  const double capacity = std::max<std::uint32_t>(1, status.flow_capacity);
+  view.flow_utilisation = record.report.open_flows / capacity;
+  view.utilisation =
+      record.report.total_slots > 0 ? record.slot_utilisation : view.flow_utilisation;
+  view.trust = Trust(record, now);
+  view.failure_rate = record.failure_rate;
+  view.age_of_service = record.report.age_of_service + (now - record.received_at);
+  return view;
+}
+
+}  // namespace gaugevalve::routing
--- /dev/null
+++ b/libs/routing/src/service_planner.cpp
@@ -0,0 +1,293 @@
+#include "gaugevalve/routing/service_planner.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "gaugevalve/routing/cold_start_ramp.h"
+#include "gaugevalve/routing/load_steering.h"
+#include "gaugevalve/routing/minimal_movement.h"
+#include "gaugevalve/routing/outlier_ejection.h"
+#include "gaugevalve/routing/zone_preference.h"
+
+namespace gaugevalve::routing {
+namespace {
+
+// Sorts by node; of two entries with one node only the newer incarnation stays.
+std::vector<AgentStatus> SortedUnique(std::vector<AgentStatus> agents) {
+  std::sort(agents.begin(), agents.end(), [](const AgentStatus& left, const AgentStatus& right) {
+    return std::pair(left.entry.node, right.entry.incarnation) <
+           std::pair(right.entry.node, left.entry.incarnation);
+  });
+  const auto last = std::unique(agents.begin(), agents.end(),
+                                [](const AgentStatus& left, const AgentStatus& right) {
+                                  return left.entry.node == right.entry.node;
+                                });
+  agents.erase(last, agents.end());
+  return agents;
+}
+
+bool Contains(const std::vector<base::NodeId>& nodes, base::NodeId node) {
+  return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
+}  // namespace
+
+PlannerPolicies MakePlannerPolicies(const PlannerSettings& settings) {
+  PlannerPolicies policies;
+  policies.shares.push_back(
+      std::make_unique<ColdStartRamp>(settings.cold_start_ramp, settings.cold_start_steps));
+  policies.shares.push_back(std::make_unique<OutlierEjection>(
+      settings.ejection_failure_rate, settings.ejection_time, settings.max_ejected_share));
+  policies.shares.push_back(
+      std::make_unique<ZonePreference>(settings.preferred_zones, settings.spill_utilisation));
+  policies.shares.push_back(
+      std::make_unique<LoadSteering>(settings.steering_gain, settings.steering_hysteresis));
+  policies.assignment = std::make_unique<MinimalMovement>(settings.assignment_hysteresis);
+  return policies;
+}
+
+ServicePlanner::ServicePlanner(base::ServiceId service, std::uint64_t epoch,
+                               std::uint32_t generation, const PlannerSettings& settings)
+    : ServicePlanner(service, epoch, generation, settings, MakePlannerPolicies(settings)) {}
+
+ServicePlanner::ServicePlanner(base::ServiceId service, std::uint64_t epoch,
+                               std::uint32_t generation, PlannerSettings settings,
+                               PlannerPolicies policies)
+    : settings_(std::move(settings)),
+      policies_(std::move(policies)),
+      epoch_(epoch),
+      generation_(generation),
+      ledger_(settings_.smoothing_time, settings_.report_timeout),
+      budget_(settings_.max_moves_per_step, settings_.max_moves_per_minute) {
+  table_.service = service;
+  table_.buckets.assign(settings_.bucket_count, Bucket{});
+}
+
+void ServicePlanner::TakeOver(BucketTable table) {
+  if (table.service != table_.service || table.buckets.empty()) {
+    throw std::invalid_argument("the table isn't one of the planner's service");
+  }
+  if (table.version >= TableVersion{epoch_, generation_, 1}) {
+    throw std::invalid_argument("the table is newer than the planner's generation");
+  }
+  table_ = std::move(table);
+}
+
+void ServicePlanner::SetAgents(std::vector<AgentStatus> agents, base::TimePoint now) {
+  std::vector<AgentStatus> sorted = SortedUnique(std::move(agents));
+  if (sorted == agents_) {
+    return;
+  }
+  agents_ = std::move(sorted);
+  urgent_ = true;
+  ledger_.Retain([&](base::NodeId node, base::Incarnation incarnation) {
+    const AgentStatus* status = FindStatus(node);
+    return status != nullptr && status->entry.incarnation == incarnation;
+  });
+  std::erase_if(lives_, [&](const auto& entry) { return FindStatus(entry.first) == nullptr; });
+  for (const AgentStatus& status : agents_) {
+    NoteLife(status, now);
+  }
+}
+
+void ServicePlanner::NoteLife(const AgentStatus& status, base::TimePoint now) {
+  const auto known = lives_.find(status.entry.node);
+  if (known != lives_.end() && known->second.incarnation == status.entry.incarnation) {
+    return;
+  }
+  // A life that the table already names isn't new, whatever this planner has seen of it.
+  const AgentEntry* entry = table_.FindAgent(status.entry.node);
+  const bool in_table = entry != nullptr && entry->incarnation == status.entry.incarnation;
+  const base::TimePoint first_seen = in_table ? now - settings_.cold_start_ramp : now;
+  lives_[status.entry.node] = Life{status.entry.incarnation, first_seen};
+}
+
+const AgentStatus* ServicePlanner::FindStatus(base::NodeId node) const {
+  const auto found = std::lower_bound(
+      agents_.begin(), agents_.end(), node,
+      [](const AgentStatus& status, base::NodeId wanted) { return status.entry.node < wanted; });
+  return found != agents_.end() && found->entry.node == node ? &*found : nullptr;
+}
+
+bool ServicePlanner::IsAlive(base::NodeId node) const {
+  const AgentStatus* status = FindStatus(node);
+  return status != nullptr && status->standing != AgentStanding::kDead;
+}
+
+ReportOutcome ServicePlanner::Check(const AgentReport& report) const {
+  if (report.service != table_.service) {
+    return ReportOutcome::kWrongService;
+  }
+  const AgentStatus* status = FindStatus(report.node);
+  if (status == nullptr) {
+    return ReportOutcome::kUnknownAgent;
+  }
+  if (report.incarnation != status->entry.incarnation) {
+    return ReportOutcome::kOtherIncarnation;
+  }
+  if (report.table_version > table_.version) {
+    return ReportOutcome::kFutureTable;
+  }
+  const std::size_t counts = report.flows_in_buckets.size();
+  const bool fits = counts == 0 || counts == table_.buckets.size();
+  return fits ? ReportOutcome::kTaken : ReportOutcome::kWrongBucketCount;
+}
+
+ReportOutcome ServicePlanner::TakeReport(const AgentReport& report, base::TimePoint now) {
+  ReportOutcome outcome = Check(report);
+  if (outcome == ReportOutcome::kTaken) {
+    outcome = ledger_.Take(report, now);
+  }
+  if (outcome != ReportOutcome::kTaken) {
+    ++counters_.reports_refused;
+  }
+  return outcome;
+}
+
+std::vector<AssignmentCandidate> ServicePlanner::MakeCandidates(base::TimePoint now) {
+  std::vector<AgentView> views;
+  for (const AgentStatus& status : agents_) {
+    const AgentReport* report = ledger_.Find(status.entry.node);
+    const bool draining = report != nullptr && report->state == AgentState::kDraining;
+    if (status.standing == AgentStanding::kLive && !draining) {
+      views.push_back(ledger_.View(status, lives_.at(status.entry.node).first_seen, now));
+    }
+  }
+  std::vector<double> shares;
+  shares.reserve(views.size());
+  for (const AgentView& view : views) {
+    shares.push_back(view.weight);
+  }
+  for (const std::unique_ptr<SharePolicy>& policy : policies_.shares) {
+    policy->Adjust(views, now, shares);
+  }
+  std::vector<AssignmentCandidate> candidates;
+  for (std::size_t position = 0; position < views.size(); ++position) {
+    candidates.push_back({views[position].node, views[position].zone, shares[position]});
+  }
+  return candidates;
+}
+
+std::vector<AssignmentBucket> ServicePlanner::MakeAssignmentBuckets(
+    const BucketTable& table) const {
+  std::vector<AssignmentBucket> buckets;
+  buckets.reserve(table.buckets.size());
+  for (std::size_t index = 0; index < table.buckets.size(); ++index) {
+    const Bucket& bucket = table.buckets[index];
+    const AgentEntry* owner = table.FindAgent(bucket.owner);
+    AssignmentBucket& view = buckets.emplace_back();
+    view.owner = bucket.owner;
+    view.owner_zone = owner != nullptr ? owner->zone : std::string();
+    view.owner_alive = IsAlive(bucket.owner);
+    view.flows_at_owner = ledger_.FlowsInBucket(bucket.owner, index).value_or(0);
+    view.previous_owners = bucket.previous_owners;
+  }
+  return buckets;
+}
+
+void ServicePlanner::ListAgents(BucketTable& next) const {
+  next.agents.clear();
+  for (const AgentStatus& status : agents_) {
+    if (status.standing != AgentStanding::kDead) {
+      next.agents.push_back(status.entry);
+    }
+  }
+}
+
+void ServicePlanner::DropDeadFromChains(BucketTable& next) const {
+  for (Bucket& bucket : next.buckets) {
+    std::erase_if(bucket.previous_owners, [&](base::NodeId node) { return !IsAlive(node); });
+  }
+}
+
+bool ServicePlanner::HoldsNothing(base::NodeId node, std::size_t index,
+                                  const Bucket& bucket) const {
+  const AgentReport* report = ledger_.Find(node);
+  if (report == nullptr || report->table_version < bucket.version) {
+    return false;
+  }
+  return ledger_.FlowsInBucket(node, index) == 0U;
+}
+
+bool ServicePlanner::UpdateChain(std::size_t index, Bucket& bucket) const {
+  const std::vector<base::NodeId> before = bucket.previous_owners;
+  std::erase_if(bucket.previous_owners,
+                [&](base::NodeId node) { return HoldsNothing(node, index, bucket); });
+  for (const AgentStatus& status : agents_) {
+    const base::NodeId node = status.entry.node;
+    const bool holds_flows = ledger_.FlowsInBucket(node, index).value_or(0) > 0;
+    const bool named = node == bucket.owner || Contains(bucket.previous_owners, node);
+    const bool has_room = bucket.previous_owners.size() < kMaxPreviousOwners;
+    if (holds_flows && !named && has_room && IsAlive(node)) {
+      bucket.previous_owners.push_back(node);
+    }
+  }
+  return bucket.previous_owners != before;
+}
+
+void ServicePlanner::UpdateChains(BucketTable& next) {
+  std::uint32_t updates = 0;
+  for (std::size_t index = 0; index < next.buckets.size(); ++index) {
+    if (updates >= settings_.max_chain_updates_per_step) {
+      break;
+    }
+    updates += UpdateChain(index, next.buckets[index]) ? 1 : 0;
+  }
+  counters_.chain_updates += updates;
+}
+
+void ServicePlanner::ApplyMoves(const std::vector<BucketMove>& moves, BucketTable& next) const {
+  for (const BucketMove& move : moves) {
+    Bucket& bucket = next.buckets[move.index.value()];
+    std::erase(bucket.previous_owners, move.new_owner);
+    if (IsAlive(bucket.owner)) {
+      bucket.previous_owners.insert(bucket.previous_owners.begin(), bucket.owner);
+    }
+    bucket.owner = move.new_owner;
+  }
+}
+
+std::optional<TableDelta> ServicePlanner::Publish(BucketTable next) {
+  if (next.agents == table_.agents && next.buckets == table_.buckets) {
+    return std::nullopt;
+  }
+  ++sequence_;
+  next.version = TableVersion{epoch_, generation_, sequence_};
+  for (std::size_t index = 0; index < next.buckets.size(); ++index) {
+    if (next.buckets[index] != table_.buckets[index]) {
+      next.buckets[index].version = next.version;
+    }
+  }
+  TableDelta delta = MakeDelta(table_, next);
+  table_ = std::move(next);
+  ++counters_.deltas;
+  return delta;
+}
+
+std::optional<TableDelta> ServicePlanner::Step(base::TimePoint now) {
+  if (!urgent_ && now < next_step_) {
+    return std::nullopt;
+  }
+  urgent_ = false;
+  next_step_ = now + settings_.step_interval;
+  const std::vector<AssignmentCandidate> candidates = MakeCandidates(now);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  BucketTable next = table_;
+  DropDeadFromChains(next);
+  UpdateChains(next);
+  const Assignment assignment =
+      policies_.assignment->Assign(candidates, MakeAssignmentBuckets(next), budget_.Available(now));
+  ApplyMoves(assignment.forced, next);
+  ApplyMoves(assignment.optional, next);
+  ListAgents(next);
+  budget_.Spend(assignment.optional.size());
+  counters_.forced_moves += assignment.forced.size();
+  counters_.optional_moves += assignment.optional.size();
+  counters_.blocked_moves += assignment.blocked;
+  return Publish(std::move(next));
+}
+
+}  // namespace gaugevalve::routing
