--- /dev/null
+++ b/libs/requests/include/gaugevalve/requests/at_most_once.h
@@ -0,0 +1,219 @@
+// Keeps a keyed request to one execution in a whole service.
+//
+// The owner of the bucket that a key falls into (routing::BucketTable) decides who runs it. Before
+// a request runs, two agents hold its record: the owner and the executor or, where these are one,
+// the owner and another agent. An agent that becomes owner first collects what every other agent of
+// the table knows of the bucket; by answering, an agent promises to take part in no grant under an
+// older version. So any earlier grant is either among what was collected, or is refused by its
+// second participant. A former owner that wakes up can't grant alone.
+//
+// One lost agent loses no record. When a second is lost before the copies are restored, what was
+// recorded before is taken as forgotten: a key that may have been used then is answered "outcome
+// unknown", never run. A key that carries its time (UUID version 7) tells that it is newer.
+//
+// What it can't promise: copies that can't be restored within `restore_time` (messages between live
+// agents lost all that time, or a frozen agent left in the table) are not counted as a loss by
+// others; callers' clocks further ahead than `clock_margin` defeat the time in a key;
+// a key without a time that comes again after the window counts as new; a service with one agent
+// forgets with it.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/requests/admission_queue.h"
+#include "gaugevalve/requests/execution_record_table.h"
+#include "gaugevalve/requests/request_outcome.h"
+#include "gaugevalve/requests/requests.pb.h"
+#include "gaugevalve/routing/bucket_table.h"
+
+namespace gaugevalve::requests {
+
+// Times and bounds of the at-most-once guarantee.
+struct AtMostOnceLimits {
+  base::Duration window{600'000'000};    // how long a key is remembered
+  std::size_t record_capacity = 40'000;  // keys remembered; a new one is refused when full
+  std::size_t pending_capacity = 4'096;  // requests awaiting a grant; more are refused
+  base::Duration freshness{3'000'000};   // an owner grants this long after its table was confirmed
+  base::Duration restore_time{30'000'000};  // in which copies are restored after a loss
+  base::Duration resend_interval{100'000};  // between repeats of an unanswered message
+  base::Duration clock_margin{1'000'000};   // how far callers' clocks may be ahead
+};
+
+// A keyed request of this agent that wants to run.
+struct KeyedRequest {
+  RequestId id;
+  KeyDigest key;
+  std::uint64_t fingerprint = 0;
+  std::optional<base::Duration> key_age;  // by the time in the key; may be below 0
+  base::TimePoint deadline;
+};
+
+// A message for another agent of the service.
+struct OutgoingMessage {
+  base::NodeId destination;
+  proto::AtMostOnceMessage message;
+};
+
+// A request whose answer is known from an earlier execution.
+struct RepeatedRequest {
+  RequestId id;
+  StoredAnswer answer;
+};
+
+// What is to be done after one event.
+struct AtMostOnceActions {
+  std::vector<OutgoingMessage> send;
+  std::vector<RequestId> run;  // each is handed out once; Finish() must follow
+  std::vector<RefusedRequest> refused;
+  std::vector<RepeatedRequest> repeated;
+};
+
+// One agent's part in the protocol. Messages may be lost, doubled, delayed and reordered. Not
+// thread-safe; the owner passes in the time.
+class AtMostOnce {
+ public:
+  // `self` is this life of this agent; `now` its start.
+  AtMostOnce(base::NodeId self, base::Incarnation incarnation, const AtMostOnceLimits& limits,
+             base::TimePoint now);
+
+  // Takes a newer table of the service; older ones are passed over. `confirmed_at` is when this
+  // node sent the last report that the planner acknowledged.
+  AtMostOnceActions SetTable(const std::shared_ptr<const routing::BucketTable>& table,
+                             base::TimePoint confirmed_at, base::TimePoint now);
+
+  // A keyed request wants to run. Its fate follows in these or later actions.
+  AtMostOnceActions Begin(const KeyedRequest& request, base::TimePoint now);
+
+  // A request that was handed out to run ended. `state` must not be kGranted.
+  AtMostOnceActions Finish(RequestId id, ExecutionState state, const StoredAnswer& answer,
+                           base::TimePoint now);
+
+  // The caller gave up a request that isn't handed out yet. Does nothing for another.
+  AtMostOnceActions Abandon(RequestId id, base::TimePoint now);
+
+  // Takes a message of another agent; malformed ones are passed over.
+  AtMostOnceActions OnMessage(base::NodeId sender, const proto::AtMostOnceMessage& message,
+                              base::TimePoint now);
+
+  // Resends, gives up and forgets as due. Call about every resend_interval.
+  AtMostOnceActions OnTimer(base::TimePoint now);
+
+  // Returns whether this agent may decide on keys of the bucket now.
+  bool IsSettledOwner(base::BucketIndex bucket, base::TimePoint now) const;
+
+  // Returns whether this agent still collects records or restores copies: until it doesn't, a loss
+  // may be one too many.
+  bool IsRestoring() const;
+
+  std::size_t RecordCount() const { return records_.Size(); }
+
+ private:
+  enum class Phase : std::uint8_t { kAwaitingPermit, kAwaitingCopy, kRunning };
+
+  // A request between Begin() and its end.
+  struct Pending {
+    KeyedRequest request;
+    GrantId grant;
+    Phase phase = Phase::kAwaitingPermit;
+    base::NodeId copy_holder;  // with kAwaitingCopy
+    base::TimePoint resend_at{};
+  };
+
+  // The collection of what others know of a bucket that this agent came to own.
+  struct Settlement {
+    routing::TableVersion version;
+    absl::flat_hash_map<base::NodeId, KeyDigest> cursors;  // of those yet to answer in full
+    base::TimePoint resend_at{};
+  };
+
+  // A copy that is being restored after its holder was lost.
+  struct Restoration {
+    base::NodeId holder;
+    base::TimePoint resend_at{};
+  };
+
+  base::BucketIndex BucketOf(const KeyDigest& key) const;
+  const routing::Bucket& EntryOf(base::BucketIndex bucket) const;
+  bool IsLive(base::NodeId node) const;
+  bool IsLiveLife(base::NodeId node, base::Incarnation incarnation) const;
+  bool HasSecondCopy(const ExecutionRecord& record) const;
+  bool IsOwner(base::BucketIndex bucket, base::TimePoint now) const;
+  bool Acknowledge(base::BucketIndex bucket, const routing::TableVersion& version);
+  bool MayBeForgotten(const std::optional<base::Duration>& key_age, base::TimePoint now) const;
+  std::optional<base::NodeId> ChooseCopyHolder(const KeyDigest& key) const;
+
+  void NoteLosses(const routing::BucketTable& before, base::TimePoint now);
+  void RestoreCopies(base::TimePoint now, AtMostOnceActions& actions);
+  void SendRestoration(const KeyDigest& key, Restoration& restoration, base::TimePoint now,
+                       AtMostOnceActions& actions);
+  void StartSettlements(base::TimePoint now, AtMostOnceActions& actions);
+  void RequestCollection(base::BucketIndex bucket, Settlement& settlement, base::TimePoint now,
+                         AtMostOnceActions& actions);
+  void CompleteSettlement(base::BucketIndex bucket);
+  void TakeOverMemory();
+
+  proto::Verdict Decide(const ExecutionRecord& wanted, const std::optional<base::Duration>& key_age,
+                        base::TimePoint now);
+  void Advance(Pending& pending, base::TimePoint now, AtMostOnceActions& actions);
+  void AskOwner(Pending& pending, base::NodeId owner, AtMostOnceActions& actions);
+  void DecideLocally(Pending& pending, base::TimePoint now, AtMostOnceActions& actions);
+  void AskForCopy(Pending& pending, base::TimePoint now, AtMostOnceActions& actions);
+  void Run(Pending& pending, AtMostOnceActions& actions);
+  void End(RequestId id, const ExecutionRecord& known, proto::Verdict verdict,
+           AtMostOnceActions& actions);
+  void EndWithKnown(RequestId id, const ExecutionRecord& known, AtMostOnceActions& actions);
+  void Refuse(RequestId id, RequestOutcome outcome, RefusalReason reason,
+              AtMostOnceActions& actions);
+  void Withdraw(const Pending& pending, base::TimePoint now, AtMostOnceActions& actions);
+  void ReportEnd(const ExecutionRecord& record, base::TimePoint now, AtMostOnceActions& actions);
+  void MergeRecord(const ExecutionRecord& record, base::TimePoint now);
+  Pending* FindPending(const GrantId& grant);
+  void Forget(RequestId id);
+
+  void OnPermitRequest(base::NodeId sender, const proto::PermitRequest& message,
+                       base::TimePoint now, AtMostOnceActions& actions);
+  void RemindExecutor(const ExecutionRecord& record, base::TimePoint now,
+                      AtMostOnceActions& actions);
+  void OnPermitReply(base::NodeId sender, const proto::PermitReply& message, base::TimePoint now,
+                     AtMostOnceActions& actions);
+  void OnPermitToRun(Pending& pending, const proto::PermitReply& message, base::TimePoint now,
+                     AtMostOnceActions& actions);
+  void OnPermitForUnknownGrant(base::NodeId sender, const ExecutionRecord& record,
+                               base::TimePoint now, AtMostOnceActions& actions);
+  void OnCopyRequest(base::NodeId sender, const proto::CopyRequest& message, base::TimePoint now,
+                     AtMostOnceActions& actions);
+  void OnCopyReply(base::NodeId sender, const proto::CopyReply& message,
+                   AtMostOnceActions& actions);
+  void OnCollectRequest(base::NodeId sender, const proto::CollectRequest& message,
+                        base::TimePoint now, AtMostOnceActions& actions);
+  void OnCollectReply(base::NodeId sender, const proto::CollectReply& message, base::TimePoint now,
+                      AtMostOnceActions& actions);
+  void OnFinished(const proto::Finished& message, base::TimePoint now);
+
+  base::NodeId self_;
+  base::Incarnation incarnation_;
+  AtMostOnceLimits limits_;
+  std::shared_ptr<const routing::BucketTable> table_;
+  base::TimePoint confirmed_at_{};
+  std::vector<routing::TableVersion> acknowledged_;  // by bucket
+  ExecutionRecordTable records_;
+  absl::flat_hash_map<RequestId, Pending> pending_;
+  absl::flat_hash_map<std::uint64_t, RequestId> by_grant_;  // the pending ones' grant numbers
+  absl::flat_hash_map<KeyDigest, Restoration> restorations_;
+  absl::flat_hash_map<base::BucketIndex, Settlement> settlements_;
+  absl::flat_hash_map<base::BucketIndex, routing::TableVersion> settled_;
+  base::TimePoint whole_since_;  // the record of a key first used after this is held by someone
+  bool memory_known_ = false;    // whole_since_ is what the service knows, not only our own start
+  std::optional<base::TimePoint> inherited_whole_since_;  // newest told by agents that know
+  std::optional<base::TimePoint> last_loss_at_;
+  std::uint64_t next_grant_ = 1;
+};
+
+}  // namespace gaugevalve::requests
--- /dev/null
+++ b/libs/requests/src/message_codec.h
@@ -0,0 +1,22 @@
+// Conversions between the core's types and its messages; private to the library.
+#pragma once
+
+#include "gaugevalve/requests/execution_record.h"
+#include "gaugevalve/requests/requests.pb.h"
+#include "gaugevalve/routing/table_version.h"
+
+namespace gaugevalve::requests {
+
+// Writes the record; its age is relative to `now`.
+void EncodeRecord(const ExecutionRecord& record, base::TimePoint now, proto::Record* message);
+
+// Reads a record. A state of a later release reads as kUnknown, which is always safe.
+ExecutionRecord DecodeRecord(const proto::Record& message, base::TimePoint now);
+
+void EncodeKey(const KeyDigest& key, proto::Key* message);
+KeyDigest DecodeKey(const proto::Key& message);
+
+void EncodeVersion(const routing::TableVersion& version, proto::BucketVersion* message);
+routing::TableVersion DecodeVersion(const proto::BucketVersion& message);
+
+}  // namespace gaugevalve::requests
