--- a/libs/settings/src/branch_yaml.cpp
+++ b/libs/settings/src/branch_yaml.cpp
@@ -1,29 +1,15 @@
 #include "branch_yaml.h"
 
-#include <algorithm>
 #include <string_view>
 #include <utility>
-#include <vector>
+
+#include "field_names.h"
 
 namespace gaugevalve::settings {
 namespace {
 
 constexpr std::string_view kVersionKey = "version";
 
-// Returns the keys that a branch of this level may have, for hints.
-std::vector<std::string_view> KnownKeys(Level level) {
-  std::vector<std::string_view> keys;
-  for (const FieldSchema& schema : Schema()) {
-    if (IsAllowedAt(schema, level)) {
-      keys.push_back(schema.name);
-    }
-  }
-  if (!ChildrenKey(level).empty()) {
-    keys.push_back(ChildrenKey(level));
-  }
-  return keys;
-}
-
 Level ChildLevel(Level level) { return static_cast<Level>(static_cast<int>(level) + 1); }
 
 void ReadChildren(YamlReader& reader, const YamlEntry& entry, Branch& parent) {
@@ -95,4 +81,22 @@
   emitter << YAML::EndMap;
 }
 
+std::string ExportBranch(const Branch& branch) {
+  YAML::Emitter emitter;
+  emitter << YAML::BeginMap;
+  EmitBranch(emitter, branch);
+  emitter << YAML::EndMap;
+  return std::string(emitter.c_str()) + "\n";
+}
+
+Branch ParseBranch(const std::string& text, Level level, const std::string& name,
+                   const std::string& file_name, const std::string& path) {
+  YamlReader reader(file_name);
+  const std::optional<YAML::Node> document = reader.Load(text);
+  reader.ThrowIfAny();
+  Branch branch = ReadBranch(reader, {name, *document, reader.PlaceOf(*document, path)}, level);
+  reader.ThrowIfAny();
+  return branch;
+}
+
 }  // namespace gaugevalve::settings
--- a/libs/settings/src/branch_yaml.h
+++ b/libs/settings/src/branch_yaml.h
@@ -20,4 +20,12 @@
 // Writes the fields and children of a branch as keys of the mapping that is open in `emitter`.
 void EmitBranch(YAML::Emitter& emitter, const Branch& branch);
 
+// Returns the canonical YAML of a branch alone; "{}" and a line end for an empty one.
+std::string ExportBranch(const Branch& branch);
+
+// Returns the branch in the YAML text, named `name`. Throws base::FindingsError; the places are in
+// `file_name`, their paths start at `path`.
+Branch ParseBranch(const std::string& text, Level level, const std::string& name,
+                   const std::string& file_name, const std::string& path);
+
 }  // namespace gaugevalve::settings
--- /dev/null
+++ b/libs/settings/tests/sample_tree.h
@@ -0,0 +1,29 @@
+// The tree that several tests start from.
+#pragma once
+
+#include "gaugevalve/settings/settings_tree.h"
+
+namespace gaugevalve::settings {
+
+inline constexpr const char* kSampleTree = R"(version: 1
+slots: 7
+services:
+  stock:
+    kind: http3
+    virtual_address: 192.0.2.10:443
+    regions:
+      coast:
+        zones:
+          east:
+            endpoints: {stock-1: {weight: 10}, stock-2: {}}
+          west:
+            endpoints: {stock-3: {}}
+  sheets:
+    kind: datagram
+    virtual_address: 192.0.2.11:443
+    bucket_count: 64
+)";
+
+inline SettingsTree SampleTree() { return ParseTree(kSampleTree, "sample"); }
+
+}  // namespace gaugevalve::settings
