--- /dev/null
+++ b/libs/flow/src/bucket_ownership.cpp
@@ -0,0 +1,142 @@
+#include "gaugevalve/flow/bucket_ownership.h"
+
+#include <algorithm>
+
+namespace gaugevalve::flow {
+namespace {
+
+Ruling Drop(DropReason reason) { return {Verdict::kDrop, {}, reason, false}; }
+
+Ruling Serve(bool confirms) { return {Verdict::kServe, {}, {}, confirms}; }
+
+}  // namespace
+
+void BucketOwnership::UpdateTable(const routing::BucketTable& table, base::TimePoint confirmed_at) {
+  const bool other_size = !entries_.empty() && entries_.size() != table.buckets.size();
+  if (table.service != identity_.service || table.version < table_version_ || other_size) {
+    return;
+  }
+  entries_.resize(table.buckets.size());
+  for (std::size_t position = 0; position < entries_.size(); ++position) {
+    if (table.buckets[position].version >= entries_[position].version) {
+      const base::BucketIndex index(static_cast<std::uint16_t>(position));
+      entries_[position] = wire::ResolveBucket(table, index);
+    }
+  }
+  table_version_ = table.version;
+  confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+  const routing::AgentEntry* const self = table.FindAgent(identity_.node);
+  is_listed_ = self != nullptr && self->incarnation >= identity_.incarnation;
+  others_are_listed_ = table.agents.size() > (self != nullptr ? 1U : 0U);
+}
+
+void BucketOwnership::StartDraining(base::TimePoint now) {
+  draining_since_ = draining_since_.value_or(now);
+}
+
+std::optional<DropReason> BucketOwnership::Settle(wire::ForwardingHeader& header,
+                                                  std::uint64_t flow_key_hash) {
+  if (header.service != identity_.service) {
+    return DropReason::kForeignService;
+  }
+  if (header.target != identity_.node) {
+    return DropReason::kForeignTarget;
+  }
+  if (entries_.empty()) {
+    return DropReason::kNoTable;
+  }
+  if (header.bucket.value() != flow_key_hash % entries_.size()) {
+    return DropReason::kWrongBucket;
+  }
+  wire::BucketEntry& known = entries_[header.bucket.value()];
+  if (header.entry.version > known.version) {
+    known = header.entry;
+    return std::nullopt;
+  }
+  const bool on_walk = header.walk != wire::ChainWalk::kNotStarted;
+  if (on_walk && header.entry.version == known.version) {
+    return std::nullopt;  // the walk goes on along the list on which it began
+  }
+  header.entry = known;
+  header.walk = wire::ChainWalk::kNotStarted;
+  return std::nullopt;
+}
+
+Ruling BucketOwnership::Rule(wire::ForwardingHeader& header, FlowPresence presence,
+                             base::TimePoint now) const {
+  if (presence == FlowPresence::kConfirmed) {
+    return Serve(false);
+  }
+  if (header.entry.owner.node == base::NodeId()) {
+    return Drop(DropReason::kNoOwner);
+  }
+  const bool hops_are_spent = header.hop_count >= kMaxHops;
+  const Ruling ruling = IsSelf(header.entry.owner) ? RuleAsOwner(header, presence, now)
+                                                   : RuleAsOther(header, presence);
+  const bool passes_on = ruling.verdict == Verdict::kPassOn;
+  return passes_on && hops_are_spent ? Drop(DropReason::kHopLimit) : ruling;
+}
+
+Ruling BucketOwnership::RuleAsOwner(wire::ForwardingHeader& header, FlowPresence presence,
+                                    base::TimePoint now) const {
+  const auto& chain = header.entry.previous_owners;
+  const auto first = std::find_if_not(chain.begin(), chain.end(),
+                                      [this](const auto& agent) { return IsSelf(agent); });
+  if (first != chain.end() && header.walk != wire::ChainWalk::kFinished) {
+    header.walk = wire::ChainWalk::kWalking;
+    return PassTo(*first, header);
+  }
+  if (presence == FlowPresence::kUnconfirmed) {
+    return Serve(true);
+  }
+  const std::optional<DropReason> reason = ReasonNotToOpen(header.entry, now);
+  return reason ? Drop(*reason) : Ruling{Verdict::kOpen, {}, {}, true};
+}
+
+Ruling BucketOwnership::RuleAsOther(wire::ForwardingHeader& header, FlowPresence presence) const {
+  if (header.walk != wire::ChainWalk::kWalking) {
+    return PassTo(header.entry.owner, header);
+  }
+  if (presence == FlowPresence::kUnconfirmed) {
+    return Serve(false);
+  }
+  const auto& chain = header.entry.previous_owners;
+  const auto self =
+      std::find_if(chain.begin(), chain.end(), [this](const auto& agent) { return IsSelf(agent); });
+  if (self == chain.end()) {  // not a stop of this walk: the owner starts it anew
+    header.walk = wire::ChainWalk::kNotStarted;
+    return PassTo(header.entry.owner, header);
+  }
+  if (self + 1 != chain.end()) {
+    return PassTo(*(self + 1), header);
+  }
+  header.walk = wire::ChainWalk::kFinished;
+  return PassTo(header.entry.owner, header);
+}
+
+std::optional<DropReason> BucketOwnership::ReasonNotToOpen(const wire::BucketEntry& entry,
+                                                           base::TimePoint now) const {
+  if (now - confirmed_at_ > settings_.freshness_limit) {
+    return DropReason::kStaleTable;
+  }
+  if (!is_listed_) {
+    return DropReason::kNotListed;
+  }
+  if (entry.is_cut) {
+    return DropReason::kChainCut;
+  }
+  const bool grace_is_over = draining_since_ && now - *draining_since_ > settings_.drain_grace;
+  if (grace_is_over && others_are_listed_) {
+    return DropReason::kDraining;
+  }
+  return std::nullopt;
+}
+
+Ruling BucketOwnership::PassTo(const wire::AgentAddress& agent, wire::ForwardingHeader& header) {
+  header.target = agent.node;
+  header.target_incarnation = agent.incarnation;
+  ++header.hop_count;
+  return {Verdict::kPassOn, agent.data_address, {}, false};
+}
+
+}  // namespace gaugevalve::flow
--- /dev/null
+++ b/libs/flow/src/flow_core.cpp
@@ -0,0 +1,69 @@
+#include "gaugevalve/flow/flow_core.h"
+
+namespace gaugevalve::flow {
+
+FlowCore::FlowCore(const AgentIdentity& identity, const FlowCoreSettings& settings)
+    : ownership_(identity, settings.ownership),
+      table_(settings.table),
+      source_limiter_(settings.source_limit) {}
+
+void FlowCore::UpdateTable(const routing::BucketTable& table, base::TimePoint confirmed_at) {
+  ownership_.UpdateTable(table, confirmed_at);
+}
+
+FlowAction FlowCore::Decide(const wire::FlowKey& key, wire::ForwardingHeader& header,
+                            base::TimePoint now) {
+  if (const std::optional<DropReason> reason = ownership_.Settle(header, key.Hash())) {
+    return *reason;
+  }
+  const std::optional<FlowId> flow = table_.Find(key);
+  const Ruling ruling = ownership_.Rule(header, PresenceOf(flow, header.bucket), now);
+  switch (ruling.verdict) {
+    case Verdict::kServe:
+      table_.Touch(*flow, now);
+      if (ruling.confirms) {
+        table_.SetConfirmed(*flow, ownership_.EntryVersion(header.bucket));
+      }
+      return Relay{*flow, false};
+    case Verdict::kOpen:
+      return Open(key, header.bucket, now);
+    case Verdict::kPassOn:
+      return PassOn{ruling.next_hop};
+    case Verdict::kDrop:
+      break;
+  }
+  return ruling.reason;
+}
+
+FlowAction FlowCore::Open(const wire::FlowKey& key, base::BucketIndex bucket, base::TimePoint now) {
+  if (!source_limiter_.Allow(key.source, now)) {
+    return DropReason::kSourceLimit;
+  }
+  const std::optional<FlowId> flow = table_.Open(key, bucket, ownership_.EntryVersion(bucket), now);
+  if (!flow) {
+    return DropReason::kFlowTableFull;
+  }
+  return Relay{*flow, true};
+}
+
+FlowPresence FlowCore::PresenceOf(std::optional<FlowId> flow, base::BucketIndex bucket) const {
+  if (!flow) {
+    return FlowPresence::kAbsent;
+  }
+  const bool is_confirmed = table_.Confirmed(*flow) == ownership_.EntryVersion(bucket);
+  return is_confirmed ? FlowPresence::kConfirmed : FlowPresence::kUnconfirmed;
+}
+
+void FlowCore::FillReport(routing::AgentReport& report) const {
+  const AgentIdentity& identity = ownership_.Identity();
+  report.service = identity.service;
+  report.node = identity.node;
+  report.incarnation = identity.incarnation;
+  report.state =
+      ownership_.IsDraining() ? routing::AgentState::kDraining : routing::AgentState::kServing;
+  report.table_version = ownership_.AcknowledgedVersion();
+  report.open_flows = static_cast<std::uint32_t>(table_.Size());
+  report.flows_in_buckets = table_.CountByBucket(ownership_.BucketCount());
+}
+
+}  // namespace gaugevalve::flow
--- /dev/null
+++ b/libs/flow/src/source_limiter.cpp
@@ -0,0 +1,41 @@
+#include "gaugevalve/flow/source_limiter.h"
+
+#include <algorithm>
+
+#include "gaugevalve/base/hash.h"
+
+namespace gaugevalve::flow {
+namespace {
+
+constexpr unsigned kHalfHashBits = 32;
+
+}  // namespace
+
+SourceLimiter::SourceLimiter(const SourceLimiterSettings& settings) : seed_(settings.seed) {
+  if (settings.rate == 0) {
+    return;
+  }
+  interval_ = base::Duration(std::chrono::seconds(1)) / settings.rate;
+  tolerance_ = interval_ * settings.burst;
+  for (std::vector<base::TimePoint>& row : rows_) {
+    row.assign(std::max<std::size_t>(settings.cells, 1), base::TimePoint::min());
+  }
+}
+
+bool SourceLimiter::Allow(const base::SocketAddress& source, base::TimePoint now) {
+  if (rows_[0].empty()) {
+    return true;
+  }
+  const std::uint64_t hash = base::HashBytes(source.address, seed_);
+  base::TimePoint& first = rows_[0][(hash >> kHalfHashBits) % rows_[0].size()];
+  base::TimePoint& second = rows_[1][static_cast<std::uint32_t>(hash) % rows_[1].size()];
+  const base::TimePoint paid_until = std::max(std::min(first, second), now);
+  if (paid_until - now > tolerance_) {
+    return false;
+  }
+  first = std::max(first, paid_until + interval_);
+  second = std::max(second, paid_until + interval_);
+  return true;
+}
+
+}  // namespace gaugevalve::flow
