--- /dev/null
+++ b/libs/store/src/store_client_shell.h
@@ -0,0 +1,73 @@
+// The store client's shell: connections and timers around RequestScheduler. Private.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "gaugevalve/store/store_client.h"
+#include "gaugevalve/tasks/timer.h"
+#include "http_exchange.h"
+
+namespace gaugevalve::store {
+
+// Carries out the scheduler's actions. Owns a connection per concurrent attempt.
+class StoreClientShell {
+ public:
+  StoreClientShell(event_base* base, const StoreClientSettings& settings, const base::Clock& clock,
+                   std::uint64_t seed);
+
+  void Submit(Request request, base::Duration timeout, StoreClient::Callback callback);
+
+  // Returns when a stream may be opened within the budget.
+  base::TimePoint ReserveStreamOpening();
+
+  // Returns the address to use now; after a failure another one.
+  const base::SocketAddress& CurrentEndpoint() const;
+  void MoveToNextEndpoint();
+
+  event_base* loop() const { return base_; }  // NOLINT(readability-identifier-naming)
+  base::TimePoint Now() const { return clock_.Now(); }
+  std::uint64_t NextSeed() { return seeds_.NextUint64(); }
+
+ private:
+  // One connection and the attempt it carries.
+  class Slot final : public HttpExchangeObserver {
+   public:
+    Slot(StoreClientShell& owner, const base::SocketAddress& address);
+    void Start(const SendAttempt& action);
+    void Cancel();
+    bool IsFree() const { return !exchange_.IsBusy(); }
+    bool Carries(AttemptId attempt) const { return exchange_.IsBusy() && attempt_ == attempt; }
+    const base::SocketAddress& Address() const { return address_; }
+
+    void OnHttpAnswer(const HttpAnswer& answer) override;
+    void OnHttpFailure(TransportFailure failure, const std::string& words) override;
+
+   private:
+    StoreClientShell& owner_;
+    base::SocketAddress address_;
+    HttpExchange exchange_;
+    AttemptId attempt_;
+  };
+
+  void Advance();
+  void Apply(const SendAttempt& action);
+  void Apply(const CancelAttempt& action);
+  void Apply(const CompleteRequest& action);
+  Slot& FreeSlot();
+  void ArmTimer();
+
+  event_base* base_;
+  const base::Clock& clock_;
+  std::vector<base::SocketAddress> endpoints_;
+  std::size_t endpoint_ = 0;
+  base::RandomSource seeds_;
+  RequestScheduler scheduler_;
+  tasks::Timer timer_;
+  std::vector<std::unique_ptr<Slot>> slots_;
+  std::map<RequestId, StoreClient::Callback> callbacks_;
+};
+
+}  // namespace gaugevalve::store
