--- /dev/null
+++ b/libs/routing/include/gaugevalve/routing/movement.h
@@ -0,0 +1,25 @@
+// How many flow keys change their agent when the agents change, by policy.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace gaugevalve::routing {
+
+// The movement of one change from `before` to `after` agents under one policy.
+struct Movement {
+  std::string policy;  // "planner", or a ChooserKind's name
+  std::size_t before = 0;
+  std::size_t after = 0;
+  double moved = 0.0;      // share of the keys that have another agent than before, in [0, 1]
+  double minimum = 0.0;    // the least share that any even assignment must move
+  double imbalance = 1.0;  // afterwards: most keys of an agent over the mean
+};
+
+// Measures the planner and every baseline but random choice on the same keys: agents are numbered,
+// and the last ones leave or join. The planner has `bucket_count` buckets and time to finish.
+std::vector<Movement> MeasureMovement(std::size_t before, std::size_t after,
+                                      std::size_t bucket_count);
+
+}  // namespace gaugevalve::routing
--- a/libs/routing/include/gaugevalve/routing/planner_settings.h
+++ b/libs/routing/include/gaugevalve/routing/planner_settings.h
@@ -19,6 +19,10 @@
   // Least time between two deltas, unless an agent died, left or joined.
   base::Duration step_interval = std::chrono::seconds(1);
 
+  // Longest time for which a planner that took over waits for a report of every live agent before
+  // it decides anything.
+  base::Duration take_over_settling = std::chrono::seconds(3);
+
   // Bound on the moves that aren't forced by a dead or leaving owner: at most this many a step ...
   std::uint32_t max_moves_per_step = 8;
   // ... and this many a minute on average. Unused allowance is kept up to one minute's worth.
--- a/libs/routing/include/gaugevalve/routing/service_planner.h
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -51,6 +51,11 @@
 //   most kMaxPreviousOwners members; a bucket with a full chain only goes back to one of them.
 // - An alive agent that reports flows in a bucket that doesn't name it is put (back) in the chain:
 //   so an agent wrongly taken for dead gets its flows back.
+// - After a take-over nothing is decided until every live agent has reported, or a time limit. Then
+//   every bucket gets a new version, so that a report made before doesn't count as acknowledgement.
+//   Where a report shows that the former planner had published more than the table taken over,
+//   anyone may own anything: every bucket's chain is filled with the other agents, who leave it
+//   with their next report of no flow.
 // - Moves that aren't forced by a dead or leaving owner are bounded per step and per minute.
 //
 // Memory: one table, one report for each agent. Not thread-safe; time mustn't go backwards.
@@ -64,7 +69,7 @@
   ServicePlanner(base::ServiceId service, std::uint64_t epoch, std::uint32_t generation,
                  PlannerSettings settings, PlannerPolicies policies);
 
-  // Goes on from a former planner's table instead of from none. Call before the first Step().
+  // Goes on from a former planner's table instead of from none. Call before the first SetAgents().
   // Throws std::invalid_argument when the table is another service's, has no buckets, or isn't
   // older than (epoch, generation, 1).
   void TakeOver(BucketTable table);
@@ -103,8 +108,11 @@
   void DropDeadFromChains(BucketTable& next) const;
   void UpdateChains(BucketTable& next);
   bool UpdateChain(std::size_t index, Bucket& bucket) const;
+  bool IsSettling(base::TimePoint now);
+  bool HaveAllReported() const;
+  void FillChains(BucketTable& next) const;
   void ApplyMoves(const std::vector<BucketMove>& moves, BucketTable& next) const;
-  std::optional<TableDelta> Publish(BucketTable next);
+  std::optional<TableDelta> Publish(BucketTable next, bool stamp_all);
 
   PlannerSettings settings_;
   PlannerPolicies policies_;
@@ -116,7 +124,10 @@
   std::map<base::NodeId, Life> lives_;
   ReportLedger ledger_;
   MoveBudget budget_;
-  bool urgent_ = true;  // the agents changed since the last step
+  bool took_over_ = false;                     // and hasn't decided anything since
+  TableVersion newest_reported_;               // of former planners
+  std::optional<base::TimePoint> settled_at_;  // the latest time to wait for reports until
+  bool urgent_ = true;                         // the agents changed since the last step
   base::TimePoint next_step_{};
   PlannerCounters counters_;
 };
--- a/libs/routing/src/service_planner.cpp
+++ b/libs/routing/src/service_planner.cpp
@@ -72,6 +72,7 @@
     throw std::invalid_argument("the table is newer than the planner's generation");
   }
   table_ = std::move(table);
+  took_over_ = true;
 }
 
 void ServicePlanner::SetAgents(std::vector<AgentStatus> agents, base::TimePoint now) {
@@ -126,7 +127,9 @@
   if (report.incarnation != status->entry.incarnation) {
     return ReportOutcome::kOtherIncarnation;
   }
-  if (report.table_version > table_.version) {
+  // Former planners may have published more than this one took over; nobody else may.
+  const TableVersion newest_known = std::max(table_.version, TableVersion{epoch_, generation_, 0});
+  if (report.table_version > newest_known) {
     return ReportOutcome::kFutureTable;
   }
   const std::size_t counts = report.flows_in_buckets.size();
@@ -138,6 +141,7 @@
   ReportOutcome outcome = Check(report);
   if (outcome == ReportOutcome::kTaken) {
     outcome = ledger_.Take(report, now);
+    newest_reported_ = std::max(newest_reported_, report.table_version);
   }
   if (outcome != ReportOutcome::kTaken) {
     ++counters_.reports_refused;
@@ -248,14 +252,51 @@
   }
 }
 
-std::optional<TableDelta> ServicePlanner::Publish(BucketTable next) {
-  if (next.agents == table_.agents && next.buckets == table_.buckets) {
+bool ServicePlanner::HaveAllReported() const {
+  return std::all_of(agents_.begin(), agents_.end(), [&](const AgentStatus& status) {
+    return status.standing == AgentStanding::kDead || ledger_.Find(status.entry.node) != nullptr;
+  });
+}
+
+bool ServicePlanner::IsSettling(base::TimePoint now) {
+  if (!took_over_) {
+    return false;
+  }
+  if (!settled_at_) {
+    settled_at_ = now + settings_.take_over_settling;
+  }
+  return now < *settled_at_ && !HaveAllReported();
+}
+
+void ServicePlanner::FillChains(BucketTable& next) const {
+  for (std::size_t index = 0; index < next.buckets.size(); ++index) {
+    Bucket& bucket = next.buckets[index];
+    std::vector<base::NodeId> others;
+    for (const AgentStatus& status : agents_) {
+      const base::NodeId node = status.entry.node;
+      const bool named = node == bucket.owner || Contains(bucket.previous_owners, node);
+      if (!named && IsAlive(node)) {
+        others.push_back(node);
+      }
+    }
+    std::stable_sort(others.begin(), others.end(), [&](base::NodeId left, base::NodeId right) {
+      return ledger_.FlowsInBucket(left, index).value_or(0) >
+             ledger_.FlowsInBucket(right, index).value_or(0);
+    });
+    const std::size_t room = kMaxPreviousOwners - bucket.previous_owners.size();
+    others.resize(std::min(others.size(), room));
+    bucket.previous_owners.insert(bucket.previous_owners.end(), others.begin(), others.end());
+  }
+}
+
+std::optional<TableDelta> ServicePlanner::Publish(BucketTable next, bool stamp_all) {
+  if (!stamp_all && next.agents == table_.agents && next.buckets == table_.buckets) {
     return std::nullopt;
   }
   ++sequence_;
   next.version = TableVersion{epoch_, generation_, sequence_};
   for (std::size_t index = 0; index < next.buckets.size(); ++index) {
-    if (next.buckets[index] != table_.buckets[index]) {
+    if (stamp_all || next.buckets[index] != table_.buckets[index]) {
       next.buckets[index].version = next.version;
     }
   }
@@ -269,6 +310,9 @@
   if (!urgent_ && now < next_step_) {
     return std::nullopt;
   }
+  if (IsSettling(now)) {
+    return std::nullopt;
+  }
   urgent_ = false;
   next_step_ = now + settings_.step_interval;
   const std::vector<AssignmentCandidate> candidates = MakeCandidates(now);
@@ -277,7 +321,12 @@
   }
   BucketTable next = table_;
   DropDeadFromChains(next);
-  UpdateChains(next);
+  const bool missed_deltas = took_over_ && newest_reported_ > table_.version;
+  if (missed_deltas) {
+    FillChains(next);
+  } else {
+    UpdateChains(next);
+  }
   const Assignment assignment =
       policies_.assignment->Assign(candidates, MakeAssignmentBuckets(next), budget_.Available(now));
   ApplyMoves(assignment.forced, next);
@@ -287,7 +336,8 @@
   counters_.forced_moves += assignment.forced.size();
   counters_.optional_moves += assignment.optional.size();
   counters_.blocked_moves += assignment.blocked;
-  return Publish(std::move(next));
+  const bool stamp_all = std::exchange(took_over_, false);
+  return Publish(std::move(next), stamp_all);
 }
 
 }  // namespace gaugevalve::routing
