--- a/standins/backend/src/backend_pages.cpp
+++ b/standins/backend/src/backend_pages.cpp
@@ -3,41 +3,22 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "gaugevalve/base/finding.h"
-#include "gaugevalve/telemetry/event.h"
+#include "gaugevalve/standins/json_page.h"
 
 namespace gaugevalve::standins {
-namespace {
-
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr char kJsonType[] = "application/json";
-
-telemetry::AdminResponse ChangeFaults(EndpointFaults& faults,
-                                      const telemetry::AdminRequest& request) {
-  if (request.method == "GET") {
-    return {kOk, kJsonType, FaultsToJson(faults)};
-  }
-  try {
-    faults = FaultsFromJson(faults, request.body);
-  } catch (const base::FindingsError& error) {
-    return {kBadRequest, "text/plain", base::FormatFindings(error.findings())};
-  }
-  telemetry::Event(telemetry::Level::kInfo, "endpoint_faults_changed")
-      .Field("faults", FaultsToJson(faults));
-  return {kOk, kJsonType, FaultsToJson(faults)};
-}
-
-}  // namespace
 
 void AddBackendPages(telemetry::AdminServer& server, EndpointFaults& faults,
                      std::function<nlohmann::json()> ledger) {
+  constexpr int kOk = 200;
   server.Handle("/ledger", [ledger = std::move(ledger)](const telemetry::AdminRequest&) {
-    return telemetry::AdminResponse{kOk, kJsonType, ledger().dump() + "\n"};
-  });
-  server.Handle("/admin/faults", [&faults](const telemetry::AdminRequest& request) {
-    return ChangeFaults(faults, request);
+    return telemetry::AdminResponse{kOk, "application/json", ledger().dump() + "\n"};
   });
+  AddJsonPage(
+      server, "/admin/faults",
+      [&faults](const telemetry::AdminRequest&) { return FaultsToJson(faults); },
+      [&faults](const telemetry::AdminRequest& request) {
+        faults = FaultsFromJson(faults, request.body);
+      });
 }
 
 }  // namespace gaugevalve::standins
--- a/standins/backend/src/endpoint_faults.cpp
+++ b/standins/backend/src/endpoint_faults.cpp
@@ -41,7 +41,7 @@
                                    {"load_report", NameOf(faults.load_report)},
                                    {"health_report", NameOf(faults.health_report)},
                                    {"report_lag_ms", Milliseconds(faults.report_lag)}};
-  return document.dump() + "\n";
+  return document.dump();
 }
 
 EndpointFaults FaultsFromJson(const EndpointFaults& current, std::string_view text) {
--- a/standins/backend/src/main.cpp
+++ b/standins/backend/src/main.cpp
@@ -14,6 +14,7 @@
 #include "backend_pages.h"
 #include "datagram_echo.h"
 #include "gaugevalve/base/finding.h"
+#include "gaugevalve/standins/address_flags.h"
 #include "gaugevalve/tasks/task.h"
 #include "gaugevalve/telemetry/logging.h"
 
@@ -28,15 +29,6 @@
 
 constexpr int kExitUsage = 2;
 
-base::SocketAddress ReadAddress(const std::string& flag, const std::string& text,
-                                base::Findings& findings) {
-  const std::optional<base::SocketAddress> address = base::SocketAddress::Parse(text);
-  if (!address) {
-    findings.push_back({{flag, 0, 0, ""}, "'" + text + "' is no IP:port"});
-  }
-  return address.value_or(base::SocketAddress{});
-}
-
 void Serve() {
   base::Findings findings;
   const auto datagram = ReadAddress("--datagram", absl::GetFlag(FLAGS_datagram), findings);
