--- /dev/null
+++ b/libs/membership/include/gaugevalve/membership/membership_runner.h
@@ -0,0 +1,44 @@
+// Joins a membership core to a transport.
+#pragma once
+
+#include <functional>
+
+#include "gaugevalve/base/clock.h"
+#include "gaugevalve/membership/membership.h"
+#include "gaugevalve/transport/peer_transport.h"
+
+namespace gaugevalve::membership {
+
+// Passes messages both ways and events to the owner. Whoever runs the loop calls Tick() at the time
+// that NextWakeUp() names. Belongs to one task.
+class MembershipRunner {
+ public:
+  // Called with each event, after the core's state has changed. It may read the core through
+  // Core(); what changes it (Leave, UpdateMetadata) must wait until the listener has returned.
+  using Listener = std::function<void(const MembershipEvent&)>;
+
+  // All arguments must outlive the runner. Takes the transport's membership messages.
+  MembershipRunner(Membership& core, transport::PeerTransport& transport, const base::Clock& clock,
+                   Listener listener);
+  ~MembershipRunner();
+  MembershipRunner(const MembershipRunner&) = delete;
+  MembershipRunner& operator=(const MembershipRunner&) = delete;
+
+  void Start();
+  void Tick();
+  base::TimePoint NextWakeUp() const { return core_.NextWakeUp(); }
+  void UpdateMetadata(const MemberMetadata& metadata);
+  void Leave();
+
+  const Membership& Core() const { return core_; }
+
+ private:
+  void Perform(const MembershipActions& actions);
+
+  Membership& core_;
+  transport::PeerTransport& transport_;
+  const base::Clock& clock_;
+  Listener listener_;
+};
+
+}  // namespace gaugevalve::membership
--- /dev/null
+++ b/libs/membership/include/gaugevalve/membership_simulation/hollow_group.h
@@ -0,0 +1,70 @@
+// A group of hollow members spread over the zones of a simulation.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/membership_simulation/hollow_member.h"
+#include "gaugevalve/simulation/simulator.h"
+
+namespace gaugevalve::membership_simulation {
+
+struct HollowGroupSettings {
+  std::size_t members = 0;
+  membership::MembershipOptions options;  // without seeds: the first of each zone are added
+  // Whether all members know each other from the start, or join by the seeds.
+  bool is_preloaded = true;
+  std::function<void(simulation::NodeIndex, const membership::MembershipEvent&)> listener;
+};
+
+// Adds members to a simulator, zone by zone in turn, and starts and ends their lives. Knows the
+// truth that the members' views must reach.
+class HollowGroup {
+ public:
+  // `simulator` must outlive the group.
+  HollowGroup(simulation::Simulator& simulator, HollowGroupSettings settings);
+
+  std::size_t Size() const { return members_.size(); }
+  simulation::NodeIndex Index(std::size_t member) const { return members_.at(member).index; }
+  base::NodeId Node(std::size_t member) const { return members_.at(member).node; }
+  simulation::ZoneIndex Zone(std::size_t member) const;
+  bool IsRunning(std::size_t member) const;
+
+  // Returns the present life; the member must not be dead.
+  HollowMember& Life(std::size_t member);
+  const HollowMember& Life(std::size_t member) const;
+
+  void Kill(std::size_t member);
+  // Starts a new life that knows only the seeds.
+  void Restart(std::size_t member);
+  // Says farewell; Kill() follows when the caller likes.
+  void Leave(std::size_t member);
+
+  // Returns whether the view of `observer` is the truth: exactly the running members are live, each
+  // at the incarnation and metadata it has now. `difference` (may be null) says what isn't so.
+  bool HasTrueView(std::size_t observer, std::string* difference) const;
+  // Returns whether all running members have a true view.
+  bool HasConverged(std::string* difference = nullptr) const;
+
+ private:
+  struct Entry {
+    simulation::NodeIndex index;
+    base::NodeId node;
+    membership::MemberMetadata metadata;
+    bool has_left = false;
+  };
+
+  membership::MemberMetadata MakeMetadata(std::size_t member) const;
+  std::unique_ptr<HollowMember> MakeLife(std::size_t member, bool is_preloaded);
+  bool IsExpected(const Entry& entry) const;
+
+  simulation::Simulator& simulator_;
+  HollowGroupSettings settings_;
+  std::shared_ptr<const std::vector<membership::Member>> preload_;
+  std::vector<Entry> members_;
+};
+
+}  // namespace gaugevalve::membership_simulation
--- /dev/null
+++ b/libs/membership/src/gossip_peers.h
@@ -0,0 +1,35 @@
+// The members a node sends updates to.
+#pragma once
+
+#include <vector>
+
+#include "gaugevalve/base/random_source.h"
+#include "gaugevalve/membership/membership_options.h"
+#include "member_table.h"
+#include "peer_selector.h"
+
+namespace gaugevalve::membership {
+
+// A few random members that stay for minutes: with a new one for each message, opening connections
+// would cost more than the updates. One is replaced now and then, so no set is stuck for ever.
+class GossipPeers {
+ public:
+  GossipPeers(const MembershipOptions& options, const MemberTable& table,
+              const PeerSelector& selector, base::RandomSource& random)
+      : options_(options), table_(table), selector_(selector), random_(random) {}
+
+  // Returns up to `count` different live members, in random order.
+  std::vector<const Member*> Choose(std::size_t count, base::TimePoint now);
+
+ private:
+  void Refresh(base::TimePoint now);
+
+  const MembershipOptions& options_;
+  const MemberTable& table_;
+  const PeerSelector& selector_;
+  base::RandomSource& random_;
+  std::vector<base::NodeId> peers_;
+  base::TimePoint next_change_at_{};
+};
+
+}  // namespace gaugevalve::membership
--- /dev/null
+++ b/libs/membership/src/outbox.h
@@ -0,0 +1,51 @@
+// Builds the messages of one call of the core, with updates carried along.
+#pragma once
+
+#include "gaugevalve/membership/membership.pb.h"
+#include "gaugevalve/membership/membership_actions.h"
+#include "gaugevalve/membership/membership_options.h"
+#include "gaugevalve/transport/token_bucket.h"
+#include "member_table.h"
+#include "update_queue.h"
+
+namespace gaugevalve::membership {
+
+// Every message carries as many queued updates as the limits for a message and for the node allow.
+// The budget is for updates only: probes and answers always go out.
+class Outbox {
+ public:
+  Outbox(base::NodeId self, const MembershipOptions& options, const MemberTable& table,
+         UpdateQueue& queue);
+
+  // Sets where the messages of this call go.
+  void BeginCall(base::TimePoint now, MembershipActions& actions);
+
+  // Sends a message to an address.
+  void Send(const base::SocketAddress& destination, proto::MembershipMessage& message);
+
+  // Sends a message to a member. One that isn't taken for alive is told so, to refute it.
+  void SendTo(const Member& member, proto::MembershipMessage& message);
+
+  // Sends queued updates; false when there was no budget or nothing to send.
+  bool SendUpdates(const Member& member);
+
+  // Adds this node's own record, for receivers that may not know it.
+  void Introduce(proto::MembershipMessage& message) const;
+
+  // Returns how often each update is to be sent at the present size of the group.
+  std::uint32_t RetransmitLimit() const;
+
+ private:
+  void AddUpdates(proto::MembershipMessage& message);
+  void Post(const base::SocketAddress& destination, const proto::MembershipMessage& message);
+
+  base::NodeId self_;
+  const MembershipOptions& options_;
+  const MemberTable& table_;
+  UpdateQueue& queue_;
+  transport::TokenBucket budget_;
+  base::TimePoint now_{};
+  MembershipActions* actions_ = nullptr;
+};
+
+}  // namespace gaugevalve::membership
--- /dev/null
+++ b/libs/membership/src/probe_rings.cpp
@@ -0,0 +1,109 @@
+#include "probe_rings.h"
+
+#include <algorithm>
+
+#include "gaugevalve/base/hash.h"
+
+namespace gaugevalve::membership {
+namespace {
+
+// The rings of successive probes: the zone's two, twice as often as the wide ones.
+constexpr std::array<std::size_t, 6> kSchedule = {0, 1, 2, 0, 1, 3};
+
+}  // namespace
+
+ProbeRings::ProbeRings(base::NodeId self) : self_(self) {
+  constexpr std::array<Proximity, kRings> kFarthest = {
+      Proximity::kSameZone, Proximity::kSameZone, Proximity::kSameRegion, Proximity::kOtherRegion};
+  for (std::size_t index = 0; index < kRings; ++index) {
+    Ring& ring = rings_.at(index);
+    ring.farthest = kFarthest.at(index);
+    ring.salt = index + 1;
+    ring.origin = base::HashPair(self.value(), ring.salt);
+  }
+}
+
+void ProbeRings::OnMemberChanged(const Member& member, Proximity proximity) {
+  for (Ring& ring : rings_) {
+    if (proximity <= ring.farthest && Concerns(ring, member)) {
+      ring.is_stale = true;
+    }
+  }
+}
+
+std::optional<base::NodeId> ProbeRings::Next(const MemberTable& table,
+                                             const ProximityJudge& judge) {
+  for (std::size_t tried = 0; tried < kSchedule.size(); ++tried) {
+    Ring& ring = rings_.at(kSchedule.at(step_));
+    step_ = (step_ + 1) % kSchedule.size();
+    const std::optional<base::NodeId> target = NextOf(ring, table, judge);
+    if (target) {
+      return target;
+    }
+  }
+  return std::nullopt;
+}
+
+bool ProbeRings::Watches(base::NodeId node) const {
+  return std::any_of(rings_.begin(), rings_.end(), [node](const Ring& ring) {
+    return std::any_of(ring.targets.begin(), ring.targets.end(),
+                       [node](const Target& target) { return target.node == node; });
+  });
+}
+
+std::uint64_t ProbeRings::Distance(const Ring& ring, base::NodeId node) {
+  return base::HashPair(node.value(), ring.salt) - ring.origin;
+}
+
+bool ProbeRings::Concerns(const Ring& ring, const Member& member) {
+  if (ring.is_stale) {
+    return false;
+  }
+  const std::uint64_t distance = Distance(ring, member.node);
+  const bool ends_with_live_target = !ring.targets.empty() && !ring.targets.back().is_suspect;
+  return !ends_with_live_target || distance <= ring.targets.back().distance;
+}
+
+void ProbeRings::Rebuild(Ring& ring, const MemberTable& table, const ProximityJudge& judge) const {
+  std::optional<Target> nearest;
+  std::vector<Target> suspects;
+  for (const auto& [node, member] : table.Members()) {
+    if (node == self_ || !IsLive(member.state) || judge.Of(*member.metadata) > ring.farthest) {
+      continue;
+    }
+    const Target target{Distance(ring, node), node, member.state == MemberState::kSuspect};
+    if (target.is_suspect) {
+      suspects.push_back(target);
+    } else if (!nearest || target < *nearest) {
+      nearest = target;
+    }
+  }
+  std::sort(suspects.begin(), suspects.end());
+  ring.targets.clear();
+  for (const Target& suspect : suspects) {
+    const bool has_room = ring.targets.size() + 1 < kMaximumTargets;
+    if (has_room && (!nearest || suspect < *nearest)) {
+      ring.targets.push_back(suspect);
+    }
+  }
+  if (nearest) {
+    ring.targets.push_back(*nearest);
+  }
+  ring.cursor = ring.targets.empty() ? 0 : ring.targets.size() - 1;
+  ring.is_stale = false;
+}
+
+std::optional<base::NodeId> ProbeRings::NextOf(Ring& ring, const MemberTable& table,
+                                               const ProximityJudge& judge) const {
+  if (ring.is_stale) {
+    Rebuild(ring, table, judge);
+  }
+  if (ring.targets.empty()) {
+    return std::nullopt;
+  }
+  const base::NodeId target = ring.targets.at(ring.cursor).node;
+  ring.cursor = (ring.cursor + 1) % ring.targets.size();
+  return target;
+}
+
+}  // namespace gaugevalve::membership
--- /dev/null
+++ b/libs/membership/src/state_exchange.cpp
@@ -0,0 +1,288 @@
+#include "state_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gaugevalve::membership {
+namespace {
+
+constexpr base::Duration kRequestAgain = std::chrono::seconds(1);
+
+std::vector<base::SocketAddress> OtherSeeds(const MembershipOptions& options,
+                                            const base::SocketAddress& own) {
+  std::vector<base::SocketAddress> seeds = options.seeds;
+  seeds.erase(std::remove(seeds.begin(), seeds.end(), own), seeds.end());
+  return seeds;
+}
+
+}  // namespace
+
+StateExchange::StateExchange(base::NodeId self, const MembershipOptions& options,
+                             const MemberTable& table, const PeerSelector& selector, Outbox& outbox,
+                             base::RandomSource& random, MembershipCounters& counters,
+                             RecordSink sink)
+    : self_(self),
+      options_(options),
+      table_(table),
+      selector_(selector),
+      outbox_(outbox),
+      random_(random),
+      counters_(counters),
+      sink_(std::move(sink)),
+      pages_(options.pages_per_second, options.pages_per_second) {}
+
+void StateExchange::Start(base::TimePoint now) {
+  seeds_ = OtherSeeds(options_, table_.Find(self_)->metadata->control_address);
+  next_offer_at_ = now + random_.NextJitter(options_.anti_entropy_interval);
+  next_seed_check_at_ = now + random_.NextJitter(options_.seed_check_interval);
+  const bool knows_the_group = table_.LiveCount() > 1;
+  if (seeds_.empty() || knows_the_group) {
+    is_joined_ = true;
+    return;
+  }
+  RequestPage(now);
+}
+
+void StateExchange::OnStateRequest(const transport::SenderIdentity& sender,
+                                   const proto::StateRequest& request, base::TimePoint now) {
+  if (!pages_.TryTake(1, now)) {
+    ++counters_.pages_refused;
+    return;
+  }
+  ++counters_.pages_served;
+  proto::MembershipMessage message;
+  proto::StatePage& page = *message.mutable_state_page();
+  page.set_after(request.after());
+  std::size_t used = 0;
+  auto place = table_.Members().upper_bound(base::NodeId(request.after()));
+  for (; place != table_.Members().end() && used < options_.page_bytes; ++place) {
+    if (IsLive(place->second.state)) {
+      proto::MemberRecord& record = *page.add_records();
+      EncodeRecord(place->second, RecordDetail::kFull, MakeAccuserTag(self_), record);
+      used += record.ByteSizeLong();
+    }
+    page.set_last(place->first.value());
+  }
+  page.set_complete(place == table_.Members().end());
+  outbox_.Send(sender.control_address, message);
+}
+
+void StateExchange::OnStatePage(const transport::SenderIdentity& sender,
+                                const proto::StatePage& page, base::TimePoint now) {
+  if (is_joined_ || page.after() != cursor_.value()) {
+    return;  // late or duplicated
+  }
+  for (const proto::MemberRecord& encoded : page.records()) {
+    const std::optional<MemberRecord> record = DecodeRecord(encoded);
+    if (record) {
+      sink_(*record, sender);
+    }
+  }
+  failed_requests_ = 0;
+  if (page.complete()) {
+    is_joined_ = true;
+    return;
+  }
+  cursor_ = std::max(cursor_, base::NodeId(page.last()));
+  RequestPage(now);
+}
+
+void StateExchange::OnDigestOffer(const transport::SenderIdentity& sender,
+                                  const proto::DigestOffer& offer) {
+  const std::vector<std::size_t> buckets = DifferingBuckets(offer);
+  if (buckets.empty()) {
+    return;
+  }
+  proto::MembershipMessage message;
+  proto::BucketSummary& summary = *message.mutable_bucket_summary();
+  for (const std::size_t bucket : buckets) {
+    summary.add_buckets(static_cast<std::uint32_t>(bucket));
+  }
+  for (const auto& [node, member] : table_.Members()) {
+    if (std::binary_search(buckets.begin(), buckets.end(), TableDigest::BucketOf(node))) {
+      EncodeRecord(member, RecordDetail::kState, MakeAccuserTag(self_), *summary.add_records());
+    }
+  }
+  outbox_.Send(sender.control_address, message);
+}
+
+void StateExchange::OnBucketSummary(const transport::SenderIdentity& sender,
+                                    const proto::BucketSummary& summary) {
+  absl::btree_map<base::NodeId, std::pair<base::Incarnation, MemberState>> theirs;
+  for (const proto::MemberRecord& encoded : summary.records()) {
+    const std::optional<MemberRecord> record = DecodeRecord(encoded);
+    if (record) {
+      sink_(*record, sender);
+      theirs[record->node] = {record->incarnation, record->state};
+    }
+  }
+  std::vector<const Member*> newer;
+  for (const auto& [node, member] : table_.Members()) {
+    const auto bucket = static_cast<std::uint32_t>(TableDigest::BucketOf(node));
+    const bool is_compared = std::find(summary.buckets().begin(), summary.buckets().end(),
+                                       bucket) != summary.buckets().end();
+    if (!is_compared) {
+      continue;
+    }
+    const auto their = theirs.find(node);
+    const bool is_news = their == theirs.end()
+                             ? IsLive(member.state)
+                             : their->second < std::pair(member.incarnation, member.state);
+    if (is_news) {
+      newer.push_back(&member);
+    }
+  }
+  SendRecords(sender, newer);
+}
+
+void StateExchange::OnRecordRequest(const transport::SenderIdentity& sender,
+                                    const proto::RecordRequest& request) {
+  std::vector<const Member*> members;
+  for (const std::uint64_t node : request.nodes()) {
+    const Member* member = table_.Find(base::NodeId(node));
+    if (member != nullptr && members.size() < kMaximumRecordsRequested) {
+      members.push_back(member);
+    }
+  }
+  SendRecords(sender, members);
+}
+
+void StateExchange::NoteMissing(base::NodeId node) {
+  if (missing_.size() < kMaximumRecordsRequested) {
+    missing_.push_back(node);
+  }
+}
+
+void StateExchange::AskForMissing(const base::SocketAddress& holder, base::TimePoint now) {
+  if (missing_.empty()) {
+    return;
+  }
+  if (requested_at_.size() > kMaximumRequestsNoted) {
+    requested_at_.clear();
+  }
+  proto::MembershipMessage message;
+  for (const base::NodeId node : missing_) {
+    const auto [place, is_new] = requested_at_.try_emplace(node, now);
+    if (is_new || now - place->second > kRequestAgain) {
+      place->second = now;
+      message.mutable_record_request()->add_nodes(node.value());
+    }
+  }
+  missing_.clear();
+  if (message.has_record_request()) {
+    outbox_.Send(holder, message);
+  }
+}
+
+void StateExchange::OnTick(base::TimePoint now) {
+  if (!is_joined_ && now >= page_deadline_) {
+    RetryJoin(now);
+  }
+  if (now >= next_offer_at_) {
+    OfferDigest(now);
+  }
+  if (now >= next_seed_check_at_) {
+    CheckSeed(now);
+  }
+}
+
+base::TimePoint StateExchange::NextWakeUp() const {
+  const base::TimePoint repair_at = std::min(next_offer_at_, next_seed_check_at_);
+  return is_joined_ ? repair_at : std::min(repair_at, page_deadline_);
+}
+
+void StateExchange::RequestPage(base::TimePoint now) {
+  page_deadline_ = now + options_.join_timeout;
+  proto::MembershipMessage message;
+  message.mutable_state_request()->set_after(cursor_.value());
+  outbox_.Introduce(message);
+  outbox_.Send(PageSource(), message);
+}
+
+base::SocketAddress StateExchange::PageSource() const {
+  const Member* peer = selector_.NearLivePeer();
+  return peer == nullptr || failed_requests_ > 0 ? RandomSeed() : peer->metadata->control_address;
+}
+
+void StateExchange::RetryJoin(base::TimePoint now) {
+  failed_requests_ = std::min(failed_requests_ + 1, kMaximumBackOff);
+  RequestPage(now);
+  page_deadline_ = now + options_.join_timeout +
+                   random_.NextJitter(options_.join_timeout * (failed_requests_ - 1));
+}
+
+void StateExchange::OfferDigest(base::TimePoint now) {
+  constexpr int kJitterDivisor = 5;
+  next_offer_at_ = now + options_.anti_entropy_interval -
+                   random_.NextJitter(options_.anti_entropy_interval / kJitterDivisor);
+  const Member* peer = selector_.NearLivePeer();
+  if (peer != nullptr) {
+    OfferDigestTo(peer->metadata->control_address);
+  }
+}
+
+void StateExchange::OfferDigestTo(const base::SocketAddress& destination) {
+  proto::MembershipMessage message;
+  const auto& digests = table_.Digest().Buckets();
+  message.mutable_digest_offer()->mutable_digests()->Add(digests.begin(), digests.end());
+  outbox_.Introduce(message);
+  outbox_.Send(destination, message);
+}
+
+void StateExchange::CheckSeed(base::TimePoint now) {
+  next_seed_check_at_ = now + options_.seed_check_interval;
+  if (seeds_.empty()) {
+    return;
+  }
+  const base::SocketAddress seed = RandomSeed();
+  if (!IsLiveAddress(seed)) {
+    OfferDigestTo(seed);  // it may belong to a group that lost sight of this one
+  }
+}
+
+const base::SocketAddress& StateExchange::RandomSeed() const {
+  return seeds_.at(random_.NextBelow(seeds_.size()));
+}
+
+bool StateExchange::IsLiveAddress(const base::SocketAddress& address) const {
+  return std::any_of(table_.Members().begin(), table_.Members().end(), [&](const auto& entry) {
+    return IsLive(entry.second.state) && entry.second.metadata->control_address == address;
+  });
+}
+
+std::vector<std::size_t> StateExchange::DifferingBuckets(const proto::DigestOffer& offer) const {
+  std::vector<std::size_t> differing;
+  const auto& own = table_.Digest().Buckets();
+  if (static_cast<std::size_t>(offer.digests_size()) != own.size()) {
+    return differing;
+  }
+  const std::size_t first = random_.NextBelow(own.size());
+  for (std::size_t step = 0; step < own.size(); ++step) {
+    const std::size_t bucket = (first + step) % own.size();
+    const bool differs = offer.digests(static_cast<int>(bucket)) != own.at(bucket);
+    if (differs && differing.size() < kMaximumBucketsCompared) {
+      differing.push_back(bucket);
+    }
+  }
+  std::sort(differing.begin(), differing.end());
+  return differing;
+}
+
+void StateExchange::SendRecords(const transport::SenderIdentity& receiver,
+                                const std::vector<const Member*>& members) {
+  proto::MembershipMessage message;
+  std::size_t used = 0;
+  for (const Member* member : members) {
+    if (used >= options_.page_bytes) {
+      break;  // the next exchange brings the rest
+    }
+    proto::MemberRecord& record = *message.add_updates();
+    EncodeRecord(*member, RecordDetail::kFull, MakeAccuserTag(self_), record);
+    used += record.ByteSizeLong();
+  }
+  if (message.updates_size() > 0) {
+    outbox_.Send(receiver.control_address, message);
+  }
+}
+
+}  // namespace gaugevalve::membership
