--- /dev/null
+++ b/proofs/lease/src/lease_world.cpp
@@ -0,0 +1,230 @@
+#include "lease_world.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+#include <utility>
+
+namespace gaugevalve::proofs {
+namespace {
+
+constexpr const char* kKey = "coordinator";
+constexpr std::array<double, LeaseWorld::kHolders> kDriftSigns{-1, 1, -1};
+
+lease::LeaseSettings HolderSettings(const LeaseWorldSettings& world, std::size_t index) {
+  lease::LeaseSettings settings;
+  settings.key = kKey;
+  settings.holder = "holder" + std::to_string(index);
+  settings.ttl = std::chrono::seconds(10);
+  settings.renew_interval = std::chrono::seconds(3);
+  settings.request_timeout = std::chrono::seconds(2);
+  settings.safety_margin = base::Duration::zero();  // the proof must not need it
+  settings.clock_drift = world.assumed_drift;
+  return settings;
+}
+
+}  // namespace
+
+LeaseWorld::LeaseWorld(const LeaseWorldSettings& settings) : settings_(settings) {
+  for (std::size_t index = 0; index < kHolders; ++index) {
+    holders_.push_back({lease::LeaseHolder(HolderSettings(settings, index), index + 1),
+                        1 + kDriftSigns.at(index) * settings.true_drift,
+                        std::chrono::hours(index),
+                        false,
+                        {},
+                        {},
+                        {}});
+    Campaign(index);
+  }
+}
+
+void LeaseWorld::AdvanceTime(base::Duration step) {
+  now_ += step;
+  store_.ExpireLeases(now_);
+  CheckBeliefs();
+}
+
+void LeaseWorld::RunAlone(std::size_t holder, base::Duration span) {
+  constexpr base::Duration kStep = std::chrono::milliseconds(200);
+  for (base::Duration done{}; done < span; done += kStep) {
+    AdvanceTime(kStep);
+    Step(holder);
+    Deliver(holder, Delivery::kAnswered);
+  }
+}
+
+void LeaseWorld::Step(std::size_t holder) {
+  Holder& chosen = holders_[holder];
+  if (!chosen.paused) {
+    chosen.core.Tick(LocalTime(chosen));
+    Collect(chosen);
+  }
+}
+
+void LeaseWorld::Deliver(std::size_t holder, Delivery delivery) {
+  Holder& chosen = holders_[holder];
+  if (chosen.paused || chosen.requests.empty()) {
+    return;
+  }
+  const lease::LeaseRequest request = chosen.requests.front();
+  chosen.requests.pop_front();
+  const store::Result result = ResultOf(request.request, outage_ ? Delivery::kRefused : delivery);
+  chosen.core.OnResult(request.tag, result, LocalTime(chosen));
+  Collect(chosen);
+}
+
+void LeaseWorld::ApplyLateRequest() {
+  if (!late_.empty() && !outage_) {
+    Apply(late_.front());
+    late_.pop_front();
+    CheckBeliefs();
+  }
+}
+
+void LeaseWorld::Decide(std::size_t holder) {
+  const Holder& chosen = holders_[holder];
+  const lease::LeaseView belief = Belief(chosen);
+  if (!chosen.paused && belief.status == lease::LeaseStatus::kHeld) {
+    actions_.push_back(belief.token);
+  }
+}
+
+void LeaseWorld::DeliverAction(std::size_t position) {
+  if (actions_.empty()) {
+    return;
+  }
+  const auto chosen = actions_.begin() + static_cast<std::ptrdiff_t>(position % actions_.size());
+  const lease::FencingToken token = *chosen;
+  actions_.erase(chosen);
+  if (gate_.Admit(token) || !settings_.gate_closed) {
+    ++actions_taken_;
+    CheckOrder(token);
+  } else {
+    ++actions_refused_;
+  }
+}
+
+void LeaseWorld::Campaign(std::size_t holder) {
+  holders_[holder].core.Campaign(LocalTime(holders_[holder]));
+  Collect(holders_[holder]);
+}
+
+void LeaseWorld::Resign(std::size_t holder) {
+  if (!holders_[holder].paused) {
+    holders_[holder].core.Resign(LocalTime(holders_[holder]));
+    Collect(holders_[holder]);
+  }
+}
+
+void LeaseWorld::ExpireLeasesEarly() {
+  for (const store::LeaseId lease : store_.Leases()) {
+    store_.ExpireLease(lease);
+  }
+}
+
+void LeaseWorld::Heal() {
+  constexpr int kSteps = 120;
+  constexpr base::Duration kStep = std::chrono::milliseconds(500);
+  outage_ = false;
+  for (int step = 0; step < kSteps; ++step) {
+    AdvanceTime(kStep);
+    ApplyLateRequest();
+    for (std::size_t index = 0; index < kHolders; ++index) {
+      holders_[index].paused = false;
+      Campaign(index);
+      Step(index);
+      Deliver(index, Delivery::kAnswered);
+    }
+  }
+}
+
+std::size_t LeaseWorld::HoldersThatBelieve() const {
+  return static_cast<std::size_t>(std::ranges::count_if(holders_, [this](const Holder& holder) {
+    return Belief(holder).status == lease::LeaseStatus::kHeld;
+  }));
+}
+
+base::TimePoint LeaseWorld::LocalTime(const Holder& holder) const {
+  const std::chrono::duration<double, std::micro> elapsed = now_.time_since_epoch();
+  return base::TimePoint{} + holder.clock_offset +
+         std::chrono::duration_cast<base::Duration>(elapsed * holder.clock_rate);
+}
+
+lease::LeaseView LeaseWorld::Belief(const Holder& holder) const {
+  return settings_.ask_clock ? holder.core.View(LocalTime(holder)) : holder.last_view;
+}
+
+store::Result LeaseWorld::Apply(const store::Request& request) {
+  try {
+    return store::Result::Ok(store_.Apply(request, now_));
+  } catch (const standin::StoreError& error) {
+    return store::Result::Failed(store::Outcome::kRefused, store::Reason::kInvalid, error.what());
+  }
+}
+
+store::Result LeaseWorld::ResultOf(const store::Request& request, Delivery delivery) {
+  const store::Outcome unknown =
+      store::ChangesStore(request) ? store::Outcome::kUnknown : store::Outcome::kRefused;
+  switch (delivery) {
+    case Delivery::kAnswered:
+      return Apply(request);
+    case Delivery::kRefused:
+      return store::Result::Failed(store::Outcome::kRefused, store::Reason::kUnreachable, "");
+    case Delivery::kLate:
+      late_.push_back(request);
+      break;
+    case Delivery::kLostAfter:
+      Apply(request);
+      break;
+    case Delivery::kLostBefore:
+      break;
+  }
+  return store::Result::Failed(unknown, store::Reason::kConnectionLost, "");
+}
+
+void LeaseWorld::Collect(Holder& holder) {
+  for (lease::LeaseRequest& request : holder.core.TakeRequests()) {
+    holder.requests.push_back(std::move(request));
+  }
+  holder.last_view = holder.core.View(LocalTime(holder));
+  const lease::FencingToken token = holder.last_view.token;
+  if (token != lease::FencingToken{} && token != holder.last_token) {
+    ++acquisitions_;
+    holder.last_token = token;
+  }
+  CheckBeliefs();
+}
+
+void LeaseWorld::CheckBeliefs() {
+  if (settings_.early_expiry) {
+    return;  // then only the gate is left to keep order
+  }
+  std::ostringstream words;
+  for (std::size_t index = 0; index < kHolders; ++index) {
+    const lease::LeaseView belief = Belief(holders_[index]);
+    if (belief.status == lease::LeaseStatus::kHeld) {
+      words << " holder " << index << " with token " << belief.token;
+    }
+  }
+  if (HoldersThatBelieve() > 1) {
+    Fail("at one instant these believe they hold:" + words.str());
+  }
+}
+
+void LeaseWorld::CheckOrder(lease::FencingToken token) {
+  if (token < newest_taken_) {
+    std::ostringstream words;
+    words << "the resource took an action with token " << token << " after one with "
+          << newest_taken_;
+    Fail(words.str());
+  }
+  newest_taken_ = std::max(newest_taken_, token);
+}
+
+void LeaseWorld::Fail(std::string words) {
+  if (!violation_) {
+    violation_ = std::move(words);
+  }
+}
+
+}  // namespace gaugevalve::proofs
