--- a/libs/settings/include/gaugevalve/settings/tree_editor.h
+++ b/libs/settings/include/gaugevalve/settings/tree_editor.h
@@ -50,7 +50,8 @@
   // Throws base::FindingsError when the edit is refused: the operations or their result have
   // findings, nothing would change, too many services change, or a balancer in service could not
   // apply the result.
-  TreeEditor(StoredTree base, const std::vector<TreeOperation>& operations, EditDescription edit);
+  TreeEditor(StoredTree base, const std::vector<TreeOperation>& operations,
+             const EditDescription& edit);
 
   // Returns the one transaction of the edit. May be sent again, unchanged, as long as the status is
   // kPending or kUndecided.
--- a/libs/settings/src/tree_change.cpp
+++ b/libs/settings/src/tree_change.cpp
@@ -41,11 +41,10 @@
  private:
   void CompareFields(const Branch& before, const Branch& after, const TreePath& path) {
     for (const FieldSchema& schema : Schema()) {
-      std::optional<FieldValue> old_value = ValueAt(before, schema.id);
-      std::optional<FieldValue> new_value = ValueAt(after, schema.id);
+      const std::optional<FieldValue> old_value = ValueAt(before, schema.id);
+      const std::optional<FieldValue> new_value = ValueAt(after, schema.id);
       if (old_value != new_value) {
-        changes_.push_back(
-            {path.Field(schema.id), std::move(old_value), std::move(new_value), {}, {}});
+        changes_.push_back({path.Field(schema.id), old_value, new_value, {}, {}});
       }
     }
   }
--- a/libs/settings/src/tree_editor.cpp
+++ b/libs/settings/src/tree_editor.cpp
@@ -49,7 +49,7 @@
 }
 
 TreeEditor::TreeEditor(StoredTree base, const std::vector<TreeOperation>& operations,
-                       EditDescription edit)
+                       const EditDescription& edit)
     : base_(std::move(base)) {
   const SettingsTree tree_after = ApplyOperations(base_.tree, operations);
   changes_ = DiffTrees(base_.tree, tree_after);
--- a/libs/settings/tests/root_document_test.cpp
+++ b/libs/settings/tests/root_document_test.cpp
@@ -11,7 +11,7 @@
 namespace gaugevalve::settings {
 namespace {
 
-const EditDescription kEdit{"id-1", "ana", "first \"tree\"", 1700000000};
+EditDescription SampleEdit() { return {"id-1", "ana", "first \"tree\"", 1700000000}; }
 
 class RootDocumentTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RootDocumentTest);
@@ -26,7 +26,7 @@
 
  public:
   void ReadsBackFromJson() {
-    const RootDocument root = MakeRootDocument(nullptr, SampleTree(), kEdit);
+    const RootDocument root = MakeRootDocument(nullptr, SampleTree(), SampleEdit());
     CPPUNIT_ASSERT(root == ParseRootDocument(FormatRootDocument(root)));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, root.revision.value());
     const SubtreeDigest digest(0x1fU);
@@ -37,13 +37,13 @@
 
   void AssemblesTheTreeFromItsParts() {
     const SettingsTree tree = SampleTree();
-    const RootDocument root = MakeRootDocument(nullptr, tree, kEdit);
+    const RootDocument root = MakeRootDocument(nullptr, tree, SampleEdit());
     CPPUNIT_ASSERT(tree == AssembleTree(root, SplitTree(tree)));
   }
 
   void RefusesMissingAndForeignParts() {
     const SettingsTree tree = SampleTree();
-    const RootDocument root = MakeRootDocument(nullptr, tree, kEdit);
+    const RootDocument root = MakeRootDocument(nullptr, tree, SampleEdit());
     std::vector<SubtreeDocument> parts = SplitTree(tree);
     parts[0].text += "weight: 3\n";
     parts.pop_back();
@@ -54,10 +54,10 @@
 
   void AnEditMovesOnlyItsSubtree() {
     const SettingsTree before = SampleTree();
-    const RootDocument first = MakeRootDocument(nullptr, before, kEdit);
+    const RootDocument first = MakeRootDocument(nullptr, before, SampleEdit());
     const TreePath path = TreePath::Parse("services.stock.weight", "test");
     const SettingsTree after = ApplyOperations(before, {SetOperation{path, "3"}});
-    const RootDocument second = MakeRootDocument(&first, after, kEdit);
+    const RootDocument second = MakeRootDocument(&first, after, SampleEdit());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second.revision.value());
     CPPUNIT_ASSERT(*second.Find("sheets") == *first.Find("sheets"));
     CPPUNIT_ASSERT(second.Find("stock")->digest != first.Find("stock")->digest);
@@ -76,11 +76,9 @@
           R"({"format_version":1,"revision":-1,"schema_version":1,"edit_id":5,"author":"",)"
           R"("comment":"","edited_at":0,"root_settings":"","services":[{"name":"a"},7]})");
     });
-    for (const char* part :
-         {"revision: must be a whole number", "edit_id: must be text",
-          "services[0].digest: is "
-          "missing",
-          "services[0].changed_in: is missing", "services[1]: is not a JSON object"}) {
+    for (const char* part : {"revision: must be a whole number", "edit_id: must be text",
+                             "services[0].digest: is missing", "services[0].changed_in: is missing",
+                             "services[1]: is not a JSON object"}) {
       CPPUNIT_ASSERT_MESSAGE(part + std::string(" in ") + findings,
                              findings.find(part) != std::string::npos);
     }
@@ -88,11 +86,11 @@
 
   void HistoryTellsWhatChanged() {
     const SettingsTree before = SampleTree();
-    const RootDocument first = MakeRootDocument(nullptr, before, kEdit);
+    const RootDocument first = MakeRootDocument(nullptr, before, SampleEdit());
     const SettingsTree after =
         ApplyOperations(before, {SetOperation{TreePath::Parse("slots", "test"), "3"},
                                  UnsetOperation{TreePath::Parse("services.sheets", "test")}});
-    const RootDocument second = MakeRootDocument(&first, after, kEdit);
+    const RootDocument second = MakeRootDocument(&first, after, SampleEdit());
     const HistoryEntry entry = MakeHistoryEntry(&first, before, second, after);
     const HistoryEntry read = ParseHistoryEntry(FormatHistoryEntry(entry));
     CPPUNIT_ASSERT(entry == read);
