--- a/libs/settings/include/gaugevalve/settings/field_schema.h
+++ b/libs/settings/include/gaugevalve/settings/field_schema.h
@@ -44,15 +44,17 @@
   kBrownoutEnter,
   kBrownoutLeave,
   kIdempotencyWindow,
+  kDrainingZones,
 };
 
-inline constexpr std::size_t kFieldCount = 17;
+inline constexpr std::size_t kFieldCount = 18;
 
 // The type of a field's value.
-enum class FieldType : std::uint8_t { kInteger, kRatio, kDuration, kAddress, kChoice };
+enum class FieldType : std::uint8_t { kInteger, kRatio, kDuration, kAddress, kChoice, kZones };
 
 // Where a field may be set.
 enum class FieldScope : std::uint8_t {
+  kRootOnly,     // at the root
   kServiceOnly,  // at the service itself
   kInherited,    // at any level; the innermost setting wins
 };
--- a/libs/settings/include/gaugevalve/settings/tree_operation.h
+++ b/libs/settings/include/gaugevalve/settings/tree_operation.h
@@ -42,7 +42,7 @@
                              const std::vector<TreeOperation>& operations);
 
 // Returns the faults of a step from one good tree to another: fields that are fixed for the life of
-// a service but differ.
+// a service but differ, and draining zones that no service has.
 base::Findings CheckStep(const SettingsTree& before, const SettingsTree& after);
 
 // Returns the YAML of the branch, or the text of the field, that is set at the path. Throws
--- a/libs/settings/src/branch_yaml.cpp
+++ b/libs/settings/src/branch_yaml.cpp
@@ -25,7 +25,8 @@
 void ReadField(YamlReader& reader, const YamlEntry& entry, const FieldSchema& schema,
                Branch& branch) {
   if (!IsAllowedAt(schema, branch.level)) {
-    reader.Add(entry.place, "can only be set at a service");
+    reader.Add(entry.place, schema.scope == FieldScope::kRootOnly ? "can only be set at the root"
+                                                                  : "can only be set at a service");
     return;
   }
   const std::optional<std::string> text = reader.Scalar(entry);
--- a/libs/settings/src/effective_settings.cpp
+++ b/libs/settings/src/effective_settings.cpp
@@ -28,6 +28,13 @@
   result.brownout_leave = values.Ratio(FieldId::kBrownoutLeave);
   result.idempotency_window = values.Time(FieldId::kIdempotencyWindow);
   result.origins = values.Origins();
+  const ZoneNames& draining = values.Zones(FieldId::kDrainingZones);
+  const ZoneName here{region.name, zone.name};
+  if (std::binary_search(draining.begin(), draining.end(), here)) {
+    result.state = AdministrativeState::kDraining;
+    result.origins[static_cast<std::size_t>(FieldId::kState)] =
+        values.Origins()[static_cast<std::size_t>(FieldId::kDrainingZones)];
+  }
   return result;
 }
 
--- a/libs/settings/src/field_resolver.cpp
+++ b/libs/settings/src/field_resolver.cpp
@@ -39,4 +39,8 @@
   return std::get<Choice>(At(id).value()).index;
 }
 
+const ZoneNames& FieldResolver::Zones(FieldId id) const {
+  return std::get<ZoneNames>(At(id).value());
+}
+
 }  // namespace gaugevalve::settings
--- a/libs/settings/src/field_resolver.h
+++ b/libs/settings/src/field_resolver.h
@@ -27,6 +27,7 @@
   base::Duration Time(FieldId id) const;
   base::SocketAddress Address(FieldId id) const;
   std::uint8_t ChoiceIndex(FieldId id) const;
+  const ZoneNames& Zones(FieldId id) const;
 
   const std::array<FieldOrigin, kFieldCount>& Origins() const { return origins_; }
 
--- a/libs/settings/src/field_schema.cpp
+++ b/libs/settings/src/field_schema.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t kHour = 60 * kMinute;
 constexpr std::size_t kMaxNameLength = 63;
 
+constexpr FieldScope kRoot = FieldScope::kRootOnly;
 constexpr FieldScope kService = FieldScope::kServiceOnly;
 constexpr FieldScope kInherited = FieldScope::kInherited;
 constexpr bool kFixed = true;
@@ -209,6 +210,19 @@
      kChangeable,
      1,
      "Time for which an idempotency key and its answer are remembered."},
+    {FieldId::kDrainingZones,
+     "draining_zones",
+     FieldType::kZones,
+     kRoot,
+     0,
+     0,
+     "none",
+     "",
+     {},
+     kChangeable,
+     1,
+     "Zones, as region/zone with commas between, whose endpoints drain in all services whatever "
+     "their state says. One small edit drains a zone."},
 }};
 
 bool IsNameCharacter(char character) {
@@ -233,7 +247,15 @@
 }
 
 bool IsAllowedAt(const FieldSchema& schema, Level level) {
-  return schema.scope == FieldScope::kInherited || level == Level::kService;
+  switch (schema.scope) {
+    case FieldScope::kRootOnly:
+      return level == Level::kRoot;
+    case FieldScope::kServiceOnly:
+      return level == Level::kService;
+    case FieldScope::kInherited:
+      return true;
+  }
+  return false;
 }
 
 bool IsValidName(std::string_view name) {
--- a/libs/settings/src/field_value.cpp
+++ b/libs/settings/src/field_value.cpp
@@ -4,13 +4,18 @@
 #include <charconv>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
 #include "gaugevalve/settings/duration_text.h"
 #include "gaugevalve/settings/field_schema.h"
 
 namespace gaugevalve::settings {
 namespace {
 
+constexpr std::string_view kNoZones = "none";
+
 FieldParseResult Fault(const std::string& text, const std::string& problem) {
   return {std::nullopt, "'" + text + "' " + problem};
 }
@@ -74,6 +79,35 @@
   return Fault(text, problem);
 }
 
+FieldParseResult ParseZones(const std::string& text) {
+  ZoneNames zones;
+  if (text == kNoZones) {
+    return {FieldValue(zones), ""};
+  }
+  for (const absl::string_view part : absl::StrSplit(text, ',')) {
+    const std::string trimmed(absl::StripAsciiWhitespace(part));
+    const std::optional<ZoneName> zone = ZoneName::Parse(trimmed);
+    if (!zone) {
+      return Fault(trimmed, "is not a zone: region/zone, or 'none' for an empty list");
+    }
+    zones.push_back(*zone);
+  }
+  std::sort(zones.begin(), zones.end());
+  zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
+  return {FieldValue(std::move(zones)), ""};
+}
+
+std::string FormatZones(const ZoneNames& zones) {
+  if (zones.empty()) {
+    return std::string(kNoZones);
+  }
+  std::string text;
+  for (const ZoneName& zone : zones) {
+    text += (text.empty() ? "" : ", ") + zone.ToString();
+  }
+  return text;
+}
+
 std::string FormatRatio(double ratio) {
   char text[32];
   const std::to_chars_result result = std::to_chars(text, text + sizeof(text), ratio);
@@ -82,6 +116,18 @@
 
 }  // namespace
 
+std::optional<ZoneName> ZoneName::Parse(std::string_view text) {
+  const std::size_t slash = text.find('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  ZoneName name{std::string(text.substr(0, slash)), std::string(text.substr(slash + 1))};
+  if (!IsValidName(name.region) || !IsValidName(name.zone)) {
+    return std::nullopt;
+  }
+  return name;
+}
+
 FieldParseResult ParseFieldValue(const FieldSchema& schema, const std::string& text) {
   switch (schema.type) {
     case FieldType::kInteger:
@@ -94,6 +140,8 @@
       return ParseAddress(text);
     case FieldType::kChoice:
       return ParseChoice(schema, text);
+    case FieldType::kZones:
+      return ParseZones(text);
   }
   return Fault(text, "has a type this release does not know");
 }
@@ -110,6 +158,8 @@
       return std::get<base::SocketAddress>(value).ToString();
     case FieldType::kChoice:
       return std::string(schema.choices[std::get<Choice>(value).index]);
+    case FieldType::kZones:
+      return FormatZones(std::get<ZoneNames>(value));
   }
   return "";
 }
--- a/libs/settings/src/tree_operation.cpp
+++ b/libs/settings/src/tree_operation.cpp
@@ -142,9 +142,39 @@
   return result;
 }
 
+namespace {
+
+bool HasZone(const SettingsTree& tree, const ZoneName& zone) {
+  for (const auto& [name, service] : tree.root.children) {
+    const Branch* const region = service.FindChild(zone.region);
+    if (region != nullptr && region->FindChild(zone.zone) != nullptr) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Reports zones that the step adds to the draining ones although no service has them. Only a whole
+// tree can tell, which is why CheckTree() doesn't.
+void CheckDrainingZones(const TreeChange& change, const SettingsTree& after,
+                        base::Findings& findings) {
+  if (change.path.field != FieldId::kDrainingZones || !change.value_after) {
+    return;
+  }
+  for (const ZoneName& zone : std::get<ZoneNames>(*change.value_after)) {
+    if (!HasZone(after, zone)) {
+      findings.push_back({{kEditSource, 0, 0, change.path.ToString()},
+                          "no service has a zone " + zone.ToString()});
+    }
+  }
+}
+
+}  // namespace
+
 base::Findings CheckStep(const SettingsTree& before, const SettingsTree& after) {
   base::Findings findings;
   for (const TreeChange& change : DiffTrees(before, after)) {
+    CheckDrainingZones(change, after, findings);
     if (ChangesFixedField(change)) {
       findings.push_back({{kEditSource, 0, 0, change.path.ToString()},
                           "can't change while the service exists; add a service under another name "
--- a/libs/settings/tests/tree_operation_test.cpp
+++ b/libs/settings/tests/tree_operation_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "expect_findings.h"
+#include "gaugevalve/settings/effective_settings.h"
 #include "sample_tree.h"
 
 namespace gaugevalve::settings {
@@ -25,6 +26,8 @@
   CPPUNIT_TEST(RefusesAFieldAtAMissingBranch);
   CPPUNIT_TEST(RefusesAResultWithFindings);
   CPPUNIT_TEST(RefusesToChangeFixedFields);
+  CPPUNIT_TEST(DrainingZoneDrainsItsEndpoints);
+  CPPUNIT_TEST(RefusesToDrainAZoneThatIsNowhere);
   CPPUNIT_TEST(DiffIsInOperatorsWords);
   CPPUNIT_TEST(UndoRestoresWhatWasChanged);
   CPPUNIT_TEST(UndoNeverOverwritesALaterEdit);
@@ -96,6 +99,28 @@
     Apply(SampleTree(), UnsetOperation{Path("services.sheets")});
   }
 
+  void DrainingZoneDrainsItsEndpoints() {
+    const SettingsTree tree =
+        Apply(SampleTree(), SetOperation{Path("draining_zones"), "coast/west,coast/west"});
+    CPPUNIT_ASSERT_EQUAL(std::string("coast/west\n"), ReadPath(tree, Path("draining_zones")));
+    const EffectiveSettings settings = Resolve(tree);
+    const ServiceSettings& stock = *settings.FindService("stock");
+    CPPUNIT_ASSERT(stock.FindEndpoint("stock-3")->state == AdministrativeState::kDraining);
+    CPPUNIT_ASSERT_EQUAL(std::string("from the root"),
+                         stock.FindEndpoint("stock-3")->OriginOf(FieldId::kState).ToString());
+    CPPUNIT_ASSERT(stock.FindEndpoint("stock-1")->state == AdministrativeState::kServing);
+  }
+
+  void RefusesToDrainAZoneThatIsNowhere() {
+    CPPUNIT_ASSERT_EQUAL(std::string("edit: draining_zones: no service has a zone coast/wets\n"),
+                         FindingsOf([] {
+                           Apply(SampleTree(), SetOperation{Path("draining_zones"), "coast/wets"});
+                         }));
+    CPPUNIT_ASSERT(!FindingsOf([] {
+                      Apply(SampleTree(), SetOperation{Path("draining_zones"), "west"});
+                    }).empty());
+  }
+
   void DiffIsInOperatorsWords() {
     const SettingsTree before = SampleTree();
     const SettingsTree after = ApplyOperations(
