--- /dev/null
+++ b/libs/quic/tests/http3_test.cpp
@@ -0,0 +1,514 @@
+// Server and client against each other over a simulated network.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "gaugevalve/connection_id/invariant_header.h"
+#include "gaugevalve/quic/http3_client.h"
+#include "gaugevalve/quic/http3_server.h"
+#include "memory_network.h"
+#include "test_application.h"
+
+namespace gaugevalve::quic::testing {
+namespace {
+
+constexpr std::size_t kMegabyte = 1'000'000;
+constexpr std::uint64_t kSeed = 20261202;
+
+base::SocketAddress ServerAddress() { return base::SocketAddress::Ipv4(0x0a000001, 443); }
+
+base::SocketAddress ClientAddress(std::uint16_t port) {
+  return base::SocketAddress::Ipv4(0x0a000101, port);
+}
+
+// Test certificates, made once: each needs a new key.
+const CertificatePair& TestPair(bool second = false) {
+  static const CertificatePair pairs[] = {
+      MakeSelfSignedCertificate("stock.example", std::chrono::system_clock::now(),
+                                std::chrono::hours(1)),
+      MakeSelfSignedCertificate("stock.example", std::chrono::system_clock::now(),
+                                std::chrono::hours(1))};
+  return pairs[second ? 1 : 0];
+}
+
+CertificateCredentials TestCredentials(bool second = false) {
+  base::Findings findings;
+  auto credentials =
+      MakeServerCredentials(TestPair(second), "test", std::chrono::system_clock::now(), findings);
+  CPPUNIT_ASSERT_MESSAGE(base::FormatFindings(findings), credentials != nullptr);
+  return credentials;
+}
+
+std::shared_ptr<const connection_id::Codec> TestCodec() {
+  connection_id::KeySet keys;
+  keys.Add(0, connection_id::Key{1, 2, 3, 4});
+  return std::make_shared<const connection_id::Codec>(keys);
+}
+
+base::NodeId TestNode() { return base::MakeNodeId("agent-1"); }
+
+// A server, its application and a network; clients are added by the tests.
+class World {
+ public:
+  explicit World(const NetworkFaults& faults = {}, const Http3ServerOptions& options = {})
+      : network_(faults, kSeed), options_(options) {
+    Restart();
+  }
+
+  // Replaces the server by one that knows no connection, as after a crash.
+  void Restart() {
+    server_ = std::make_unique<Http3Server>(
+        options_,
+        connection_id::Issuer(TestCodec(), base::ServiceId(1), TestNode(),
+                              base::Incarnation(++lives_ * 1'000'000), 0),
+        TestCredentials(), network_.GetSink(), application_);
+    network_.SetServer(*server_);
+  }
+
+  Http3Server& Server() { return *server_; }
+  MemoryNetwork& Network() { return network_; }
+  TestApplication& Application() { return application_; }
+
+ private:
+  MemoryNetwork network_;
+  Http3ServerOptions options_;
+  TestApplication application_;
+  std::uint64_t lives_ = 0;
+  std::unique_ptr<Http3Server> server_;
+};
+
+// A client with its recorded events, attached to a world.
+class Caller {
+ public:
+  Caller(World& world, std::uint16_t port, const std::string& trust_anchors = "",
+         std::size_t stream_window = 1024 * 1024)
+      : world_(world),
+        client_({{ClientAddress(port), ServerAddress()},
+                 "stock.example",
+                 MakeClientCredentials(trust_anchors),
+                 stream_window},
+                world.Network().GetSink(), events_) {
+    world_.Network().AddClient(ClientAddress(port), client_);
+    client_.Connect(world_.Network().Now());
+  }
+
+  bool Connect() {
+    return world_.Network().RunUntil([&] { return events_.is_connected || events_.closed; }) &&
+           events_.is_connected;
+  }
+
+  std::shared_ptr<Answer> Ask(const std::string& method, const std::string& path,
+                              std::string_view body = {}) {
+    auto answer = std::make_shared<Answer>();
+    last_request_ = client_.SubmitRequest({method, "https", "stock.example", path, {}},
+                                          BytesOf(body), Record(answer));
+    CPPUNIT_ASSERT(last_request_.has_value());
+    return answer;
+  }
+
+  // Asks and waits for the answer's end.
+  std::shared_ptr<Answer> AskAndWait(const std::string& method, const std::string& path,
+                                     std::string_view body = {}) {
+    auto answer = Ask(method, path, body);
+    CPPUNIT_ASSERT(world_.Network().RunUntil([&] { return answer->IsOver(); }));
+    return answer;
+  }
+
+  Http3Client& Client() { return client_; }
+  RecordedEvents& Events() { return events_; }
+  RequestId LastRequest() const { return *last_request_; }
+
+ private:
+  World& world_;
+  RecordedEvents events_;
+  Http3Client client_;
+  std::optional<RequestId> last_request_;
+};
+
+class Http3Test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(Http3Test);
+  CPPUNIT_TEST(ARequestGetsItsAnswer);
+  CPPUNIT_TEST(LargeBodiesBothWaysSurviveLossAndReordering);
+  CPPUNIT_TEST(ManyConnectionsGetTheirOwnAnswers);
+  CPPUNIT_TEST(ASlowCallerHoldsTheAnswerBack);
+  CPPUNIT_TEST(ASlowApplicationHoldsTheRequestBack);
+  CPPUNIT_TEST(AnEventStreamArrivesAsWrittenAndOutlivesTheIdleTimeout);
+  CPPUNIT_TEST(AnIdleConnectionEnds);
+  CPPUNIT_TEST(ACallersCancelReachesTheApplication);
+  CPPUNIT_TEST(AServersResetIsNoWholeAnswer);
+  CPPUNIT_TEST(AnEarlyAnswerStopsTheRequestBody);
+  CPPUNIT_TEST(DrainLetsRequestsFinishAndRefusesLaterOnes);
+  CPPUNIT_TEST(ARequestAfterTheLastGoawayIsRejected);
+  CPPUNIT_TEST(AChangeOfAddressCutsNothing);
+  CPPUNIT_TEST(EveryIdTheClientUsesNamesTheAgent);
+  CPPUNIT_TEST(ALostConnectionIsResetAtOnce);
+  CPPUNIT_TEST(TooManyConnectionsAreRefused);
+  CPPUNIT_TEST(RetryProvesTheCallersAddress);
+  CPPUNIT_TEST(ReloadedCredentialsServeNewConnectionsAndCutNone);
+  CPPUNIT_TEST(AnOversizeHeadIsReset);
+  CPPUNIT_TEST(GarbageOpensNothing);
+  CPPUNIT_TEST(TheServersEndTellsEveryHandler);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ARequestGetsItsAnswer() {
+    World world;
+    Caller caller(world, 1, TestPair().certificate);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto answer = caller.AskAndWait("POST", "/echo", "reserve 12");
+    CPPUNIT_ASSERT(answer->is_whole);
+    CPPUNIT_ASSERT_EQUAL(200, answer->head.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("reserve 12"), answer->body);
+    const ServedRequest& served = world.Application().At(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), served.head.method);
+    CPPUNIT_ASSERT_EQUAL(std::string("stock.example"), served.head.authority);
+    CPPUNIT_ASSERT(served.path == (Path{ServerAddress(), ClientAddress(1)}));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return served.is_destroyed; }));
+    CPPUNIT_ASSERT(!served.cancelled);
+  }
+
+  void LargeBodiesBothWaysSurviveLossAndReordering() {
+    World world({0.02, 0.1});
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const std::string sent = Pattern(kMegabyte, 3);
+    const auto echoed = caller.Ask("POST", "/echo", sent);
+    const auto sheet = caller.Ask("GET", "/sheet/3000000");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return echoed->IsOver() && sheet->IsOver(); }));
+    CPPUNIT_ASSERT(echoed->is_whole && echoed->body == sent);
+    CPPUNIT_ASSERT(sheet->is_whole && sheet->body == Pattern(3 * kMegabyte, 3 * kMegabyte));
+  }
+
+  void ManyConnectionsGetTheirOwnAnswers() {
+    World world({0.01, 0.05});
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+      callers.push_back(std::make_unique<Caller>(world, port));
+    }
+    for (const auto& caller : callers) {
+      CPPUNIT_ASSERT(caller->Connect());
+      for (int request = 0; request < 5; ++request) {
+        const std::string text = std::to_string(answers.size());
+        answers.push_back(caller->Ask("POST", "/echo", text));
+      }
+    }
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+      CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answers[index]->IsOver(); }));
+      CPPUNIT_ASSERT_EQUAL(std::to_string(index), answers[index]->body);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50}, world.Server().ConnectionCount());
+  }
+
+  // The server queues no more than its high-water mark and the windows for a caller that doesn't
+  // read, and another request of the connection isn't held up by it.
+  void ASlowCallerHoldsTheAnswerBack() {
+    constexpr std::size_t kWindow = 100'000;
+    World world;
+    Caller caller(world, 1, "", kWindow);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto sheet = caller.Ask("GET", "/sheet/2000000");
+    const RequestId request = caller.LastRequest();
+    caller.Client().PauseReading(request, true);
+    world.Network().RunFor(std::chrono::seconds(5));
+    const std::size_t written = 2 * kMegabyte - world.Application().At(0).unsent;
+    CPPUNIT_ASSERT(sheet->body.size() <= kWindow);
+    CPPUNIT_ASSERT(written <= kWindow + Http3ServerOptions{}.send_high_water + 10'000);
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), caller.AskAndWait("POST", "/echo", "x")->body);
+    caller.Client().PauseReading(request, false);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return sheet->IsOver(); }));
+    CPPUNIT_ASSERT(sheet->is_whole);
+  }
+
+  void ASlowApplicationHoldsTheRequestBack() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto answer = caller.Ask("POST", "/slow", Pattern(kMegabyte, 1));
+    world.Network().RunFor(std::chrono::seconds(5));
+    ServedRequest& served = world.Application().At(0);
+    const std::size_t window = Http3ServerOptions{}.stream_window;
+    CPPUNIT_ASSERT(served.body.size() <= window && served.body.size() > window - 1000);
+    served.writer->ConsumeBody(served.body.size());
+    world.Network().RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(served.body.size() > window + 1000);
+    CPPUNIT_ASSERT(!served.is_whole);
+  }
+
+  void AnEventStreamArrivesAsWrittenAndOutlivesTheIdleTimeout() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto board = caller.Ask("GET", "/board");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
+    ResponseWriter& writer = *world.Application().At(0).writer;
+    writer.SendHead({200, {{"content-type", "text/event-stream"}}});
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->head.status == 200; }));
+    for (int event = 1; event <= 3; ++event) {
+      const std::string text = "data: " + std::to_string(event) + "\n\n";
+      const std::size_t before = board->body.size();
+      writer.WriteBody(BytesOf(text));
+      CPPUNIT_ASSERT(
+          world.Network().RunUntil([&] { return board->body.size() == before + text.size(); }));
+      world.Network().RunFor(std::chrono::minutes(5));
+    }
+    CPPUNIT_ASSERT(!board->IsOver() && !caller.Events().closed);
+    writer.Finish();
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->is_whole; }));
+  }
+
+  void AnIdleConnectionEnds() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    world.Network().RunFor(std::chrono::minutes(2));
+    CPPUNIT_ASSERT(caller.Events().closed->kind == ConnectionEnd::Kind::kIdle);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Server().ConnectionCount());
+  }
+
+  void ACallersCancelReachesTheApplication() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto answer = caller.Ask("GET", "/board");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
+    caller.Client().Cancel(caller.LastRequest());
+    ServedRequest& served = world.Application().At(0);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return served.is_destroyed; }));
+    CPPUNIT_ASSERT(served.cancelled == Http3Error::kRequestCancelled);
+    CPPUNIT_ASSERT(!answer->IsOver());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Server().RequestCount());
+    CPPUNIT_ASSERT_EQUAL(std::string("y"), caller.AskAndWait("POST", "/echo", "y")->body);
+  }
+
+  void AServersResetIsNoWholeAnswer() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto rejected = caller.Ask("POST", "/reserve", "1");
+    const auto cut = caller.Ask("GET", "/half");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 2; }));
+    world.Application().At(0).writer->Reset(Http3Error::kRequestRejected);
+    ResponseWriter& writer = *world.Application().At(1).writer;
+    writer.SendHead({200, {}});
+    writer.WriteBody(BytesOf("half"));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return cut->body == "half"; }));
+    writer.Reset(Http3Error::kInternalError);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return rejected->IsOver() && cut->IsOver(); }));
+    CPPUNIT_ASSERT(rejected->failure->WasNotRun());
+    CPPUNIT_ASSERT(!cut->is_whole && !cut->failure->WasNotRun());
+    CPPUNIT_ASSERT(cut->failure->error == Http3Error::kInternalError);
+  }
+
+  void AnEarlyAnswerStopsTheRequestBody() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto answer = caller.Ask("POST", "/refuse", Pattern(5 * kMegabyte, 1));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
+    ResponseWriter& writer = *world.Application().At(0).writer;
+    writer.SendHead({503, {{"retry-after", "1"}}});
+    writer.Finish();
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->IsOver(); }));
+    CPPUNIT_ASSERT(answer->is_whole);
+    CPPUNIT_ASSERT_EQUAL(503, answer->head.status);
+    ServedRequest& served = world.Application().At(0);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return served.is_destroyed; }));
+    CPPUNIT_ASSERT(served.body.size() < 5 * kMegabyte);
+  }
+
+  void DrainLetsRequestsFinishAndRefusesLaterOnes() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto board = caller.Ask("GET", "/board");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
+    world.Server().Drain(world.Network().Now());
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return caller.Events().goaways > 0; }));
+    CPPUNIT_ASSERT(!caller.Client().SubmitRequest({"GET", "https", "stock.example", "/new", {}}, {},
+                                                  Record(std::make_shared<Answer>())));
+    Caller late(world, 2);
+    CPPUNIT_ASSERT(!late.Connect());
+    CPPUNIT_ASSERT(late.Events().closed->kind == ConnectionEnd::Kind::kRefused);
+    world.Network().RunFor(std::chrono::minutes(2));
+    ResponseWriter& writer = *world.Application().At(0).writer;
+    writer.SendHead({200, {}});
+    writer.WriteBody(BytesOf("still here"));
+    writer.Finish();
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->IsOver(); }));
+    CPPUNIT_ASSERT(board->is_whole && board->body == "still here");
+  }
+
+  // A request that crosses the last GOAWAY on its way gets "not run", and is not run.
+  void ARequestAfterTheLastGoawayIsRejected() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "z")->is_whole);
+    bool is_deaf = true;  // the client hears nothing of the drain
+    world.Network().filter = [&](const Path& path, std::span<const std::uint8_t>) {
+      return !(is_deaf && path.remote == ClientAddress(1));
+    };
+    world.Server().Drain(world.Network().Now());
+    world.Network().RunFor(std::chrono::milliseconds(100));
+    const auto answer = caller.Ask("POST", "/reserve", "2");
+    world.Network().RunFor(std::chrono::milliseconds(100));
+    is_deaf = false;
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->IsOver(); }));
+    CPPUNIT_ASSERT(answer->failure && answer->failure->WasNotRun());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Application().size());
+  }
+
+  void AChangeOfAddressCutsNothing() {
+    World world({0.01, 0.05});
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto sheet = caller.Ask("GET", "/sheet/2000000");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return sheet->body.size() > kMegabyte; }));
+    world.Network().RemoveClient(ClientAddress(1));
+    world.Network().AddClient(ClientAddress(2), caller.Client());
+    CPPUNIT_ASSERT(
+        caller.Client().Migrate({ClientAddress(2), ServerAddress()}, world.Network().Now()));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return sheet->IsOver(); }));
+    CPPUNIT_ASSERT(sheet->is_whole && sheet->body == Pattern(2 * kMegabyte, 2 * kMegabyte));
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "w")->is_whole);
+    CPPUNIT_ASSERT(world.Application().At(1).path.remote == ClientAddress(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Server().ConnectionCount());
+  }
+
+  // Once the client has heard from the server, all it sends must be routable, before and after it
+  // takes up a new ID.
+  void EveryIdTheClientUsesNamesTheAgent() {
+    World world;
+    std::set<connection_id::ConnectionId> seen;
+    std::size_t client_chosen = 0;
+    world.Network().filter = [&](const Path& path, std::span<const std::uint8_t> datagram) {
+      if (path.remote == ServerAddress()) {
+        const auto header =
+            connection_id::ParseInvariantHeader(datagram, connection_id::kRoutableIdLength);
+        const auto origin = TestCodec()->Decode(header->destination);
+        seen.insert(header->destination);
+        client_chosen += origin && origin->node == TestNode() ? 0 : 1;
+        CPPUNIT_ASSERT(header->is_long || origin->node == TestNode());
+      }
+      return true;
+    };
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "v")->is_whole);
+    world.Network().AddClient(ClientAddress(2), caller.Client());
+    CPPUNIT_ASSERT(
+        caller.Client().Migrate({ClientAddress(2), ServerAddress()}, world.Network().Now()));
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "v")->is_whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.size());  // chosen by the client, then two issued
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client_chosen);
+  }
+
+  void ALostConnectionIsResetAtOnce() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "u")->is_whole);
+    world.Restart();
+    world.Network().resets_unknown = true;
+    const auto answer = caller.Ask("GET", "/board");
+    CPPUNIT_ASSERT(
+        world.Network().RunUntil([&] { return answer->IsOver(); }, std::chrono::seconds(5)));
+    CPPUNIT_ASSERT(answer->failure->kind == RequestFailure::Kind::kConnectionLost);
+    CPPUNIT_ASSERT(!answer->failure->WasNotRun());
+    CPPUNIT_ASSERT(caller.Events().closed->kind == ConnectionEnd::Kind::kStatelessReset);
+  }
+
+  void TooManyConnectionsAreRefused() {
+    Http3ServerOptions options;
+    options.max_connections = 2;
+    World world({}, options);
+    Caller first(world, 1);
+    Caller second(world, 2);
+    CPPUNIT_ASSERT(first.Connect() && second.Connect());
+    Caller third(world, 3);
+    CPPUNIT_ASSERT(!third.Connect());
+    CPPUNIT_ASSERT(third.Events().closed->kind == ConnectionEnd::Kind::kRefused);
+    CPPUNIT_ASSERT(first.AskAndWait("POST", "/echo", "t")->is_whole);
+    first.Client().Close(world.Network().Now());
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Server().ConnectionCount() == 1; }));
+    Caller fourth(world, 4);
+    CPPUNIT_ASSERT(fourth.Connect());
+  }
+
+  void RetryProvesTheCallersAddress() {
+    Http3ServerOptions options;
+    options.retry_from_handshakes = 0;
+    World world({}, options);
+    std::size_t retries = 0;
+    std::size_t opened = 0;
+    world.Network().filter = [&](const Path&, std::span<const std::uint8_t>) {
+      retries += world.Network().last_outcome == DatagramOutcome::kRetrySent ? 1 : 0;
+      opened += world.Network().last_outcome == DatagramOutcome::kOpened ? 1 : 0;
+      return true;
+    };
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "s")->is_whole);
+    CPPUNIT_ASSERT(retries > 0 && opened > 0);
+  }
+
+  void ReloadedCredentialsServeNewConnectionsAndCutNone() {
+    World world;
+    Caller before(world, 1, TestPair().certificate);
+    CPPUNIT_ASSERT(before.Connect());
+    world.Server().SetCredentials(TestCredentials(true));
+    CPPUNIT_ASSERT(before.AskAndWait("POST", "/echo", "r")->is_whole);
+    Caller trusts_old(world, 2, TestPair().certificate);
+    CPPUNIT_ASSERT(!trusts_old.Connect());
+    CPPUNIT_ASSERT(trusts_old.Events().closed->kind == ConnectionEnd::Kind::kFailed);
+    Caller trusts_new(world, 3, TestPair(true).certificate);
+    CPPUNIT_ASSERT(trusts_new.Connect());
+    CPPUNIT_ASSERT(before.AskAndWait("POST", "/echo", "r")->is_whole);
+  }
+
+  void AnOversizeHeadIsReset() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    auto answer = std::make_shared<Answer>();
+    const std::string value = Pattern(40'000, 5);
+    CPPUNIT_ASSERT(caller.Client().SubmitRequest(
+        {"GET", "https", "stock.example", "/", {{"x-long", value}}}, {}, Record(answer)));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->IsOver(); }));
+    CPPUNIT_ASSERT(answer->failure->error == Http3Error::kExcessiveLoad);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Application().size());
+    CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "q")->is_whole);
+  }
+
+  void GarbageOpensNothing() {
+    World world;
+    base::RandomSource random(kSeed);
+    const Path path{ServerAddress(), ClientAddress(9)};
+    for (int count = 0; count < 2000; ++count) {
+      std::vector<std::uint8_t> datagram(random.NextBelow(1400));
+      for (auto& byte : datagram) {
+        byte = static_cast<std::uint8_t>(random.NextUint64());
+      }
+      world.Server().HandleDatagram(path, datagram, world.Network().Now());
+      world.Server().SendStatelessReset(path, datagram, world.Network().Now());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Server().ConnectionCount());
+  }
+
+  void TheServersEndTellsEveryHandler() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    caller.Ask("GET", "/board");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
+    world.Restart();
+    CPPUNIT_ASSERT(world.Application().At(0).cancelled.has_value());
+    CPPUNIT_ASSERT(world.Application().At(0).is_destroyed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(Http3Test);
+
+}  // namespace
+}  // namespace gaugevalve::quic::testing
