--- /dev/null
+++ b/daemons/agent/src/agent_worker.h
@@ -0,0 +1,93 @@
+// The agent's data task: a thread with the data socket and the service's module.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "agent_output.h"
+#include "gaugevalve/base/clock.h"
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/control/node_view.h"
+#include "gaugevalve/daemon/reason_counters.h"
+#include "gaugevalve/routing/agent_report.h"
+#include "gaugevalve/tasks/inbox.h"
+#include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/timer.h"
+#include "gaugevalve/tasks/udp_batch.h"
+#include "gaugevalve/tasks/udp_socket.h"
+#include "service_module.h"
+
+namespace gaugevalve::agent {
+
+using ViewPointer = std::shared_ptr<const control::NodeView>;
+
+// Asks the data task to drain.
+struct StartDraining {};
+
+// What other tasks send to the data task.
+using AgentMessage = std::variant<ViewPointer, StartDraining>;
+
+// What the data task says of itself, a few times a second.
+struct AgentStatus {
+  routing::AgentReport report;  // for the planner
+  bool is_named = false;        // the tables still name this agent
+};
+
+// What the data task is made of.
+struct AgentWorkerSettings {
+  base::SocketAddress data_address;
+  base::SocketAddress egress_address;
+  base::ServiceId service;
+};
+
+// Receives datagrams from balancers and other agents, decodes them and gives them to the service's
+// module. Takes no lock; other threads reach it by Send() only.
+class AgentWorker {
+ public:
+  // Makes the module on the data task's loop; called once, from the constructor.
+  using ModuleFactory =
+      std::function<std::unique_ptr<ServiceModule>(event_base* loop, AgentOutput& output)>;
+
+  // Is called in the data task's thread and must not block.
+  using StatusHandler = std::function<void(AgentStatus status)>;
+
+  // Binds the data port; throws std::system_error, naming the address, when that fails.
+  AgentWorker(const AgentWorkerSettings& settings, const ModuleFactory& make_module,
+              StatusHandler status_handler, prometheus::Registry& registry);
+
+  // Starts the task.
+  void Start() { task_.Start(); }
+
+  // Ends the thread and waits for it. Open flows are cut.
+  void Stop();
+
+  // Sends the task a message. Returns false when its inbox is full: try again later. Any thread.
+  bool Send(AgentMessage message) { return inbox_.TrySend(std::move(message)); }
+
+  // Returns the address bound, with the port the system chose.
+  base::SocketAddress DataAddress() const { return socket_.LocalAddress(); }
+
+ private:
+  void OnMessage(const AgentMessage& message);
+  void OnReadable();
+  void OnTick();
+  void HandleDatagram(std::size_t index, base::TimePoint now);
+
+  base::SystemClock clock_;
+  AgentWorkerSettings settings_;
+  tasks::UdpSocket socket_;
+  tasks::UdpReceiveBatch received_;
+  AgentOutput output_;
+  StatusHandler status_handler_;
+  daemon::PublishedCounter received_count_;
+  daemon::ReasonCounters malformed_;
+  tasks::Task task_;
+  std::unique_ptr<ServiceModule> module_;
+  tasks::Inbox<AgentMessage> inbox_;
+  tasks::Watch readable_;
+  tasks::Timer tick_timer_;
+};
+
+}  // namespace gaugevalve::agent
--- /dev/null
+++ b/daemons/agent/src/main.cpp
@@ -0,0 +1,175 @@
+// gaugevalve-agent: runs beside one endpoint, owns its flows and relays them.
+
+#include <sys/resource.h>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "agent_worker.h"
+#include "datagram_service.h"
+#include "gaugevalve/base/clock.h"
+#include "gaugevalve/daemon/command_line.h"
+#include "gaugevalve/daemon/drop_log.h"
+#include "gaugevalve/daemon/exit_code.h"
+#include "gaugevalve/daemon/shutdown_signals.h"
+#include "gaugevalve/daemon/static_view.h"
+#include "gaugevalve/tasks/inbox.h"
+#include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/timer.h"
+#include "gaugevalve/telemetry/admin_server.h"
+#include "gaugevalve/telemetry/event.h"
+#include "gaugevalve/telemetry/logging.h"
+#include "prometheus/registry.h"
+
+namespace {
+
+using namespace gaugevalve;  // NOLINT(google-build-using-namespace): a program's only file
+
+constexpr char kPurpose[] =
+    "gaugevalve-agent --settings FILE: runs beside one endpoint, owns its flows and relays them.\n"
+    "Exit codes: 0 ended as asked, 1 failure, 2 findings, 3 ended by a second signal, 4 the drain "
+    "took longer than --drain_timeout.";
+
+constexpr std::size_t kStatusInboxCapacity = 16;
+constexpr base::Duration kDropLogPeriod = std::chrono::seconds(10);
+constexpr base::Duration kDrainPollPeriod = std::chrono::milliseconds(100);
+
+// Each flow has a socket, so the process takes all the descriptors it may have.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
+// This life of the agent; see base::Incarnation.
+base::Incarnation MakeIncarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(since_epoch);
+  return base::Incarnation(static_cast<std::uint64_t>(microseconds.count()));
+}
+
+// What a running agent consists of, on the main thread's loop.
+class Agent {
+ public:
+  explicit Agent(const daemon::CommandLine& command_line)
+      : command_line_(command_line),
+        node_(command_line_.settings),
+        identity_{node_.Id(), MakeIncarnation(), base::MakeServiceId(node_.agent->service)},
+        registry_(std::make_shared<prometheus::Registry>()),
+        statuses_(loop_.get(), kStatusInboxCapacity,
+                  [this](AgentStatus status) { status_ = std::move(status); }),
+        worker_(
+            {node_.data_address, *node_.egress_address, identity_.service},
+            [this](event_base* loop, agent::AgentOutput& output) {
+              return MakeModule(loop, output);
+            },
+            [this](AgentStatus status) { statuses_.TrySend(std::move(status)); }, *registry_),
+        admin_(loop_.get(), node_.admin_address, registry_),
+        malformed_log_(*registry_, "gaugevalve_agent_datagrams_malformed_total"),
+        drop_log_(*registry_, "gaugevalve_agent_datagrams_dropped_total"),
+        drop_timer_(loop_.get(), [this] { WriteDropLogs(); }),
+        drain_timer_(loop_.get(), [this] { PollDrain(); }),
+        signals_(
+            loop_.get(), [this] { StartDrain(); }, [this] { End(daemon::kForcedStop); }) {}
+
+  // Runs until the process is to end; returns its exit code.
+  int Run() {
+    PublishFirstView();
+    worker_.Start();
+    drop_timer_.StartPeriodic(kDropLogPeriod);
+    telemetry::Event(telemetry::Level::kInfo, "agent_started")
+        .Field("name", node_.name)
+        .Field("service", node_.agent->service)
+        .Field("data", worker_.DataAddress())
+        .Field("admin", admin_.BoundAddress());
+    event_base_dispatch(loop_.get());
+    worker_.Stop();
+    telemetry::Event(telemetry::Level::kInfo, "agent_stopped").Field("exit_code", exit_code_);
+    return exit_code_;
+  }
+
+ private:
+  using AgentStatus = agent::AgentStatus;
+
+  std::unique_ptr<agent::ServiceModule> MakeModule(event_base* loop, agent::AgentOutput& output) {
+    return std::make_unique<agent::DatagramService>(loop, output, *node_.agent->datagram_address,
+                                                    identity_, flow::FlowCoreSettings(),
+                                                    *registry_);
+  }
+
+  // The seam to the control task: it sends each newer view to the worker in the same way, and takes
+  // the reports in `statuses_` to the planner.
+  void PublishFirstView() {
+    if (node_.static_settings) {
+      worker_.Send(daemon::MakeStaticView(node_, identity_.incarnation));
+    }
+  }
+
+  void WriteDropLogs() {
+    malformed_log_.Write();
+    drop_log_.Write();
+  }
+
+  void StartDrain() {
+    telemetry::Event(telemetry::Level::kInfo, "drain_started")
+        .Field("open_flows", status_.report.open_flows);
+    admin_.SetUnhealthy("draining");
+    drain_started_ = clock_.Now();
+    worker_.Send(agent::StartDraining());
+    drain_timer_.StartPeriodic(kDrainPollPeriod);
+  }
+
+  // An agent that still has no flow is needed while tables name it: others ask it for flows.
+  void PollDrain() {
+    const bool is_draining = status_.report.state == routing::AgentState::kDraining;
+    const bool is_released = !status_.is_named || node_.static_settings.has_value();
+    if (is_draining && status_.report.open_flows == 0 && is_released) {
+      End(daemon::kSuccess);
+    } else if (clock_.Now() - drain_started_ >= command_line_.drain_timeout) {
+      telemetry::Event(telemetry::Level::kWarning, "drain_timed_out")
+          .Field("open_flows", status_.report.open_flows);
+      End(daemon::kDrainTimeout);
+    }
+  }
+
+  void End(daemon::ExitCode exit_code) {
+    exit_code_ = exit_code;
+    event_base_loopbreak(loop_.get());
+  }
+
+  daemon::CommandLine command_line_;
+  const settings::NodeSettings& node_;
+  flow::AgentIdentity identity_;
+  base::SystemClock clock_;
+  tasks::LoopPointer loop_ = tasks::MakeLoop();
+  std::shared_ptr<prometheus::Registry> registry_;
+  AgentStatus status_;
+  tasks::Inbox<AgentStatus> statuses_;
+  agent::AgentWorker worker_;
+  telemetry::AdminServer admin_;
+  daemon::DropLog malformed_log_;
+  daemon::DropLog drop_log_;
+  tasks::Timer drop_timer_;
+  tasks::Timer drain_timer_;
+  daemon::ShutdownSignals signals_;
+  base::TimePoint drain_started_{};
+  int exit_code_ = daemon::kSuccess;
+};
+
+int Main(int argc, char** argv) {
+  const daemon::CommandLine command_line =
+      daemon::ParseCommandLine(argc, argv, settings::NodeRole::kAgent, kPurpose);
+  if (command_line.check_only) {
+    return daemon::kSuccess;
+  }
+  RaiseDescriptorLimit();
+  const telemetry::LoggingSession logging(command_line.log_level);
+  return Agent(command_line).Run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) { return gaugevalve::daemon::RunMain(Main, argc, argv); }
--- /dev/null
+++ b/daemons/agent/src/service_module.h
@@ -0,0 +1,42 @@
+// One kind of service in the agent's data task.
+#pragma once
+
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/control/node_view.h"
+#include "gaugevalve/routing/agent_report.h"
+#include "gaugevalve/wire/forwarding_header.h"
+#include "gaugevalve/wire/proxy_datagram.h"
+
+namespace gaugevalve::agent {
+
+// What the data task asks of the module that handles its service's datagrams. All calls come from
+// the data task's thread. A module sends through the AgentOutput it was made with; the task flushes
+// that after each batch, a module after what it sends of its own accord.
+class ServiceModule {
+ public:
+  virtual ~ServiceModule() = default;
+
+  // Takes a newer view of the agent's service, current at `confirmed_at`. The table isn't null.
+  virtual void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) = 0;
+
+  // Handles a datagram that a balancer or another agent has sent. The header may be changed.
+  virtual void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
+                              base::TimePoint now) = 0;
+
+  // Does what is due with time, such as closing idle flows. Called a few times a second.
+  virtual void HandleTick(base::TimePoint now) = 0;
+
+  // Keeps what is open and takes nothing that another agent can take. Idempotent.
+  virtual void StartDraining(base::TimePoint now) = 0;
+
+  // Fills in what the module knows for the planner, the agent's identity included.
+  virtual void FillReport(routing::AgentReport& report) const = 0;
+
+  // Tells whether the tables still name this agent: others may send it datagrams.
+  virtual bool IsNamed() const = 0;
+
+  // Carries the module's counts over to its metrics.
+  virtual void PublishCounters() = 0;
+};
+
+}  // namespace gaugevalve::agent
--- /dev/null
+++ b/daemons/balancer/src/main.cpp
@@ -0,0 +1,127 @@
+// gaugevalve-balancer: receives sprayed datagrams, picks the agent of each, forwards it.
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+
+#include "balancer_worker.h"
+#include "gaugevalve/base/clock.h"
+#include "gaugevalve/daemon/command_line.h"
+#include "gaugevalve/daemon/drop_log.h"
+#include "gaugevalve/daemon/exit_code.h"
+#include "gaugevalve/daemon/shutdown_signals.h"
+#include "gaugevalve/daemon/static_view.h"
+#include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/timer.h"
+#include "gaugevalve/telemetry/admin_server.h"
+#include "gaugevalve/telemetry/event.h"
+#include "gaugevalve/telemetry/logging.h"
+#include "prometheus/registry.h"
+
+namespace {
+
+using namespace gaugevalve;  // NOLINT(google-build-using-namespace): a program's only file
+
+constexpr char kPurpose[] =
+    "gaugevalve-balancer --settings FILE: receives datagrams from the network's fabric and "
+    "forwards each to the agent that owns its flow.\n"
+    "Exit codes: 0 ended as asked, 1 failure, 2 findings, 3 ended by a second signal.";
+
+constexpr base::Duration kDropLogPeriod = std::chrono::seconds(10);
+constexpr base::Duration kDrainPollPeriod = std::chrono::milliseconds(100);
+// A balancer that drains ends once nothing has come for this long: the fabric has let go of it.
+constexpr base::Duration kQuietTime = std::chrono::seconds(1);
+
+// What a running balancer consists of, on the main thread's loop.
+class Balancer {
+ public:
+  explicit Balancer(const daemon::CommandLine& command_line)
+      : command_line_(command_line),
+        registry_(std::make_shared<prometheus::Registry>()),
+        worker_(command_line.settings.data_address, flow::SourceLimiterSettings(), nullptr,
+                *registry_),
+        admin_(loop_.get(), command_line.settings.admin_address, registry_),
+        malformed_log_(*registry_, "gaugevalve_balancer_datagrams_malformed_total"),
+        drop_log_(*registry_, "gaugevalve_balancer_datagrams_dropped_total"),
+        drop_timer_(loop_.get(), [this] { WriteDropLogs(); }),
+        drain_timer_(loop_.get(), [this] { PollDrain(); }),
+        signals_(
+            loop_.get(), [this] { StartDrain(); }, [this] { End(daemon::kForcedStop); }) {}
+
+  // Runs until the process is to end; returns its exit code.
+  int Run() {
+    PublishFirstView();
+    worker_.Start();
+    drop_timer_.StartPeriodic(kDropLogPeriod);
+    telemetry::Event(telemetry::Level::kInfo, "balancer_started")
+        .Field("name", command_line_.settings.name)
+        .Field("data", worker_.DataAddress())
+        .Field("admin", admin_.BoundAddress());
+    event_base_dispatch(loop_.get());
+    worker_.Stop();
+    telemetry::Event(telemetry::Level::kInfo, "balancer_stopped").Field("exit_code", exit_code_);
+    return exit_code_;
+  }
+
+ private:
+  // The seam to the control task: it publishes each newer view to the worker in the same way.
+  void PublishFirstView() {
+    if (command_line_.settings.static_settings) {
+      worker_.PublishView(daemon::MakeStaticView(command_line_.settings, base::Incarnation()));
+    }
+  }
+
+  void WriteDropLogs() {
+    malformed_log_.Write();
+    drop_log_.Write();
+  }
+
+  void StartDrain() {
+    telemetry::Event(telemetry::Level::kInfo, "drain_started")
+        .Field("name", command_line_.settings.name);
+    admin_.SetUnhealthy("draining");
+    drain_started_ = clock_.Now();
+    drain_timer_.StartPeriodic(kDrainPollPeriod);
+  }
+
+  void PollDrain() {
+    const base::TimePoint now = clock_.Now();
+    const base::TimePoint last = std::max(worker_.LastDatagramAt(), drain_started_);
+    if (now - last >= kQuietTime || now - drain_started_ >= command_line_.drain_timeout) {
+      End(daemon::kSuccess);
+    }
+  }
+
+  void End(daemon::ExitCode exit_code) {
+    exit_code_ = exit_code;
+    event_base_loopbreak(loop_.get());
+  }
+
+  daemon::CommandLine command_line_;
+  base::SystemClock clock_;
+  tasks::LoopPointer loop_ = tasks::MakeLoop();
+  std::shared_ptr<prometheus::Registry> registry_;
+  balancer::BalancerWorker worker_;
+  telemetry::AdminServer admin_;
+  daemon::DropLog malformed_log_;
+  daemon::DropLog drop_log_;
+  tasks::Timer drop_timer_;
+  tasks::Timer drain_timer_;
+  daemon::ShutdownSignals signals_;
+  base::TimePoint drain_started_{};
+  int exit_code_ = daemon::kSuccess;
+};
+
+int Main(int argc, char** argv) {
+  const daemon::CommandLine command_line =
+      daemon::ParseCommandLine(argc, argv, settings::NodeRole::kBalancer, kPurpose);
+  if (command_line.check_only) {
+    return daemon::kSuccess;
+  }
+  const telemetry::LoggingSession logging(command_line.log_level);
+  return Balancer(command_line).Run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) { return gaugevalve::daemon::RunMain(Main, argc, argv); }
--- /dev/null
+++ b/daemons/common/include/gaugevalve/daemon/reason_counters.h
@@ -0,0 +1,62 @@
+// Counters by reason that the data path can bump for next to nothing.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "prometheus/counter.h"
+#include "prometheus/family.h"
+#include "prometheus/registry.h"
+
+namespace gaugevalve::daemon {
+
+// A plain counter of one thread, carried over into a metric that other threads may read.
+class PublishedCounter {
+ public:
+  explicit PublishedCounter(prometheus::Counter& metric) : metric_(&metric) {}
+
+  void Add(std::uint64_t amount = 1) { pending_ += amount; }
+
+  // Carries what was added since the last call over to the metric. Lock-free.
+  void Publish();
+
+ private:
+  prometheus::Counter* metric_;
+  std::uint64_t pending_ = 0;
+};
+
+// One PublishedCounter for each value of an enumeration whose values count from 0, as a metric with
+// the label "reason". All reasons show from the start, with 0.
+class ReasonCounters {
+ public:
+  // `reason_names[i]` is the label of value i.
+  ReasonCounters(prometheus::Registry& registry, const std::string& metric_name,
+                 const std::string& help, const std::vector<std::string_view>& reason_names);
+
+  // Counts one for the reason.
+  template <class Reason>
+  void Add(Reason reason) {
+    counters_[static_cast<std::size_t>(reason)].Add();
+  }
+
+  // Carries all over to the metrics; called by the counting thread every now and then.
+  void Publish();
+
+ private:
+  std::vector<PublishedCounter> counters_;
+};
+
+// Returns the names of the values 0 to `count` - 1 of an enumeration that has ToString().
+template <class Reason>
+std::vector<std::string_view> ReasonNames(std::size_t count) {
+  std::vector<std::string_view> names;
+  names.reserve(count);
+  for (std::size_t value = 0; value < count; ++value) {
+    names.push_back(ToString(static_cast<Reason>(value)));
+  }
+  return names;
+}
+
+}  // namespace gaugevalve::daemon
--- a/libs/flow/include/gaugevalve/flow/bucket_ownership.h
+++ b/libs/flow/include/gaugevalve/flow/bucket_ownership.h
@@ -98,6 +98,9 @@
     return entries_[bucket.value()].version;
   }
 
+  // Tells whether any bucket's newest known entry names this agent, as owner or in the chain.
+  bool IsNamed() const;
+
   // Returns the version of the newest table taken, for reports to the planner.
   routing::TableVersion AcknowledgedVersion() const { return table_version_; }
 
--- a/libs/flow/src/bucket_ownership.cpp
+++ b/libs/flow/src/bucket_ownership.cpp
@@ -132,6 +132,14 @@
   return std::nullopt;
 }
 
+bool BucketOwnership::IsNamed() const {
+  return std::any_of(entries_.begin(), entries_.end(), [this](const wire::BucketEntry& entry) {
+    const auto& chain = entry.previous_owners;
+    return IsSelf(entry.owner) || std::any_of(chain.begin(), chain.end(),
+                                              [this](const auto& agent) { return IsSelf(agent); });
+  });
+}
+
 Ruling BucketOwnership::PassTo(const wire::AgentAddress& agent, wire::ForwardingHeader& header) {
   header.target = agent.node;
   header.target_incarnation = agent.incarnation;
