--- /dev/null
+++ b/tools/lab/src/main.cpp
@@ -0,0 +1,135 @@
+// gaugevalve-lab: runs scenarios in simulated time with the product's own decision cores.
+//
+//   gaugevalve-lab run SCENARIO        one run of the product
+//   gaugevalve-lab compare SCENARIO    the product, the baselines and the bound on the same
+//   arrivals gaugevalve-lab ablate SCENARIO     the product, with each mechanism switched off in
+//   turn gaugevalve-lab movement            how much a change of the agents moves, by policy
+//
+// Tables go to the standard output; files to --output. Progress and processor time go to the
+// standard error, so that a seed gives the same output and files byte for byte.
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <ctime>
+#include <exception>
+#include <iomanip>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "experiment.h"
+#include "gaugevalve/routing/movement.h"
+#include "report_writer.h"
+#include "scenario_reader.h"
+
+ABSL_FLAG(std::string, output, "", "directory for runs.csv, runs.json and SVG plots; must exist");
+ABSL_FLAG(std::uint64_t, seed, 0, "seed of the run instead of the scenario's; 0 for that one");
+ABSL_FLAG(std::uint64_t, buckets, 256, "buckets of the planner's table in `movement`");
+
+namespace gaugevalve::lab {
+namespace {
+
+constexpr int kUsageError = 2;
+constexpr std::string_view kUsage =
+    "gaugevalve-lab [flags] run|compare|ablate SCENARIO.yaml, or gaugevalve-lab movement";
+
+double ProcessorSeconds() {
+  return static_cast<double>(std::clock()) / static_cast<double>(CLOCKS_PER_SEC);
+}
+
+RunResults RunOnce(const Scenario& scenario, Policy policy, const Mechanisms& mechanisms,
+                   std::string_view label) {
+  using std::chrono::duration_cast;
+  using std::chrono::seconds;
+  constexpr seconds kProgressStep(60);
+  const double started = ProcessorSeconds();
+  base::Duration shown{};
+  Experiment experiment(scenario, policy, mechanisms);
+  RunResults results = experiment.Run([&](base::Duration passed) {
+    if (passed - shown >= kProgressStep) {
+      shown = passed;
+      std::cerr << "\r" << label << ": " << duration_cast<seconds>(passed).count() << " of "
+                << duration_cast<seconds>(scenario.duration).count() << " s" << std::flush;
+    }
+  });
+  const double used = ProcessorSeconds() - started;
+  constexpr double kMicroseconds = 1e6;
+  std::cerr << "\r" << label << ": " << results.events << " events, " << std::fixed
+            << std::setprecision(2) << used << " s of processor time, "
+            << used * kMicroseconds / static_cast<double>(results.events) << " us an event\n";
+  results.policy = label;
+  return results;
+}
+
+std::vector<RunResults> RunCommand(std::string_view command, const Scenario& scenario) {
+  std::vector<RunResults> runs;
+  if (command == "run") {
+    runs.push_back(RunOnce(scenario, Policy::kGaugevalve, {}, ToString(Policy::kGaugevalve)));
+  } else if (command == "compare") {
+    for (const Policy policy : kAllPolicies) {
+      runs.push_back(RunOnce(scenario, policy, {}, ToString(policy)));
+    }
+  } else if (command == "ablate") {
+    for (const Variant& variant : AblationVariants()) {
+      runs.push_back(RunOnce(scenario, Policy::kGaugevalve, variant.mechanisms, variant.name));
+    }
+  }
+  return runs;
+}
+
+void PrintMovement() {
+  struct Change {
+    std::size_t before;
+    std::size_t after;
+  };
+  std::cout << "| agents | policy | moved | minimum | imbalance afterwards |\n"
+               "|---|---|---|---|---|\n"
+            << std::fixed << std::setprecision(3);
+  for (const Change change : {Change{3, 4}, {4, 3}, {7, 8}, {8, 7}, {7, 5}, {5, 7}}) {
+    for (const routing::Movement& movement :
+         routing::MeasureMovement(change.before, change.after, absl::GetFlag(FLAGS_buckets))) {
+      std::cout << "| " << movement.before << " to " << movement.after << " | " << movement.policy
+                << " | " << movement.moved << " | " << movement.minimum << " | "
+                << movement.imbalance << " |\n";
+    }
+  }
+}
+
+int Main(const std::vector<char*>& arguments) {
+  const std::string_view command = arguments.size() > 1 ? arguments[1] : "";
+  if (command == "movement" && arguments.size() == 2) {
+    PrintMovement();
+    return EXIT_SUCCESS;
+  }
+  const bool known = command == "run" || command == "compare" || command == "ablate";
+  if (!known || arguments.size() != 3) {
+    std::cerr << kUsage << "\n";
+    return kUsageError;
+  }
+  Scenario scenario = ReadScenario(arguments[2]);
+  if (absl::GetFlag(FLAGS_seed) != 0) {
+    scenario.seed = absl::GetFlag(FLAGS_seed);
+  }
+  std::cout << "scenario " << scenario.name << ", seed " << scenario.seed << "\n\n";
+  WriteReports(RunCommand(command, scenario), scenario.phases, absl::GetFlag(FLAGS_output),
+               std::cout);
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace gaugevalve::lab
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(gaugevalve::lab::kUsage.data());
+  try {
+    return gaugevalve::lab::Main(absl::ParseCommandLine(argc, argv));
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/tools/lab/src/planner_host.cpp
@@ -0,0 +1,320 @@
+#include "planner_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gaugevalve/control/node_view.h"
+#include "gaugevalve/routing/table_codec.h"
+
+namespace gaugevalve::lab {
+namespace {
+
+constexpr std::uint64_t kEpoch = 1;
+constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr base::Duration kHeartbeatInterval = std::chrono::seconds(1);
+constexpr base::Duration kWelcomeDelay = std::chrono::milliseconds(10);
+
+void ClearChains(routing::TableDelta& delta) {
+  for (routing::BucketChange& change : delta.changes) {
+    change.bucket.previous_owners.clear();
+  }
+}
+
+void ClearChains(routing::BucketTable& table) {
+  for (routing::Bucket& bucket : table.buckets) {
+    bucket.previous_owners.clear();
+  }
+}
+
+// Takes from `newer` every bucket that is newer there.
+void Merge(routing::BucketTable& table, const routing::BucketTable& newer) {
+  table.buckets.resize(newer.buckets.size());
+  for (std::size_t index = 0; index < newer.buckets.size(); ++index) {
+    if (newer.buckets[index].version > table.buckets[index].version) {
+      table.buckets[index] = newer.buckets[index];
+    }
+  }
+  table.agents = newer.agents;
+  table.version = newer.version;
+}
+
+}  // namespace
+
+PlannerHost::PlannerHost(World& world, std::size_t service) : world_(world), service_(service) {}
+
+std::vector<AgentHost*> PlannerHost::Agents() const {
+  std::vector<AgentHost*> agents;
+  for (const std::unique_ptr<AgentHost>& agent : world_.agents) {
+    if (agent->service == service_) {
+      agents.push_back(agent.get());
+    }
+  }
+  return agents;
+}
+
+void PlannerHost::Start() {
+  planner_ =
+      std::make_unique<routing::ServicePlanner>(world_.service_ids[service_], kEpoch, generation_,
+                                                world_.scenario.services[service_].planner);
+  for (const AgentHost* agent : Agents()) {
+    routing::AgentStatus status;
+    status.entry = {agent->node, agent->incarnation, agent->address, agent->zone};
+    status.flow_capacity = world_.scenario.services[service_].flow_capacity;
+    known_.push_back(status);
+  }
+  planner_->SetAgents(known_, world_.Now());
+  const std::optional<routing::TableDelta> first = planner_->Step(world_.Now());
+  if (first) {
+    const SharedUpdate update = MakeUpdate(*first, planner_->Table());
+    for (const std::unique_ptr<BalancerHost>& balancer : world_.balancers) {
+      ArriveAtBalancer(balancer->index, update);
+    }
+    for (const AgentHost* agent : Agents()) {
+      ArriveAtAgent(agent->index, update);
+    }
+  }
+  world_.Schedule(kTickInterval, [this] { Tick(); });
+  world_.Schedule(kHeartbeatInterval, [this] { Heartbeat(); });
+  for (const AgentHost* agent : Agents()) {
+    const std::size_t index = agent->index;
+    world_.Schedule(world_.network_random.NextJitter(world_.scenario.lag.report_interval),
+                    [this, index] { Report(index); });
+  }
+}
+
+void PlannerHost::NoteAgent(const AgentHost& agent) {
+  routing::AgentStatus status;
+  status.entry = {agent.node, agent.incarnation, agent.address, agent.zone};
+  status.weight = agent.weight;
+  status.flow_capacity = world_.scenario.services[service_].flow_capacity;
+  status.standing = !agent.alive     ? routing::AgentStanding::kDead
+                    : agent.draining ? routing::AgentStanding::kLeaving
+                                     : routing::AgentStanding::kLive;
+  world_.Schedule(world_.scenario.lag.membership, [this, status] {
+    std::erase_if(known_, [&](const routing::AgentStatus& other) {
+      return other.entry.node == status.entry.node;
+    });
+    known_.push_back(status);
+    planner_->SetAgents(known_, world_.Now());
+  });
+}
+
+void PlannerHost::Welcome(BalancerHost& balancer) {
+  const std::size_t index = balancer.index;
+  world_.Schedule(kWelcomeDelay, [this, index] {
+    const BalancerHost* peer = FirstRunning();
+    BalancerHost& joined = *world_.balancers[index];
+    if (peer != nullptr && joined.tables[service_].version < peer->tables[service_].version) {
+      joined.tables[service_] = peer->tables[service_];
+      joined.control.Add(routing::EncodeTable(joined.tables[service_]).size());
+      ShowTable(joined);
+    }
+  });
+}
+
+void PlannerHost::Welcome(AgentHost& agent) {
+  const std::size_t index = agent.index;
+  world_.Schedule(kWelcomeDelay, [this, index] {
+    const BalancerHost* peer = FirstRunning();
+    AgentHost& joined = *world_.agents[index];
+    if (peer != nullptr && joined.table.version < peer->tables[service_].version) {
+      joined.table = peer->tables[service_];
+      joined.control.Add(routing::EncodeTable(joined.table).size());
+      joined.confirmed_at = world_.Now();
+      joined.core->UpdateTable(joined.table, joined.confirmed_at);
+    }
+    Report(index);
+  });
+}
+
+BalancerHost* PlannerHost::FirstRunning() const {
+  for (const std::unique_ptr<BalancerHost>& balancer : world_.balancers) {
+    if (balancer->IsRunning()) {
+      return balancer.get();
+    }
+  }
+  return nullptr;
+}
+
+void PlannerHost::Tick() {
+  world_.Schedule(kTickInterval, [this] { Tick(); });
+  CheckPlanner();
+  if (world_.balancers[balancer_]->IsRunning()) {
+    Step(*planner_);
+  }
+}
+
+void PlannerHost::CheckPlanner() {
+  if (world_.balancers[balancer_]->IsRunning()) {
+    lost_since_.reset();
+    return;
+  }
+  lost_since_ = lost_since_.value_or(world_.Now());
+  BalancerHost* next = FirstRunning();
+  if (next != nullptr && world_.Now() - *lost_since_ >= world_.scenario.lag.membership) {
+    TakeOver(*next);
+  }
+}
+
+void PlannerHost::TakeOver(BalancerHost& balancer) {
+  ++generation_;
+  auto successor =
+      std::make_unique<routing::ServicePlanner>(world_.service_ids[service_], kEpoch, generation_,
+                                                world_.scenario.services[service_].planner);
+  if (!balancer.tables[service_].buckets.empty()) {
+    successor->TakeOver(balancer.tables[service_]);
+  }
+  successor->SetAgents(known_, world_.Now());
+  former_.push_back({balancer_, std::exchange(planner_, std::move(successor))});
+  balancer_ = balancer.index;
+  lost_since_.reset();
+}
+
+void PlannerHost::OnThaw(const BalancerHost& balancer) {
+  for (FormerPlanner& former : former_) {
+    if (former.balancer == balancer.index) {
+      Step(*former.planner);
+    }
+  }
+  std::erase_if(former_,
+                [&](const FormerPlanner& former) { return former.balancer == balancer.index; });
+}
+
+void PlannerHost::Step(routing::ServicePlanner& planner) {
+  const routing::PlannerCounters before = planner.Counters();
+  const std::optional<routing::TableDelta> delta = planner.Step(world_.Now());
+  if (!delta) {
+    return;
+  }
+  const routing::PlannerCounters& after = planner.Counters();
+  ServiceResults& results = world_.results[service_];
+  ++results.deltas;
+  results.moved_buckets += after.forced_moves - before.forced_moves;
+  results.moved_buckets += after.optional_moves - before.optional_moves;
+  Distribute(MakeUpdate(*delta, planner.Table()));
+}
+
+PlannerHost::SharedUpdate PlannerHost::MakeUpdate(const routing::TableDelta& delta,
+                                                  const routing::BucketTable& whole) const {
+  auto update = std::make_shared<Update>();
+  update->delta = delta;
+  update->whole = whole;
+  if (!world_.mechanisms.chain_walk) {
+    ClearChains(update->delta);
+    ClearChains(update->whole);
+  }
+  update->delta_bytes = routing::EncodeDelta(update->delta).size();
+  update->whole_bytes = routing::EncodeTable(update->whole).size();
+  return update;
+}
+
+void PlannerHost::Distribute(const SharedUpdate& update) {
+  for (const std::unique_ptr<BalancerHost>& balancer : world_.balancers) {
+    const base::TimePoint at =
+        std::max(balancer->last_table_arrival, world_.Now() + balancer->table_delay);
+    balancer->last_table_arrival = at;
+    const std::size_t index = balancer->index;
+    world_.queue.Schedule(at, [this, index, update] { ArriveAtBalancer(index, update); });
+  }
+  for (AgentHost* agent : Agents()) {
+    const base::TimePoint at =
+        std::max(agent->last_table_arrival, world_.Now() + agent->table_delay);
+    agent->last_table_arrival = at;
+    const std::size_t index = agent->index;
+    world_.queue.Schedule(at, [this, index, update] { ArriveAtAgent(index, update); });
+  }
+}
+
+std::size_t PlannerHost::ApplyUpdate(routing::BucketTable& table, const Update& update) {
+  if (table.buckets.size() == update.whole.buckets.size() && table.Apply(update.delta)) {
+    return update.delta_bytes;
+  }
+  if (update.whole.version <= table.version) {
+    return update.delta_bytes;  // of a planner that has been replaced: refused
+  }
+  Merge(table, update.whole);
+  return update.delta_bytes + update.whole_bytes;
+}
+
+void PlannerHost::ArriveAtBalancer(std::size_t index, const SharedUpdate& update) {
+  BalancerHost& balancer = *world_.balancers[index];
+  if (!balancer.alive) {
+    return;
+  }
+  if (balancer.frozen) {
+    world_.Schedule(kTickInterval, [this, index, update] { ArriveAtBalancer(index, update); });
+    return;
+  }
+  balancer.control.Add(ApplyUpdate(balancer.tables[service_], *update));
+  ShowTable(balancer);
+}
+
+void PlannerHost::ArriveAtAgent(std::size_t index, const SharedUpdate& update) {
+  AgentHost& agent = *world_.agents[index];
+  if (!agent.alive) {
+    return;
+  }
+  agent.control.Add(ApplyUpdate(agent.table, *update));
+  agent.confirmed_at = world_.Now();
+  agent.core->UpdateTable(agent.table, agent.confirmed_at);
+}
+
+void PlannerHost::ShowTable(BalancerHost& balancer) const {
+  auto view = std::make_shared<control::NodeView>();
+  view->confirmed_at = world_.Now();
+  for (std::size_t service = 0; service < balancer.tables.size(); ++service) {
+    control::ServiceView service_view;
+    service_view.id = world_.service_ids[service];
+    service_view.name = world_.scenario.services[service].name;
+    service_view.virtual_address = World::VirtualAddress(service);
+    service_view.table = std::make_shared<routing::BucketTable>(balancer.tables[service]);
+    view->services.push_back(std::move(service_view));
+  }
+  balancer.core->SetView(std::move(view));
+}
+
+// The planner's sign of life, which in the product rides on membership's messages.
+void PlannerHost::Heartbeat() {
+  world_.Schedule(kHeartbeatInterval, [this] { Heartbeat(); });
+  const bool planner_runs = world_.balancers[balancer_]->IsRunning();
+  for (AgentHost* agent : Agents()) {
+    if (!planner_runs || !agent->alive) {
+      continue;
+    }
+    const std::size_t index = agent->index;
+    world_.Schedule(agent->table_delay, [this, index] {
+      AgentHost& confirmed = *world_.agents[index];
+      confirmed.confirmed_at = world_.Now();
+      confirmed.core->UpdateTable(confirmed.table, confirmed.confirmed_at);
+    });
+  }
+}
+
+void PlannerHost::Report(std::size_t index) {
+  AgentHost& agent = *world_.agents[index];
+  if (!agent.alive) {
+    return;
+  }
+  agent.core->CloseIdle(world_.Now());
+  routing::AgentReport report;
+  agent.core->FillReport(report);
+  report.busy_slots = agent.endpoint->BusySlots();
+  report.total_slots = agent.endpoint->TotalSlots();
+  report.queued_requests = agent.endpoint->QueuedRequests();
+  constexpr base::Duration kLongAgo = std::chrono::hours(24);
+  report.age_of_service = agent.warm_start ? kLongAgo : world_.Now() - agent.started_at;
+  const std::size_t bytes = routing::EncodeReport(report).size();
+  agent.control.Add(bytes);
+  const base::Duration way =
+      world_.scenario.lag.report + world_.Latency(agent.zone, world_.balancers[balancer_]->zone);
+  world_.Schedule(way, [this, report, bytes] {
+    BalancerHost& balancer = *world_.balancers[balancer_];
+    if (balancer.IsRunning()) {
+      balancer.control.Add(bytes);
+      planner_->TakeReport(report, world_.Now());
+    }
+  });
+  world_.Schedule(world_.scenario.lag.report_interval, [this, index] { Report(index); });
+}
+
+}  // namespace gaugevalve::lab
