--- a/cmake/GaugevalveTargets.cmake
+++ b/cmake/GaugevalveTargets.cmake
@@ -63,6 +63,20 @@
   add_test(NAME ${name} COMMAND ${name})
 endfunction()
 
+# gaugevalve_proof(<name> [SOURCES ...] [DEPENDS ...] [ARGUMENTS ...])
+# A program of RapidCheck properties and their mutants; gaugevalve::proof brings main(). ARGUMENTS
+# are its flags in CI.
+function(gaugevalve_proof name)
+  if(NOT BUILD_TESTING)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE gaugevalve_options gaugevalve::proof ${ARG_DEPENDS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/proofs)
+  add_test(NAME ${name} COMMAND ${name} ${ARG_ARGUMENTS})
+endfunction()
+
 # gaugevalve_fuzzer(<name> [SOURCES ...] [DEPENDS ...])
 # A libFuzzer target with its corpus in the caller's corpus/ directory. With clang it is linked with
 # libFuzzer; otherwise with a replay main that runs the corpus once, which is what CI's tests do.
--- a/libs/requests/include/gaugevalve/requests/at_most_once.h
+++ b/libs/requests/include/gaugevalve/requests/at_most_once.h
@@ -3,9 +3,10 @@
 // The owner of the bucket that a key falls into (routing::BucketTable) decides who runs it. Before
 // a request runs, two agents hold its record: the owner and the executor or, where these are one,
 // the owner and another agent. An agent that becomes owner first collects what every other agent of
-// the table knows of the bucket; by answering, an agent promises to take part in no grant under an
-// older version. So any earlier grant is either among what was collected, or is refused by its
-// second participant. A former owner that wakes up can't grant alone.
+// the table knows of the bucket. Others answer under a table at least as new, so one that has
+// answered takes part in no grant under an older version. So any earlier grant is either among what
+// was collected, or is refused by its second participant. A former owner that wakes up can't grant
+// alone.
 //
 // One lost agent loses no record. When a second is lost before the copies are restored, what was
 // recorded before is taken as forgotten: a key that may have been used then is answered "outcome
@@ -13,7 +14,7 @@
 //
 // What it can't promise: copies that can't be restored within `restore_time` (messages between live
 // agents lost all that time, or a frozen agent left in the table) are not counted as a loss by
-// others; callers' clocks further ahead than `clock_margin` defeat the time in a key;
+// others; clocks further apart than `clock_margin` defeat the time in a key;
 // a key without a time that comes again after the window counts as new; a service with one agent
 // forgets with it.
 #pragma once
@@ -35,6 +36,16 @@
 
 namespace gaugevalve::requests {
 
+// The mechanisms of the guarantee. All are on; a proof switches one off to show that it would
+// notice.
+struct AtMostOnceMechanisms {
+  bool copy_before_running = true;      // an owner that executes itself waits for a second holder
+  bool collect_before_deciding = true;  // a new owner asks all others first
+  bool answer_only_with_table = true;   // others answer that under a table at least as new
+  bool forget_after_second_loss = true;
+  bool restore_copies = true;
+};
+
 // Times and bounds of the at-most-once guarantee.
 struct AtMostOnceLimits {
   base::Duration window{600'000'000};    // how long a key is remembered
@@ -43,7 +54,8 @@
   base::Duration freshness{3'000'000};   // an owner grants this long after its table was confirmed
   base::Duration restore_time{30'000'000};  // in which copies are restored after a loss
   base::Duration resend_interval{100'000};  // between repeats of an unanswered message
-  base::Duration clock_margin{1'000'000};   // how far callers' clocks may be ahead
+  AtMostOnceMechanisms mechanisms;
+  base::Duration clock_margin{1'000'000};  // how far clocks may be apart
 };
 
 // A keyed request of this agent that wants to run.
@@ -51,7 +63,7 @@
   RequestId id;
   KeyDigest key;
   std::uint64_t fingerprint = 0;
-  std::optional<base::Duration> key_age;  // by the time in the key; may be below 0
+  std::optional<base::Duration> key_created_at;  // since the Unix epoch, by the time in the key
   base::TimePoint deadline;
 };
 
@@ -79,9 +91,11 @@
 // thread-safe; the owner passes in the time.
 class AtMostOnce {
  public:
-  // `self` is this life of this agent; `now` its start.
+  // `self` is this life of this agent; `now` its start, which is `wall_time` since the Unix epoch.
+  // Keys' times are compared on every agent's own clock, so that a message's delay can't make a key
+  // look younger; `clock_margin` bounds how far the clocks of callers and agents are apart.
   AtMostOnce(base::NodeId self, base::Incarnation incarnation, const AtMostOnceLimits& limits,
-             base::TimePoint now);
+             base::TimePoint now, base::Duration wall_time);
 
   // Takes a newer table of the service; older ones are passed over. `confirmed_at` is when this
   // node sent the last report that the planner acknowledged.
@@ -146,10 +160,13 @@
   bool HasSecondCopy(const ExecutionRecord& record) const;
   bool IsOwner(base::BucketIndex bucket, base::TimePoint now) const;
   bool Acknowledge(base::BucketIndex bucket, const routing::TableVersion& version);
-  bool MayBeForgotten(const std::optional<base::Duration>& key_age, base::TimePoint now) const;
+  bool MayBeForgotten(const std::optional<base::Duration>& key_created_at,
+                      base::TimePoint now) const;
   std::optional<base::NodeId> ChooseCopyHolder(const KeyDigest& key) const;
 
-  void NoteLosses(const routing::BucketTable& before, base::TimePoint now);
+  void NoteLosses(const routing::BucketTable& before, base::TimePoint unchanged_until,
+                  base::TimePoint now);
+  void ForgetHolder(base::NodeId lost);
   void RestoreCopies(base::TimePoint now, AtMostOnceActions& actions);
   void SendRestoration(const KeyDigest& key, Restoration& restoration, base::TimePoint now,
                        AtMostOnceActions& actions);
@@ -209,6 +226,7 @@
   absl::flat_hash_map<KeyDigest, Restoration> restorations_;
   absl::flat_hash_map<base::BucketIndex, Settlement> settlements_;
   absl::flat_hash_map<base::BucketIndex, routing::TableVersion> settled_;
+  base::TimePoint unix_epoch_;   // on our time line
   base::TimePoint whole_since_;  // the record of a key first used after this is held by someone
   bool memory_known_ = false;    // whole_since_ is what the service knows, not only our own start
   std::optional<base::TimePoint> inherited_whole_since_;  // newest told by agents that know
--- a/libs/requests/include/gaugevalve/requests/execution_record_table.h
+++ b/libs/requests/include/gaugevalve/requests/execution_record_table.h
@@ -26,6 +26,14 @@
   // Forgets what is older than the window.
   void Expire(base::TimePoint now);
 
+  // Calls `change` with each record; it may change all but the key and the age.
+  template <class Change>
+  void ForEach(const Change& change) {
+    for (auto& [key, record] : records_) {
+      change(record);
+    }
+  }
+
   // Returns copies of the records for which `wanted` returns true.
   template <class Predicate>
   std::vector<ExecutionRecord> Select(const Predicate& wanted) const {
--- a/libs/requests/src/at_most_once.cpp
+++ b/libs/requests/src/at_most_once.cpp
@@ -11,6 +11,9 @@
 // Records in one reply to a collection, so that a reply fits the control budget.
 constexpr std::size_t kRecordsPerReply = 16;
 
+// The time in a key has 48 bits (RFC 9562); a larger number is malformed.
+constexpr std::uint64_t kLatestKeyMilliseconds = (std::uint64_t{1} << 48U) - 1;
+
 bool SameLife(const routing::AgentEntry& left, const routing::AgentEntry& right) {
   return left.node == right.node && left.incarnation == right.incarnation;
 }
@@ -22,11 +25,13 @@
 }  // namespace
 
 AtMostOnce::AtMostOnce(base::NodeId self, base::Incarnation incarnation,
-                       const AtMostOnceLimits& limits, base::TimePoint now)
+                       const AtMostOnceLimits& limits, base::TimePoint now,
+                       base::Duration wall_time)
     : self_(self),
       incarnation_(incarnation),
       limits_(limits),
       records_(limits.window, limits.record_capacity),
+      unix_epoch_(now - wall_time),
       whole_since_(now) {}
 
 // --- The table, and what follows from its changes ---
@@ -34,6 +39,7 @@
 AtMostOnceActions AtMostOnce::SetTable(const std::shared_ptr<const routing::BucketTable>& table,
                                        base::TimePoint confirmed_at, base::TimePoint now) {
   AtMostOnceActions actions;
+  const base::TimePoint unchanged_until = confirmed_at_;
   confirmed_at_ = std::max(confirmed_at_, confirmed_at);
   const bool newer = table_ == nullptr || table->version > table_->version;
   if (!newer || table->buckets.empty()) {
@@ -46,10 +52,12 @@
     acknowledged_[index] = std::max(acknowledged_[index], table->buckets[index].version);
   }
   if (before == nullptr) {
-    // What happened before isn't known here: a loss soon after counts as the second one.
+    // What happened before isn't known here: unless an older agent tells, all before is forgotten,
+    // and a loss soon after counts as the second one.
+    whole_since_ = now + limits_.freshness;
     last_loss_at_ = now;
   } else {
-    NoteLosses(*before, now);
+    NoteLosses(*before, unchanged_until, now);
   }
   StartSettlements(now, actions);
   RestoreCopies(now, actions);
@@ -61,14 +69,17 @@
   return actions;
 }
 
-void AtMostOnce::NoteLosses(const routing::BucketTable& before, base::TimePoint now) {
+// The table was confirmed at `unchanged_until`: what was lost since may have been lost right after.
+void AtMostOnce::NoteLosses(const routing::BucketTable& before, base::TimePoint unchanged_until,
+                            base::TimePoint now) {
   for (const routing::AgentEntry& agent : before.agents) {
     const routing::AgentEntry* const present = table_->FindAgent(agent.node);
     const bool lost = present == nullptr || !SameLife(*present, agent);
     if (!lost) {
       continue;
     }
-    const bool second = last_loss_at_.has_value() && now - *last_loss_at_ < limits_.restore_time;
+    const bool second = limits_.mechanisms.forget_after_second_loss && last_loss_at_.has_value() &&
+                        unchanged_until - *last_loss_at_ < limits_.restore_time;
     if (second) {
       // A lost agent may go on granting until its table is no longer fresh.
       whole_since_ = std::max(whole_since_, now + limits_.freshness);
@@ -76,9 +87,20 @@
           std::max(inherited_whole_since_.value_or(whole_since_), whole_since_);
     }
     last_loss_at_ = now;
+    ForgetHolder(agent.node);
   }
 }
 
+// What the lost life of the node held is gone, also when a new life of it is there already.
+void AtMostOnce::ForgetHolder(base::NodeId lost) {
+  records_.ForEach([&](ExecutionRecord& record) {
+    if (record.second_holder == lost) {
+      record.second_holder = base::NodeId();
+    }
+  });
+  absl::erase_if(restorations_, [&](const auto& entry) { return entry.second.holder == lost; });
+}
+
 void AtMostOnce::StartSettlements(base::TimePoint now, AtMostOnceActions& actions) {
   for (std::size_t index = 0; index < table_->buckets.size(); ++index) {
     const base::BucketIndex bucket(static_cast<std::uint16_t>(index));
@@ -95,7 +117,7 @@
     settled_.erase(bucket);
     Settlement settlement{entry.version, {}, now};
     for (const routing::AgentEntry& agent : table_->agents) {
-      if (agent.node != self_) {
+      if (agent.node != self_ && limits_.mechanisms.collect_before_deciding) {
         settlement.cursors[agent.node] = KeyDigest{};
       }
     }
@@ -117,6 +139,7 @@
     proto::CollectRequest* const request = outgoing.message.mutable_collect_request();
     request->set_bucket(bucket.value());
     EncodeVersion(settlement.version, request->mutable_version());
+    EncodeVersion(table_->version, request->mutable_table_version());
     EncodeKey(cursor->second, request->mutable_after());
     actions.send.push_back(std::move(outgoing));
     ++cursor;
@@ -143,6 +166,9 @@
 }
 
 void AtMostOnce::RestoreCopies(base::TimePoint now, AtMostOnceActions& actions) {
+  if (!limits_.mechanisms.restore_copies) {
+    return;
+  }
   const std::vector<ExecutionRecord> single = records_.Select([&](const ExecutionRecord& record) {
     return EntryOf(BucketOf(record.key)).owner == self_ && !HasSecondCopy(record);
   });
@@ -220,13 +246,18 @@
   return true;
 }
 
-bool AtMostOnce::MayBeForgotten(const std::optional<base::Duration>& key_age,
+bool AtMostOnce::MayBeForgotten(const std::optional<base::Duration>& key_created_at,
                                 base::TimePoint now) const {
-  const bool age_usable = key_age.has_value() && *key_age >= -limits_.clock_margin;
-  if (!age_usable) {
-    return now - limits_.window < whole_since_;
+  // A key without a usable time may be as old as anything that is remembered.
+  base::TimePoint created_at = now - limits_.window;
+  if (key_created_at && unix_epoch_ + *key_created_at <= now + limits_.clock_margin) {
+    created_at = unix_epoch_ + *key_created_at;
+    if (now - created_at > limits_.window) {
+      return true;
+    }
+    created_at -= limits_.clock_margin;
   }
-  return *key_age > limits_.window || now - *key_age - limits_.clock_margin < whole_since_;
+  return created_at < whole_since_;
 }
 
 // The copy goes to the best of the others in rendezvous order of the key, which spreads them
@@ -367,8 +398,8 @@
   request->set_fingerprint(pending.request.fingerprint);
   request->set_grant(pending.grant.number);
   request->set_executor_incarnation(incarnation_.value());
-  if (pending.request.key_age) {
-    request->set_key_age_milliseconds(ToMilliseconds(*pending.request.key_age).count());
+  if (pending.request.key_created_at) {
+    request->set_key_created_milliseconds(ToMilliseconds(*pending.request.key_created_at).count());
   }
   EncodeVersion(acknowledged_[BucketOf(pending.request.key).value()], request->mutable_version());
   actions.send.push_back(std::move(outgoing));
@@ -380,7 +411,7 @@
   wanted.fingerprint = pending.request.fingerprint;
   wanted.grant = pending.grant;
   wanted.first_recorded_at = now;
-  const proto::Verdict verdict = Decide(wanted, pending.request.key_age, now);
+  const proto::Verdict verdict = Decide(wanted, pending.request.key_created_at, now);
   if (verdict == proto::RUN) {
     AskForCopy(pending, now, actions);
     return;
@@ -394,7 +425,7 @@
 
 void AtMostOnce::AskForCopy(Pending& pending, base::TimePoint now, AtMostOnceActions& actions) {
   const std::optional<base::NodeId> holder = ChooseCopyHolder(pending.request.key);
-  if (!holder) {
+  if (!holder || !limits_.mechanisms.copy_before_running) {
     Run(pending, actions);
     return;
   }
@@ -417,11 +448,11 @@
 // --- The owner's decision ---
 
 proto::Verdict AtMostOnce::Decide(const ExecutionRecord& wanted,
-                                  const std::optional<base::Duration>& key_age,
+                                  const std::optional<base::Duration>& key_created_at,
                                   base::TimePoint now) {
   const ExecutionRecord* const known = records_.Find(wanted.key);
   if (known == nullptr) {
-    if (MayBeForgotten(key_age, now)) {
+    if (MayBeForgotten(key_created_at, now)) {
       return proto::FORGOTTEN;
     }
     return records_.Put(wanted) ? proto::RUN : proto::TABLE_FULL;
@@ -435,6 +466,9 @@
   if (known->state != ExecutionState::kNotRun) {
     return proto::KNOWN;
   }
+  if (MayBeForgotten(key_created_at, now)) {
+    return proto::FORGOTTEN;  // a later grant than the one that didn't run may be lost
+  }
   records_.Put(wanted);
   return proto::RUN;
 }
@@ -458,11 +492,12 @@
   } else if (!IsSettledOwner(bucket, now)) {
     reply->set_verdict(proto::UNSETTLED);
   } else {
-    std::optional<base::Duration> key_age;
-    if (message.has_key_age_milliseconds()) {
-      key_age = std::chrono::milliseconds(message.key_age_milliseconds());
+    std::optional<base::Duration> key_created_at;
+    if (message.has_key_created_milliseconds()) {
+      key_created_at = std::chrono::milliseconds(
+          std::min(message.key_created_milliseconds(), kLatestKeyMilliseconds));
     }
-    reply->set_verdict(Decide(wanted, key_age, now));
+    reply->set_verdict(Decide(wanted, key_created_at, now));
     if (reply->verdict() == proto::KNOWN) {
       const ExecutionRecord& known = *records_.Find(wanted.key);
       EncodeRecord(known, now, reply->mutable_known());
@@ -632,6 +667,7 @@
   proto::CopyReply* const reply = outgoing.message.mutable_copy_reply();
   *reply->mutable_record() = message.record();
   *reply->mutable_version() = message.version();
+  reply->set_holder_incarnation(incarnation_.value());
   const bool current = Acknowledge(BucketOf(record.key), DecodeVersion(message.version()));
   if (current) {
     MergeRecord(record, now);
@@ -642,6 +678,9 @@
 
 void AtMostOnce::OnCopyReply(base::NodeId sender, const proto::CopyReply& message,
                              AtMostOnceActions& actions) {
+  if (!IsLiveLife(sender, base::Incarnation(message.holder_incarnation()))) {
+    return;
+  }
   const KeyDigest key = DecodeKey(message.record().key());
   const auto restoration = restorations_.find(key);
   if (restoration != restorations_.end() && restoration->second.holder == sender) {
@@ -669,8 +708,10 @@
     return;
   }
   const base::BucketIndex bucket(static_cast<std::uint16_t>(message.bucket()));
-  if (!Acknowledge(bucket, DecodeVersion(message.version()))) {
-    return;  // the asker isn't the newest owner
+  const bool table_known = DecodeVersion(message.table_version()) <= table_->version ||
+                           !limits_.mechanisms.answer_only_with_table;
+  if (!table_known || !Acknowledge(bucket, DecodeVersion(message.version()))) {
+    return;  // not yet, or the asker isn't the newest owner
   }
   const KeyDigest after = DecodeKey(message.after());
   std::vector<ExecutionRecord> records = records_.Select([&](const ExecutionRecord& record) {
--- a/libs/requests/tests/at_most_once_test.cpp
+++ b/libs/requests/tests/at_most_once_test.cpp
@@ -140,7 +140,8 @@
 
   void AddAgent(std::uint64_t node) {
     agents_.emplace(base::NodeId(node),
-                    AtMostOnce(base::NodeId(node), base::Incarnation(1), AtMostOnceLimits(), now_));
+                    AtMostOnce(base::NodeId(node), base::Incarnation(1), AtMostOnceLimits(), now_,
+                               now_.time_since_epoch()));
   }
 
   void SetOwner(std::uint64_t owner, const std::vector<std::uint64_t>& nodes) {
@@ -165,7 +166,8 @@
   }
 
   void Begin(std::uint64_t node, std::uint64_t id, std::uint64_t fingerprint = 1) {
-    const KeyedRequest request{RequestId(id), kKey, fingerprint, key_age_, now_ + seconds(5)};
+    const KeyedRequest request{RequestId(id), kKey, fingerprint, now_.time_since_epoch() - key_age_,
+                               now_ + seconds(5)};
     Collect(base::NodeId(node), agents_.at(base::NodeId(node)).Begin(request, now_));
     Deliver();
   }
@@ -207,7 +209,7 @@
   std::map<base::NodeId, AtMostOnce> agents_;
   std::shared_ptr<const routing::BucketTable> table_;
   std::deque<InFlight> in_flight_;
-  std::optional<base::Duration> key_age_ = seconds(1);
+  base::Duration key_age_ = seconds(1);
   base::NodeId cut_off_;
   std::uint32_t sequence_ = 0;
   int runs_ = 0;
--- /dev/null
+++ b/proofs/at_most_once/cluster.h
@@ -0,0 +1,101 @@
+// A service of a few agents with everything that can go wrong between them, and the oracle that
+// counts executions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "gaugevalve/requests/at_most_once.h"
+
+namespace gaugevalve::proofs {
+
+// The system under test. Every method is one event that may come at any moment; the numbers choose
+// among what is there. Execution counts are checked as they happen.
+class Cluster {
+ public:
+  explicit Cluster(const requests::AtMostOnceMechanisms& mechanisms);
+
+  // A caller sends a request with one of a few keys to an agent; `fresh` begins a new key.
+  void Request(std::uint32_t agent, std::uint32_t key, bool fresh);
+  void FinishRun(std::uint32_t run, std::uint32_t how);
+  void AbandonRequest(std::uint32_t request);
+
+  void DeliverMessage(std::uint32_t message);
+  void DeliverAll();
+  void LoseMessage(std::uint32_t message);
+  void DoubleMessage(std::uint32_t message);
+
+  // The planner gives a bucket to another agent; tables reach agents only by GiveTable().
+  void MoveBucket(std::uint32_t bucket, std::uint32_t agent);
+  void GiveTable(std::uint32_t agent);
+
+  // The process dies and its memory with it; it may start again as a new life.
+  void Kill(std::uint32_t agent);
+  void Restart(std::uint32_t agent);
+
+  // The process stands still, or goes on, without noticing.
+  void Freeze(std::uint32_t agent);
+  void Wake(std::uint32_t agent);
+
+  // The planner takes an agent that it can't reach out of the table, rightly or not.
+  void RemoveFromTable(std::uint32_t agent);
+
+  void PassTime(std::uint32_t milliseconds);
+
+  // Returns whether a key ran more than once.
+  bool RanTwice() const { return ran_twice_; }
+
+ private:
+  // One life of an agent, as long as its memory exists.
+  struct Agent {
+    base::Incarnation incarnation;
+    std::unique_ptr<requests::AtMostOnce> core;
+    bool frozen = false;
+  };
+
+  struct Message {
+    base::NodeId sender;
+    requests::OutgoingMessage outgoing;
+  };
+
+  struct Run {
+    base::NodeId agent;
+    base::Incarnation incarnation;
+    requests::RequestId id;
+    std::uint32_t key = 0;
+  };
+
+  struct Key {
+    requests::KeyDigest digest;
+    base::TimePoint created_at;
+    int executions = 0;  // that happened or may have happened
+  };
+
+  base::NodeId NodeAt(std::uint32_t number) const;
+  Agent* LiveAgent(base::NodeId node);
+  Agent* ActiveAgent(base::NodeId node);
+  void StartLife(base::NodeId node);
+  void Take(base::NodeId node, requests::AtMostOnceActions actions);
+  void DeliverAt(std::size_t index);
+  void Quiesce();
+  bool IsSettled() const;
+
+  requests::AtMostOnceLimits limits_;
+  base::TimePoint now_;
+  std::uint64_t next_incarnation_ = 1;
+  std::uint64_t next_request_ = 1;
+  std::uint32_t sequence_ = 0;
+  std::map<base::NodeId, Agent> agents_;
+  std::shared_ptr<const routing::BucketTable> table_;
+  std::vector<Message> messages_;
+  std::vector<Run> runs_;
+  std::vector<Key> keys_;
+  std::map<requests::RequestId, std::uint32_t> key_of_request_;
+  std::map<requests::RequestId, base::NodeId> agent_of_request_;
+  base::TimePoint last_loss_at_;
+  bool ran_twice_ = false;
+};
+
+}  // namespace gaugevalve::proofs
