--- /dev/null
+++ b/libs/control/include/gaugevalve/control/control_node.h
@@ -0,0 +1,162 @@
+// The control side of one node, balancer or agent: membership, records, settings in force, roster
+// and planners joined in one decision core.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/base/random_source.h"
+#include "gaugevalve/control/agent_reporter.h"
+#include "gaugevalve/control/control_actions.h"
+#include "gaugevalve/control/coordinator.h"
+#include "gaugevalve/control/member_directory.h"
+#include "gaugevalve/control/node_view.h"
+#include "gaugevalve/control/planner_host.h"
+#include "gaugevalve/control/roster.h"
+#include "gaugevalve/control/settings_activator.h"
+#include "gaugevalve/dissemination/dissemination_core.h"
+#include "gaugevalve/membership/membership.h"
+#include "gaugevalve/store/watch_session.h"
+#include "gaugevalve/transport/envelope.h"
+
+namespace gaugevalve::control {
+
+// Who this node is and how its parts behave.
+struct ControlNodeOptions {
+  std::string name;                     // the node's configured name
+  membership::MemberMetadata metadata;  // `service` and `endpoint_name` for agents
+  std::string service_name;             // of an agent: its service in the settings tree
+  membership::MembershipOptions membership;
+  dissemination::DisseminationOptions dissemination;  // self, zone and interest are filled in
+  CoordinatorOptions coordinator;
+  PlannerHostOptions planners;
+  AgentReporterOptions reports;
+  // Balancers of each region that read the store and seek the coordinator's lease.
+  std::size_t store_readers_per_region = 2;
+  // A node takes no part in the above until it has known its group for this long.
+  base::Duration settle_time = std::chrono::seconds(2);
+  // Least time between two views.
+  base::Duration view_interval = std::chrono::milliseconds(10);
+  std::uint64_t seed = 0;
+};
+
+// Decision core. The daemons and the emulator drive it alike: give it messages, the time, what the
+// store delivers and what became of the lease; do what ControlActions says. Not thread-safe.
+class ControlNode {
+ public:
+  explicit ControlNode(const ControlNodeOptions& options);
+
+  // Takes in members known from elsewhere, before Start(): a shortcut for hollow nodes and tests.
+  void Preload(std::span<const membership::Member> members);
+
+  // Starts and joins the group. Called once, first.
+  void Start(base::TimePoint now, ControlActions& actions);
+
+  // Takes a message; kinds that aren't the control task's are ignored.
+  void OnEnvelope(const transport::Envelope& envelope, base::TimePoint now,
+                  ControlActions& actions);
+
+  // Does what is due; early calls are harmless.
+  void OnTick(base::TimePoint now, ControlActions& actions);
+  base::TimePoint NextWakeUp() const;
+
+  // True when this balancer should watch the settings in the store and seek the coordinator's
+  // lease. It follows from the members, so it changes as they do.
+  bool ShouldUseStore(base::TimePoint now) const;
+
+  // What the watch on the settings delivers.
+  void OnStoreSnapshot(const store::WatchSnapshot& snapshot, base::TimePoint now,
+                       ControlActions& actions);
+  void OnStoreChanges(const store::WatchChanges& changes, base::TimePoint now,
+                      ControlActions& actions);
+
+  // What became of the coordinator's lease; `epoch` is its fencing token.
+  void OnLeaseHeld(std::uint64_t epoch, base::TimePoint now, ControlActions& actions);
+  void OnLeaseLost(base::TimePoint now, ControlActions& actions);
+  // True when the lease should be given back.
+  bool MustResignLease() const { return coordinator_.MustResign(); }
+
+  // Takes an agent's newest measures for its planner.
+  void UpdateReport(const routing::AgentReport& report, base::TimePoint now,
+                    ControlActions& actions);
+
+  // Tells others that this node gives up its work, or takes it up again.
+  void SetLeaving(bool leaving, base::TimePoint now, ControlActions& actions);
+
+  // Says farewell; go on ticking for a second, then end.
+  void Leave(base::TimePoint now, ControlActions& actions);
+
+  // For status pages and tests. References are valid until the next call.
+  const membership::Membership& Members() const { return membership_; }
+  const MemberDirectory& Directory() const { return directory_; }
+  const dissemination::DisseminationCore& Dissemination() const { return dissemination_; }
+  const SettingsActivator& Settings() const { return activator_; }
+  const Roster& NewestRoster() const { return roster_; }
+  const Coordinator& CoordinatorState() const { return coordinator_; }
+  const PlannerHost& Planners() const { return planners_; }
+  std::shared_ptr<const NodeView> View() const { return view_; }
+  std::shared_ptr<const routing::BucketTable> TableOf(base::ServiceId service) const;
+  const ControlNodeOptions& Options() const { return options_; }
+  bool IsBalancer() const { return options_.metadata.role == membership::Role::kBalancer; }
+
+  // Returns the elected planner of a service as this node sees it.
+  std::optional<ElectedPlanner> PlannerOf(base::ServiceId service) const;
+
+ private:
+  void TakeMembership(membership::MembershipActions& from, base::TimePoint now,
+                      ControlActions& actions);
+  void TakeMemberEvent(const membership::MembershipEvent& event, base::TimePoint now);
+  void UpsertPeer(const membership::Member& member);
+  void TakeDissemination(dissemination::Actions& from, base::TimePoint now,
+                         ControlActions& actions);
+  void TakeChangedRecord(const dissemination::RecordKey& key, base::TimePoint now,
+                         ControlActions& actions);
+  void TakeTableRecord(base::ServiceId service, const std::string& bytes, base::TimePoint now,
+                       ControlActions& actions);
+  void TakeControlMessage(const transport::Envelope& envelope, base::TimePoint now,
+                          ControlActions& actions);
+  void Publish(const dissemination::RecordKey& key, const dissemination::RecordVersion& version,
+               std::string value, base::TimePoint now, ControlActions& actions);
+  void PublishFromStore(const std::vector<store::KeyValue>& key_values, base::TimePoint now,
+                        ControlActions& actions);
+  void Settle(base::TimePoint now, ControlActions& actions);
+  void AdvanceSettings(ControlActions& actions);
+  void RunCoordinator(base::TimePoint now, ControlActions& actions);
+  void RunPlanners(base::TimePoint now, ControlActions& actions);
+  void SendReport(base::TimePoint now, ControlActions& actions);
+  void RebuildView(base::TimePoint now, ControlActions& actions);
+  PlanningContext MakePlanningContext() const;
+  base::TimePoint ConfirmedAt() const;
+
+  ControlNodeOptions options_;
+  base::NodeId self_;
+  base::RandomSource random_;
+  membership::Membership membership_;
+  MemberDirectory directory_;
+  dissemination::DisseminationCore dissemination_;
+  SettingsActivator activator_;           // balancers
+  ServiceSettingsReader service_reader_;  // agents
+  Coordinator coordinator_;
+  PlannerHost planners_;
+  AgentReporter reporter_;
+  Roster roster_;
+  std::map<base::ServiceId, std::shared_ptr<const routing::BucketTable>> tables_;
+  std::shared_ptr<const NodeView> view_;
+  base::TimePoint started_at_{};
+  base::TimePoint next_view_at_{};
+  base::TimePoint next_duty_{};  // coordinator and the like, a few times a second
+  base::TimePoint next_report_{};  // not before; while no planner is known
+  bool view_stale_ = true;
+  bool settings_stale_ = false;
+  bool election_stale_ = false;
+  std::set<base::ServiceId> agents_stale_;  // services whose agents changed
+};
+
+}  // namespace gaugevalve::control
--- a/libs/control/include/gaugevalve/control/node_view.h
+++ b/libs/control/include/gaugevalve/control/node_view.h
@@ -10,6 +10,7 @@
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/routing/bucket_table.h"
+#include "gaugevalve/settings/effective_settings.h"
 
 namespace gaugevalve::control {
 
@@ -33,6 +34,8 @@
   base::Revision revision;            // settings revision in force
   std::vector<ServiceView> services;  // sorted by virtual address
   base::TimePoint confirmed_at{};  // when the control task last heard that its tables are current
+  // An agent's own service; null on balancers, and while an agent has no settings.
+  std::shared_ptr<const settings::ServiceSettings> own_service;
 };
 
 }  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/include/gaugevalve/control/settings_publisher.h
@@ -0,0 +1,34 @@
+// Turns what the store holds into records; runs on the few balancers that read the store.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gaugevalve/base/finding.h"
+#include "gaugevalve/dissemination/record.h"
+#include "gaugevalve/dissemination/record_store.h"
+#include "gaugevalve/store/response.h"
+
+namespace gaugevalve::control {
+
+// A record to publish.
+struct PublishedRecord {
+  dissemination::RecordKey key;
+  dissemination::RecordVersion version;
+  std::string value;
+};
+
+// Records that follow from a read of the store, in the order to publish them: the root comes last,
+// so that a node that has it can find its parts.
+struct SettingsRecords {
+  std::vector<PublishedRecord> records;
+  base::Findings findings;  // why part of the read could not be used
+};
+
+// Returns the records that `held` lacks. `key_values` is the whole tree, or the puts of one
+// delivery of a watch on it: in both cases the newest root comes with every subtree it changed.
+SettingsRecords RecordsFromStore(const std::vector<store::KeyValue>& key_values,
+                                 const dissemination::RecordStore& held);
+
+}  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/include/gaugevalve/control/view_builder.h
@@ -0,0 +1,27 @@
+// Builds the data path's view from what the control side holds.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/control/node_view.h"
+#include "gaugevalve/control/settings_activator.h"
+#include "gaugevalve/routing/bucket_table.h"
+
+namespace gaugevalve::control {
+
+using TablesByService = std::map<base::ServiceId, std::shared_ptr<const routing::BucketTable>>;
+
+// Returns the view of a balancer: every service in force that has a table.
+std::shared_ptr<const NodeView> BuildBalancerView(const ActiveSettings& active,
+                                                  const TablesByService& tables,
+                                                  base::TimePoint confirmed_at);
+
+// Returns the view of an agent: its own service, once it has settings and a table (null for none).
+std::shared_ptr<const NodeView> BuildAgentView(const ServiceSettingsReader& reader,
+                                               std::shared_ptr<const routing::BucketTable> table,
+                                               base::TimePoint confirmed_at);
+
+}  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/src/agent_reporter.cpp
@@ -0,0 +1,45 @@
+#include "gaugevalve/control/agent_reporter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gaugevalve::control {
+
+std::optional<NumberedReport> AgentReporter::Tick(base::TimePoint now) {
+  if (!latest_.has_value() || now < NextDeadline()) {
+    return std::nullopt;
+  }
+  reported_ = latest_;
+  reported_at_ = now;
+  const std::uint64_t sequence = next_sequence_++;
+  sent_[sequence % sent_.size()] = {sequence, now};
+  return NumberedReport{sequence, *reported_};
+}
+
+base::TimePoint AgentReporter::NextDeadline() const {
+  if (!latest_.has_value()) {
+    return base::TimePoint::max();
+  }
+  if (!reported_.has_value()) {
+    return reported_at_;
+  }
+  return reported_at_ + (HasChangedMuch() ? options_.fast_interval : options_.interval);
+}
+
+bool AgentReporter::HasChangedMuch() const {
+  const bool other_state = latest_->state != reported_->state ||
+                           latest_->table_version != reported_->table_version ||
+                           latest_->incarnation != reported_->incarnation;
+  const double before = std::max(1.0, static_cast<double>(reported_->open_flows));
+  const double change = std::abs(static_cast<double>(latest_->open_flows) - before) / before;
+  return other_state || change > options_.much_changed_share;
+}
+
+void AgentReporter::TakeAnswer(const ReportAnswer& answer, const routing::TableVersion& own_table) {
+  const SentReport& sent = sent_[answer.sequence % sent_.size()];
+  if (sent.sequence == answer.sequence && answer.table_version <= own_table) {
+    confirmed_at_ = std::max(confirmed_at_, sent.sent_at);
+  }
+}
+
+}  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/src/control_node.cpp
@@ -0,0 +1,460 @@
+#include "gaugevalve/control/control_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gaugevalve/base/hash.h"
+#include "gaugevalve/control/control_message.h"
+#include "gaugevalve/control/record_keys.h"
+#include "gaugevalve/control/settings_publisher.h"
+#include "gaugevalve/control/view_builder.h"
+#include "gaugevalve/routing/table_codec.h"
+
+namespace gaugevalve::control {
+namespace {
+
+// How often the coordinator's and the planners' state is looked at besides events.
+constexpr base::Duration kDutyInterval = std::chrono::milliseconds(200);
+
+dissemination::DisseminationOptions DisseminationOptionsOf(const ControlNodeOptions& options) {
+  dissemination::DisseminationOptions result = options.dissemination;
+  const bool balancer = options.metadata.role == membership::Role::kBalancer;
+  result.self = base::MakeNodeId(options.name);
+  result.zone = options.metadata.zone;
+  result.interest = balancer ? BalancerInterest() : AgentInterest(options.metadata.service);
+  return result;
+}
+
+dissemination::Interest InterestOf(const membership::MemberMetadata& metadata) {
+  return metadata.role == membership::Role::kBalancer ? BalancerInterest()
+                                                      : AgentInterest(metadata.service);
+}
+
+std::string Text(const routing::TableVersion& version) {
+  return std::to_string(version.epoch) + "." + std::to_string(version.generation) + "." +
+         std::to_string(version.sequence);
+}
+
+}  // namespace
+
+std::string_view ControlEventName(ControlEventKind kind) {
+  switch (kind) {
+    case ControlEventKind::kSettingsActivated:
+      return "settings_activated";
+    case ControlEventKind::kSettingsRefused:
+      return "settings_refused";
+    case ControlEventKind::kStoreUnreadable:
+      return "store_unreadable";
+    case ControlEventKind::kRosterPublished:
+      return "roster_published";
+    case ControlEventKind::kTablePublished:
+      return "table_published";
+    case ControlEventKind::kRecordMalformed:
+      return "record_malformed";
+  }
+  return "unknown";
+}
+
+ControlNode::ControlNode(const ControlNodeOptions& options)
+    : options_(options),
+      self_(base::MakeNodeId(options.name)),
+      random_(options.seed),
+      membership_(self_, options.metadata, options.membership, options.seed + 1),
+      dissemination_(DisseminationOptionsOf(options), random_),
+      service_reader_(options.service_name),
+      coordinator_(options.coordinator),
+      planners_(self_, options.planners),
+      reporter_(options.reports) {}
+
+void ControlNode::Start(base::TimePoint now, ControlActions& actions) {
+  started_at_ = now;
+  membership::MembershipActions from;
+  membership_.Start(now, from);
+  directory_.Upsert(membership_.Self());
+  TakeMembership(from, now, actions);
+  Settle(now, actions);
+}
+
+void ControlNode::Preload(std::span<const membership::Member> members) {
+  membership_.Preload(members);
+  for (const membership::Member& member : members) {
+    directory_.Upsert(member);
+    UpsertPeer(member);
+  }
+}
+
+void ControlNode::OnEnvelope(const transport::Envelope& envelope, base::TimePoint now,
+                             ControlActions& actions) {
+  if (envelope.kind == transport::MessageKind::kMembership) {
+    membership::MembershipActions from;
+    membership_.OnMessage(envelope.sender, envelope.payload, now, from);
+    TakeMembership(from, now, actions);
+  } else if (envelope.kind == transport::MessageKind::kDissemination) {
+    dissemination::Actions from;
+    dissemination_.Receive(envelope.sender.node, envelope.payload, now, from);
+    TakeDissemination(from, now, actions);
+  } else if (envelope.kind == transport::MessageKind::kControl) {
+    TakeControlMessage(envelope, now, actions);
+  }
+  Settle(now, actions);
+}
+
+void ControlNode::OnTick(base::TimePoint now, ControlActions& actions) {
+  if (now >= membership_.NextWakeUp()) {
+    membership::MembershipActions from;
+    membership_.OnTick(now, from);
+    TakeMembership(from, now, actions);
+  }
+  if (now >= dissemination_.NextDeadline()) {
+    dissemination::Actions from;
+    dissemination_.Tick(now, from);
+    TakeDissemination(from, now, actions);
+  }
+  Settle(now, actions);
+}
+
+base::TimePoint ControlNode::NextWakeUp() const {
+  base::TimePoint next = std::min(membership_.NextWakeUp(), dissemination_.NextDeadline());
+  next = std::min(next, IsBalancer() ? std::min(next_duty_, planners_.NextDeadline())
+                                     : std::max(next_report_, reporter_.NextDeadline()));
+  return view_stale_ ? std::min(next, next_view_at_) : next;
+}
+
+// --- Members -------------------------------------------------------------------------------------
+
+void ControlNode::TakeMembership(membership::MembershipActions& from, base::TimePoint now,
+                                 ControlActions& actions) {
+  for (membership::OutgoingMessage& message : from.messages) {
+    actions.envelopes.push_back(
+        {message.destination, transport::MessageKind::kMembership, std::move(message.payload)});
+  }
+  for (membership::MembershipEvent& event : from.events) {
+    TakeMemberEvent(event, now);
+    actions.member_events.push_back(std::move(event));
+  }
+}
+
+void ControlNode::TakeMemberEvent(const membership::MembershipEvent& event, base::TimePoint now) {
+  const base::NodeId node = event.member.node;
+  const DirectoryChange change = directory_.Apply(event);
+  if (change == DirectoryChange::kNone) {
+    return;
+  }
+  const membership::Member* member = directory_.Find(node);
+  if (member != nullptr) {
+    UpsertPeer(*member);
+  } else if (node != self_) {
+    dissemination_.RemovePeer(node);
+  }
+  if (change == DirectoryChange::kBalancers) {
+    election_stale_ = true;
+  } else {
+    agents_stale_.insert(event.member.metadata->service);
+  }
+  next_duty_ = now;
+}
+
+void ControlNode::UpsertPeer(const membership::Member& member) {
+  if (member.node != self_) {
+    dissemination_.UpsertPeer({member.node, member.metadata->zone, InterestOf(*member.metadata)});
+  }
+}
+
+void ControlNode::SetLeaving(bool leaving, base::TimePoint now, ControlActions& actions) {
+  membership::MemberMetadata metadata = *membership_.Self().metadata;
+  metadata.leaving = leaving;
+  membership::MembershipActions from;
+  membership_.UpdateMetadata(metadata, now, from);
+  directory_.Upsert(membership_.Self());
+  election_stale_ = true;
+  TakeMembership(from, now, actions);
+  Settle(now, actions);
+}
+
+void ControlNode::Leave(base::TimePoint now, ControlActions& actions) {
+  membership::MembershipActions from;
+  membership_.Leave(now, from);
+  TakeMembership(from, now, actions);
+}
+
+// --- Records -------------------------------------------------------------------------------------
+
+void ControlNode::TakeDissemination(dissemination::Actions& from, base::TimePoint now,
+                                    ControlActions& actions) {
+  for (dissemination::OutgoingMessage& message : from.messages) {
+    const membership::Member* member = directory_.Find(message.to);
+    if (member != nullptr) {
+      actions.envelopes.push_back({member->metadata->control_address,
+                                   transport::MessageKind::kDissemination,
+                                   std::move(message.bytes)});
+    }
+  }
+  for (const dissemination::RecordKey& key : from.changed) {
+    TakeChangedRecord(key, now, actions);
+  }
+  view_stale_ = view_stale_ || view_ == nullptr || ConfirmedAt() > view_->confirmed_at;
+}
+
+void ControlNode::TakeChangedRecord(const dissemination::RecordKey& key, base::TimePoint now,
+                                    ControlActions& actions) {
+  const std::string& bytes = *dissemination_.Records().Find(key)->value;
+  switch (KindOf(key)) {
+    case RecordKind::kSettingsRoot:
+    case RecordKind::kSettingsSubtree:
+    case RecordKind::kSettingsDefaults:
+      settings_stale_ = true;
+      break;
+    case RecordKind::kPlannerRoster: {
+      std::optional<Roster> roster = DecodeRoster(bytes);
+      if (!roster.has_value()) {
+        actions.events.push_back({ControlEventKind::kRecordMalformed, 0, "roster"});
+        break;
+      }
+      roster_ = std::move(*roster);
+      election_stale_ = true;
+      break;
+    }
+    case RecordKind::kTable:
+      TakeTableRecord(base::ServiceId(key.scope), bytes, now, actions);
+      break;
+  }
+}
+
+void ControlNode::TakeTableRecord(base::ServiceId service, const std::string& bytes,
+                                  base::TimePoint now, ControlActions& actions) {
+  try {
+    auto table = std::make_shared<const routing::BucketTable>(routing::DecodeTable(bytes));
+    planners_.OnForeignTable(service, table->version, now);
+    tables_[service] = std::move(table);
+    view_stale_ = true;
+  } catch (const routing::DecodeError& error) {
+    actions.events.push_back({ControlEventKind::kRecordMalformed, service.value(), error.what()});
+  }
+}
+
+void ControlNode::Publish(const dissemination::RecordKey& key,
+                          const dissemination::RecordVersion& version, std::string value,
+                          base::TimePoint now, ControlActions& actions) {
+  dissemination::Actions from;
+  dissemination_.Publish(key, version, std::move(value), now, from);
+  TakeDissemination(from, now, actions);
+}
+
+// --- The store -----------------------------------------------------------------------------------
+
+bool ControlNode::ShouldUseStore(base::TimePoint now) const {
+  const bool settled = membership_.IsJoined() && now >= started_at_ + options_.settle_time;
+  if (!IsBalancer() || !settled) {
+    return false;
+  }
+  const std::string& region = options_.metadata.region;
+  const std::uint64_t own_rank = base::HashPair(self_.value(), 0);
+  std::size_t ahead = 0;
+  for (const base::NodeId node : directory_.Balancers()) {
+    const membership::MemberMetadata& metadata = *directory_.Find(node)->metadata;
+    const bool comes_first = node != self_ && metadata.region == region && !metadata.leaving &&
+                             base::HashPair(node.value(), 0) < own_rank;
+    ahead += comes_first ? 1 : 0;
+  }
+  return ahead < options_.store_readers_per_region;
+}
+
+void ControlNode::OnStoreSnapshot(const store::WatchSnapshot& snapshot, base::TimePoint now,
+                                  ControlActions& actions) {
+  PublishFromStore(snapshot.key_values, now, actions);
+}
+
+void ControlNode::OnStoreChanges(const store::WatchChanges& changes, base::TimePoint now,
+                                 ControlActions& actions) {
+  std::vector<store::KeyValue> puts;
+  for (const store::WatchEvent& event : changes.events) {
+    if (event.kind == store::WatchEventKind::kPut) {
+      puts.push_back(event.key_value);
+    }
+  }
+  PublishFromStore(puts, now, actions);
+}
+
+void ControlNode::PublishFromStore(const std::vector<store::KeyValue>& key_values,
+                                   base::TimePoint now, ControlActions& actions) {
+  SettingsRecords read = RecordsFromStore(key_values, dissemination_.Records());
+  if (!read.findings.empty()) {
+    actions.events.push_back(
+        {ControlEventKind::kStoreUnreadable, 0, base::FormatFindings(read.findings)});
+  }
+  for (PublishedRecord& record : read.records) {
+    Publish(record.key, record.version, std::move(record.value), now, actions);
+  }
+  Settle(now, actions);
+}
+
+void ControlNode::OnLeaseHeld(std::uint64_t epoch, base::TimePoint now, ControlActions& actions) {
+  coordinator_.OnLeaseHeld(epoch, now);
+  Settle(now, actions);
+}
+
+void ControlNode::OnLeaseLost(base::TimePoint now, ControlActions& actions) {
+  coordinator_.OnLeaseLost();
+  Settle(now, actions);
+}
+
+// --- Reports -------------------------------------------------------------------------------------
+
+void ControlNode::UpdateReport(const routing::AgentReport& report, base::TimePoint now,
+                               ControlActions& actions) {
+  reporter_.Update(report);
+  Settle(now, actions);
+}
+
+void ControlNode::SendReport(base::TimePoint now, ControlActions& actions) {
+  const std::optional<ElectedPlanner> planner = PlannerOf(options_.metadata.service);
+  const membership::Member* member = planner.has_value() ? directory_.Find(planner->node) : nullptr;
+  if (member == nullptr) {
+    next_report_ = now + kDutyInterval;
+    return;
+  }
+  const std::optional<NumberedReport> report = reporter_.Tick(now);
+  if (report.has_value()) {
+    actions.envelopes.push_back({member->metadata->control_address,
+                                 transport::MessageKind::kControl, EncodeReport(*report)});
+  }
+}
+
+void ControlNode::TakeControlMessage(const transport::Envelope& envelope, base::TimePoint now,
+                                     ControlActions& actions) {
+  const ControlMessage message = DecodeControlMessage(envelope.payload);
+  if (const auto* report = std::get_if<NumberedReport>(&message)) {
+    const std::optional<ReportAnswer> answer = planners_.TakeReport(*report, now);
+    if (answer.has_value()) {
+      actions.envelopes.push_back({envelope.sender.control_address,
+                                   transport::MessageKind::kControl, EncodeAnswer(*answer)});
+    }
+    return;
+  }
+  if (const auto* answer = std::get_if<ReportAnswer>(&message)) {
+    const std::shared_ptr<const routing::BucketTable> table = TableOf(options_.metadata.service);
+    const routing::TableVersion own = table == nullptr ? routing::TableVersion{} : table->version;
+    reporter_.TakeAnswer(*answer, own);
+    view_stale_ = view_stale_ || view_ == nullptr || ConfirmedAt() > view_->confirmed_at;
+    const bool missing = answer->table_version > own && directory_.Find(envelope.sender.node);
+    if (missing) {
+      dissemination::Actions from;
+      dissemination_.CompareWith(envelope.sender.node, now, from);
+      TakeDissemination(from, now, actions);
+    }
+  }
+}
+
+// --- What follows from all of it -----------------------------------------------------------------
+
+// Brings everything that depends on members, records and time up to date.
+void ControlNode::Settle(base::TimePoint now, ControlActions& actions) {
+  if (std::exchange(settings_stale_, false)) {
+    AdvanceSettings(actions);
+  }
+  if (IsBalancer()) {
+    RunCoordinator(now, actions);
+    RunPlanners(now, actions);
+  } else {
+    SendReport(now, actions);
+  }
+  RebuildView(now, actions);
+}
+
+void ControlNode::AdvanceSettings(ControlActions& actions) {
+  if (!IsBalancer()) {
+    if (service_reader_.Advance(dissemination_.Records())) {
+      view_stale_ = true;
+      actions.events.push_back({ControlEventKind::kSettingsActivated,
+                                service_reader_.Revision().value(), options_.service_name});
+    }
+    return;
+  }
+  const base::Revision known = activator_.NewestKnown();
+  const ActivationResult result = activator_.Advance(dissemination_.Records());
+  if (result == ActivationResult::kActivated) {
+    view_stale_ = true;
+    election_stale_ = true;
+    actions.events.push_back(
+        {ControlEventKind::kSettingsActivated, activator_.Active().revision.value(), ""});
+  }
+  const bool newly_refused =
+      result == ActivationResult::kRefused && activator_.NewestKnown() != known;
+  if (newly_refused) {
+    actions.events.push_back({ControlEventKind::kSettingsRefused, activator_.NewestKnown().value(),
+                              base::FormatFindings(activator_.Findings())});
+  }
+}
+
+void ControlNode::RunCoordinator(base::TimePoint now, ControlActions& actions) {
+  if (now < next_duty_) {
+    return;
+  }
+  next_duty_ = now + kDutyInterval;
+  const std::optional<Roster> roster = coordinator_.Tick(directory_, roster_, now);
+  if (roster.has_value()) {
+    actions.events.push_back({ControlEventKind::kRosterPublished, roster->epoch,
+                              std::to_string(roster->members.size()) + " members"});
+    Publish(KeyOf(RecordKind::kPlannerRoster), {roster->epoch, roster->sequence},
+            EncodeRoster(*roster), now, actions);
+  }
+}
+
+void ControlNode::RunPlanners(base::TimePoint now, ControlActions& actions) {
+  const bool has_settings = activator_.Active().settings != nullptr;
+  const bool settled = membership_.IsJoined() && now >= started_at_ + options_.settle_time;
+  if (!has_settings || !settled) {
+    return;  // planning on half a view of the members would move buckets for nothing
+  }
+  const PlanningContext context = MakePlanningContext();
+  if (std::exchange(election_stale_, false)) {
+    planners_.Reelect(context, now);
+  }
+  for (const base::ServiceId service : std::exchange(agents_stale_, {})) {
+    planners_.UpdateAgents(service, context, now);
+  }
+  if (now < planners_.NextDeadline()) {
+    return;
+  }
+  for (const routing::BucketTable& table : planners_.Tick(context, now)) {
+    actions.events.push_back(
+        {ControlEventKind::kTablePublished, table.service.value(), Text(table.version)});
+    Publish(KeyOf(RecordKind::kTable, table.service), VersionOf(table.version),
+            routing::EncodeTable(table), now, actions);
+  }
+}
+
+PlanningContext ControlNode::MakePlanningContext() const {
+  return {roster_, directory_, *activator_.Active().settings,
+          [this](base::ServiceId service) -> std::optional<routing::BucketTable> {
+            const std::shared_ptr<const routing::BucketTable> table = TableOf(service);
+            return table == nullptr ? std::nullopt : std::optional(*table);
+          }};
+}
+
+std::optional<ElectedPlanner> ControlNode::PlannerOf(base::ServiceId service) const {
+  return ElectPlanner(service, roster_, directory_);
+}
+
+std::shared_ptr<const routing::BucketTable> ControlNode::TableOf(base::ServiceId service) const {
+  const auto found = tables_.find(service);
+  return found == tables_.end() ? nullptr : found->second;
+}
+
+base::TimePoint ControlNode::ConfirmedAt() const {
+  return IsBalancer() ? dissemination_.ConfirmedAt() : reporter_.ConfirmedAt();
+}
+
+void ControlNode::RebuildView(base::TimePoint now, ControlActions& actions) {
+  if (!view_stale_ || now < next_view_at_) {
+    return;
+  }
+  view_stale_ = false;
+  next_view_at_ = now + options_.view_interval;
+  view_ = IsBalancer()
+              ? BuildBalancerView(activator_.Active(), tables_, ConfirmedAt())
+              : BuildAgentView(service_reader_, TableOf(options_.metadata.service), ConfirmedAt());
+  actions.view = view_;
+}
+
+}  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/src/planner_host.cpp
@@ -0,0 +1,194 @@
+#include "gaugevalve/control/planner_host.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace gaugevalve::control {
+namespace {
+
+constexpr base::Duration kShortestStep = std::chrono::seconds(1);
+// The settings' weight of an ordinary endpoint.
+constexpr double kOrdinaryWeight = 100.0;
+
+const settings::ServiceSettings* FindService(const settings::EffectiveSettings& settings,
+                                             base::ServiceId service) {
+  const auto found = std::find_if(
+      settings.services.begin(), settings.services.end(),
+      [&](const settings::ServiceSettings& candidate) { return candidate.id == service; });
+  return found == settings.services.end() ? nullptr : &*found;
+}
+
+// What the planner is told of an agent. An agent whose endpoint isn't in the settings keeps its
+// flows and gets no new ones.
+routing::AgentStatus StatusOf(const membership::Member& member,
+                              const settings::ServiceSettings& service) {
+  const membership::MemberMetadata& metadata = *member.metadata;
+  routing::AgentStatus status;
+  status.entry = {member.node, metadata.life, metadata.data_address, metadata.zone};
+  const settings::EndpointSettings* endpoint = service.FindEndpoint(metadata.endpoint_name);
+  const bool wanted =
+      endpoint != nullptr && endpoint->state == settings::AdministrativeState::kServing;
+  if (!wanted || metadata.leaving) {
+    status.standing = routing::AgentStanding::kLeaving;
+  }
+  if (endpoint != nullptr) {
+    status.weight = endpoint->weight / kOrdinaryWeight;
+    status.flow_capacity = endpoint->connections;
+  }
+  return status;
+}
+
+std::vector<routing::AgentStatus> StatusesOf(const settings::ServiceSettings& service,
+                                             const MemberDirectory& directory) {
+  std::vector<routing::AgentStatus> statuses;
+  for (const base::NodeId node : directory.AgentsOf(service.id)) {
+    statuses.push_back(StatusOf(*directory.Find(node), service));
+  }
+  return statuses;
+}
+
+base::Duration RampOf(const settings::ServiceSettings& service) {
+  base::Duration longest{0};
+  for (const settings::EndpointSettings& endpoint : service.endpoints) {
+    longest = std::max(longest, endpoint.cold_start_ramp);
+  }
+  return longest;
+}
+
+}  // namespace
+
+void PlannerHost::Reelect(const PlanningContext& context, base::TimePoint now) {
+  std::erase_if(hosted_, [&](const auto& entry) {
+    return FindService(context.settings, entry.first) == nullptr;
+  });
+  for (const settings::ServiceSettings& service : context.settings.services) {
+    const std::optional<ElectedPlanner> elected =
+        ElectPlanner(service.id, context.roster, context.directory);
+    const bool is_planner = elected.has_value() && elected->node == self_;
+    if (!is_planner) {
+      hosted_.erase(service.id);
+      continue;
+    }
+    const auto found = hosted_.find(service.id);
+    const bool same = found != hosted_.end() && found->second.tag == elected->tag &&
+                      found->second.roster_epoch == context.roster.epoch;
+    if (!same) {
+      StartCollecting(service.id, *elected, context.roster.epoch, now);
+    }
+    UpdateAgents(service.id, context, now);
+  }
+}
+
+void PlannerHost::StartCollecting(base::ServiceId service, const ElectedPlanner& elected,
+                                  std::uint64_t epoch, base::TimePoint now) {
+  Hosted& hosted = hosted_[service];
+  hosted.tag = elected.tag;
+  hosted.roster_epoch = epoch;
+  hosted.next_step = now + options_.collect_time;
+  hosted.planner.reset();
+}
+
+void PlannerHost::UpdateAgents(base::ServiceId service, const PlanningContext& context,
+                               base::TimePoint now) {
+  const auto found = hosted_.find(service);
+  const settings::ServiceSettings* settings = FindService(context.settings, service);
+  const bool running =
+      found != hosted_.end() && found->second.planner != nullptr && settings != nullptr;
+  if (running) {
+    found->second.planner->SetAgents(StatusesOf(*settings, context.directory), now);
+    found->second.next_step = now;
+  }
+}
+
+void PlannerHost::OnForeignTable(base::ServiceId service, const routing::TableVersion& version,
+                                 base::TimePoint now) {
+  const auto found = hosted_.find(service);
+  const bool superseded = found != hosted_.end() && found->second.planner != nullptr &&
+                          version > found->second.planner->Table().version;
+  if (superseded) {
+    StartCollecting(service, {self_, found->second.tag}, found->second.roster_epoch, now);
+  }
+}
+
+std::optional<ReportAnswer> PlannerHost::TakeReport(const NumberedReport& numbered,
+                                                    base::TimePoint now) {
+  const auto found = hosted_.find(numbered.report.service);
+  if (found == hosted_.end()) {
+    return std::nullopt;
+  }
+  Hosted& hosted = found->second;
+  if (hosted.planner == nullptr) {
+    const bool has_room = hosted.early_reports.size() < options_.max_early_reports ||
+                          hosted.early_reports.contains(numbered.report.node);
+    if (has_room) {
+      hosted.early_reports[numbered.report.node] = numbered.report;
+    }
+    return std::nullopt;  // it knows no table yet that it could vouch for
+  }
+  hosted.planner->TakeReport(numbered.report, now);
+  return ReportAnswer{numbered.sequence, hosted.planner->Table().version};
+}
+
+std::vector<routing::BucketTable> PlannerHost::Tick(const PlanningContext& context,
+                                                    base::TimePoint now) {
+  std::vector<routing::BucketTable> changed;
+  for (auto& [service, hosted] : hosted_) {
+    if (now < hosted.next_step) {
+      continue;
+    }
+    const settings::ServiceSettings* settings = FindService(context.settings, service);
+    if (settings == nullptr) {
+      continue;
+    }
+    if (hosted.planner == nullptr) {
+      StartPlanning(*settings, hosted, context, now);
+    }
+    hosted.next_step = now + kShortestStep;
+    if (hosted.planner->Step(now).has_value()) {
+      changed.push_back(hosted.planner->Table());
+    }
+  }
+  return changed;
+}
+
+void PlannerHost::StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
+                                const PlanningContext& context, base::TimePoint now) {
+  std::optional<routing::BucketTable> newest = context.newest_table(service.id);
+  const routing::TableVersion version =
+      newest.has_value() ? newest->version : routing::TableVersion{};
+  // A table of a newer epoch than this node's roster comes from a coordinator it hasn't heard of.
+  const std::uint64_t epoch = std::max(hosted.roster_epoch, version.epoch);
+  const std::uint32_t generation = TakeOverGeneration(version, epoch, hosted.tag);
+  routing::PlannerSettings planner_settings;
+  planner_settings.bucket_count = service.bucket_count;
+  planner_settings.cold_start_ramp = RampOf(service);
+  planner_settings.step_interval = StepInterval(context.settings.services.size());
+  hosted.planner =
+      std::make_unique<routing::ServicePlanner>(service.id, epoch, generation, planner_settings);
+  if (newest.has_value()) {
+    hosted.planner->TakeOver(std::move(*newest));
+  }
+  hosted.planner->SetAgents(StatusesOf(service, context.directory), now);
+  for (const auto& [node, report] : hosted.early_reports) {
+    hosted.planner->TakeReport(report, now);
+  }
+  hosted.early_reports.clear();
+}
+
+base::Duration PlannerHost::StepInterval(std::size_t service_count) const {
+  const double seconds = static_cast<double>(service_count) / options_.table_changes_per_second;
+  const auto fair_share =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+  return std::max(kShortestStep, fair_share);
+}
+
+base::TimePoint PlannerHost::NextDeadline() const {
+  base::TimePoint deadline = base::TimePoint::max();
+  for (const auto& [service, hosted] : hosted_) {
+    deadline = std::min(deadline, hosted.next_step);
+  }
+  return deadline;
+}
+
+}  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/tests/control_node_test.cpp
@@ -0,0 +1,169 @@
+#include "gaugevalve/control/control_node.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gaugevalve/control_simulation/hollow_deployment.h"
+
+namespace gaugevalve::control {
+namespace {
+
+using control_simulation::HollowDeployment;
+using control_simulation::HollowDeploymentSettings;
+
+// Two regions with three zones, six balancers and two services of three agents.
+struct Deployment {
+  explicit Deployment(std::uint64_t seed)
+      : simulator(seed, simulation::NetworkModel(
+                            {{"north", "n1"}, {"north", "n2"}, {"south", "s1"}}, {})),
+        nodes(simulator, MakeSettings()) {}
+
+  static HollowDeploymentSettings MakeSettings() {
+    HollowDeploymentSettings settings;
+    settings.balancers = 6;
+    settings.services = 2;
+    settings.agents_per_service = 3;
+    settings.is_preloaded = false;
+    return settings;
+  }
+
+  bool RunUntilInForce(base::Revision revision) {
+    return simulator.RunUntil([&] { return nodes.IsInForceEverywhere(revision); },
+                              std::chrono::seconds(60));
+  }
+
+  bool RunUntilOneTable() {
+    return simulator.RunUntil([&] { return nodes.HasOneTable(0) && nodes.HasOneTable(1); },
+                              std::chrono::seconds(60));
+  }
+
+  std::size_t CountStoreReaders() {
+    std::size_t readers = 0;
+    for (std::size_t node = 0; node < nodes.BalancerCount(); ++node) {
+      const bool reads =
+          nodes.IsRunning(node) && nodes.Life(node).Core().ShouldUseStore(simulator.Now());
+      readers += reads ? 1 : 0;
+    }
+    return readers;
+  }
+
+  simulation::Simulator simulator;
+  HollowDeployment nodes;
+};
+
+class ControlNodeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlNodeTest);
+  CPPUNIT_TEST(StartsFromNothing);
+  CPPUNIT_TEST(EditReachesEveryBalancer);
+  CPPUNIT_TEST(AgentsGetTheirServiceAndConfirmation);
+  CPPUNIT_TEST(DeadAgentLosesItsBuckets);
+  CPPUNIT_TEST(AnotherPlannerTakesOver);
+  CPPUNIT_TEST(JoinsWhileTheStoreIsAway);
+  CPPUNIT_TEST(RegionsSplitAndHeal);
+  CPPUNIT_TEST_SUITE_END();
+
+  void StartsFromNothing() {
+    Deployment deployment(1);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, deployment.CountStoreReaders());  // two a region
+    const NodeView& view = *deployment.nodes.Life(0).Core().View();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.services.size());
+    CPPUNIT_ASSERT(view.services[0].virtual_address < view.services[1].virtual_address);
+  }
+
+  void EditReachesEveryBalancer() {
+    Deployment deployment(2);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
+    for (std::uint32_t weight = 1; weight <= 5; ++weight) {
+      const base::Revision revision = deployment.nodes.Edit(weight % 2, weight);
+      CPPUNIT_ASSERT(deployment.RunUntilInForce(revision));
+    }
+    for (std::size_t node = 0; node < deployment.nodes.BalancerCount(); ++node) {
+      const std::vector<base::Revision>& seen = deployment.nodes.Life(node).Activations();
+      CPPUNIT_ASSERT(std::is_sorted(seen.begin(), seen.end()));
+    }
+  }
+
+  void AgentsGetTheirServiceAndConfirmation() {
+    Deployment deployment(3);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
+    deployment.simulator.RunFor(std::chrono::seconds(20));
+    const std::size_t agent = deployment.nodes.BalancerCount();
+    const NodeView& view = *deployment.nodes.Life(agent).Core().View();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.services.size());
+    CPPUNIT_ASSERT(view.own_service != nullptr);
+    CPPUNIT_ASSERT(view.confirmed_at > deployment.simulator.Now() - std::chrono::seconds(5));
+  }
+
+  void DeadAgentLosesItsBuckets() {
+    Deployment deployment(4);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+    deployment.simulator.RunFor(std::chrono::seconds(10));
+    const std::size_t victim = deployment.nodes.BalancerCount();
+    const base::ServiceId service = base::MakeServiceId(HollowDeployment::ServiceName(0));
+    const base::NodeId dead = base::MakeNodeId(deployment.nodes.Life(victim).Core().Options().name);
+    const auto owns_nothing = [&] {
+      const auto table = deployment.nodes.Life(0).Core().TableOf(service);
+      return std::none_of(table->buckets.begin(), table->buckets.end(),
+                          [&](const routing::Bucket& bucket) { return bucket.owner == dead; });
+    };
+    CPPUNIT_ASSERT(!owns_nothing());
+    deployment.nodes.Kill(victim);
+    CPPUNIT_ASSERT(deployment.simulator.RunUntil(owns_nothing, std::chrono::seconds(60)));
+  }
+
+  void AnotherPlannerTakesOver() {
+    Deployment deployment(5);
+    deployment.simulator.RunFor(std::chrono::seconds(30));  // the roster is out, planners run
+    const base::ServiceId service = base::MakeServiceId(HollowDeployment::ServiceName(0));
+    const std::optional<ElectedPlanner> first = deployment.nodes.Life(0).Core().PlannerOf(service);
+    std::size_t planner = 0;
+    while (base::MakeNodeId(deployment.nodes.Life(planner).Core().Options().name) != first->node) {
+      ++planner;
+    }
+    const std::size_t other = (planner + 1) % deployment.nodes.BalancerCount();
+    const routing::TableVersion before =
+        deployment.nodes.Life(other).Core().TableOf(service)->version;
+    deployment.nodes.Store().SetAvailable(false);  // taking over needs no store
+    deployment.nodes.Kill(planner);
+    const auto taken_over = [&] {
+      const routing::TableVersion now =
+          deployment.nodes.Life(other).Core().TableOf(service)->version;
+      return now.generation > before.generation;
+    };
+    CPPUNIT_ASSERT(deployment.simulator.RunUntil(taken_over, std::chrono::seconds(60)));
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+  }
+
+  void JoinsWhileTheStoreIsAway() {
+    Deployment deployment(6);
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+    const base::Revision revision = deployment.nodes.Edit(0, 7);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(revision));
+    deployment.nodes.Store().SetAvailable(false);
+    for (std::size_t node = 0; node + 1 < deployment.nodes.BalancerCount(); ++node) {
+      deployment.nodes.Restart(node);
+      deployment.simulator.RunFor(std::chrono::seconds(10));
+    }
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(revision));
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+  }
+
+  void RegionsSplitAndHeal() {
+    Deployment deployment(7);
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+    deployment.simulator.Network().BlockRegions("north", "south");
+    deployment.simulator.RunFor(std::chrono::seconds(60));
+    const base::Revision revision = deployment.nodes.Edit(1, 9);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(revision));  // each side has its readers
+    deployment.simulator.Network().HealPartitions();
+    deployment.simulator.RunFor(std::chrono::seconds(30));
+    CPPUNIT_ASSERT(deployment.RunUntilOneTable());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlNodeTest);
+
+}  // namespace
+}  // namespace gaugevalve::control
--- a/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
@@ -119,6 +119,9 @@
   // Does what is due by `now`.
   void Tick(base::TimePoint now, Actions& actions);
 
+  // Compares with this peer now, for instance because it is known to hold something newer.
+  void CompareWith(base::NodeId peer, base::TimePoint now, Actions& actions);
+
   // Returns when Tick() has something to do next.
   base::TimePoint NextDeadline() const;
 
@@ -195,7 +198,7 @@
   void SendRequests(Actions& actions);
   void RetryRequests(base::TimePoint now);
 
-  void StartComparison(base::TimePoint now, Actions& actions);
+  void CompareWithRandomPeer(base::TimePoint now, Actions& actions);
   void AnswerComparison(base::NodeId from, const proto::Message& message, base::TimePoint now,
                         Actions& actions);
   void AnswerInterest(base::NodeId from, const proto::InterestEntries& entries, base::TimePoint now,
--- a/libs/dissemination/src/dissemination_core.cpp
+++ b/libs/dissemination/src/dissemination_core.cpp
@@ -83,7 +83,7 @@
   now_ = now;
   RetryRequests(now);
   if (now >= next_comparison_) {
-    StartComparison(now, actions);
+    CompareWithRandomPeer(now, actions);
   }
   DriveReading(now, actions);
   SendRequests(actions);
--- a/libs/dissemination/src/dissemination_repair.cpp
+++ b/libs/dissemination/src/dissemination_repair.cpp
@@ -54,17 +54,19 @@
 
 }  // namespace
 
-void DisseminationCore::StartComparison(base::TimePoint now, Actions& actions) {
-  const bool full = options_.interest.everything;
-  const base::Duration interval =
-      full ? options_.compare_interval : options_.narrow_compare_interval;
+void DisseminationCore::CompareWithRandomPeer(base::TimePoint now, Actions& actions) {
+  const base::Duration interval = options_.interest.everything ? options_.compare_interval
+                                                               : options_.narrow_compare_interval;
   next_comparison_ = now + interval / 2 + random_->NextJitter(interval);
   const base::NodeId peer = peers_.ChooseFullPeer();
-  if (peer == base::NodeId()) {
-    return;
+  if (peer != base::NodeId()) {
+    CompareWith(peer, now, actions);
   }
+}
+
+void DisseminationCore::CompareWith(base::NodeId peer, base::TimePoint now, Actions& actions) {
   proto::Message message;
-  if (full) {
+  if (options_.interest.everything) {
     comparison_token_ = store_.Digests().Root();
     message.set_compare_root(comparison_token_);
   } else {
