--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -10,8 +10,10 @@
 #include "datagram_service.h"
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/daemon/command_line.h"
+#include "gaugevalve/daemon/control_task.h"
 #include "gaugevalve/daemon/drop_log.h"
 #include "gaugevalve/daemon/exit_code.h"
+#include "gaugevalve/daemon/incarnation.h"
 #include "gaugevalve/daemon/shutdown_signals.h"
 #include "gaugevalve/daemon/static_view.h"
 #include "gaugevalve/tasks/inbox.h"
@@ -44,23 +46,16 @@
   }
 }
 
-// This life of the agent; see base::Incarnation.
-base::Incarnation MakeIncarnation() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(since_epoch);
-  return base::Incarnation(static_cast<std::uint64_t>(microseconds.count()));
-}
-
 // What a running agent consists of, on the main thread's loop.
 class Agent {
  public:
   explicit Agent(const daemon::CommandLine& command_line)
       : command_line_(command_line),
         node_(command_line_.settings),
-        identity_{node_.Id(), MakeIncarnation(), base::MakeServiceId(node_.agent->service)},
+        identity_{node_.Id(), daemon::MakeIncarnation(), base::MakeServiceId(node_.agent->service)},
         registry_(std::make_shared<prometheus::Registry>()),
         statuses_(loop_.get(), kStatusInboxCapacity,
-                  [this](AgentStatus status) { status_ = std::move(status); }),
+                  [this](AgentStatus status) { TakeStatus(std::move(status)); }),
         worker_(
             {node_.data_address, *node_.egress_address, identity_.service},
             [this](event_base* loop, agent::AgentOutput& output) {
@@ -100,11 +95,24 @@
                                                     *registry_);
   }
 
-  // The seam to the control task: it sends each newer view to the worker in the same way, and takes
-  // the reports in `statuses_` to the planner.
+  // With static settings there is one view for ever; otherwise the control task sends newer ones.
   void PublishFirstView() {
     if (node_.static_settings) {
       worker_.Send(daemon::MakeStaticView(node_, identity_.incarnation));
+      return;
+    }
+    control_ = std::make_unique<daemon::ControlTask>(
+        loop_.get(),
+        daemon::ControlTaskSettings{node_, identity_.incarnation, worker_.DataAddress()}, admin_,
+        [this](const agent::ViewPointer& view) { return worker_.Send(view); },
+        [this] { End(daemon::kFailure); });
+    control_->Start();
+  }
+
+  void TakeStatus(AgentStatus status) {
+    status_ = std::move(status);
+    if (control_ != nullptr) {
+      control_->UpdateReport(status_.report);
     }
   }
 
@@ -119,6 +127,9 @@
     admin_.SetUnhealthy("draining");
     drain_started_ = clock_.Now();
     worker_.Send(agent::StartDraining());
+    if (control_ != nullptr) {
+      control_->StartLeaving();
+    }
     drain_timer_.StartPeriodic(kDrainPollPeriod);
   }
 
@@ -127,7 +138,8 @@
     const bool is_draining = status_.report.state == routing::AgentState::kDraining;
     const bool is_released = !status_.is_named || node_.static_settings.has_value();
     if (is_draining && status_.report.open_flows == 0 && is_released) {
-      End(daemon::kSuccess);
+      drain_timer_.Cancel();
+      SayFarewell();
     } else if (clock_.Now() - drain_started_ >= command_line_.drain_timeout) {
       telemetry::Event(telemetry::Level::kWarning, "drain_timed_out")
           .Field("open_flows", status_.report.open_flows);
@@ -135,6 +147,14 @@
     }
   }
 
+  void SayFarewell() {
+    if (control_ == nullptr) {
+      End(daemon::kSuccess);
+    } else {
+      control_->Leave([this] { End(daemon::kSuccess); });
+    }
+  }
+
   void End(daemon::ExitCode exit_code) {
     exit_code_ = exit_code;
     event_base_loopbreak(loop_.get());
@@ -150,6 +170,7 @@
   tasks::Inbox<AgentStatus> statuses_;
   agent::AgentWorker worker_;
   telemetry::AdminServer admin_;
+  std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
   daemon::DropLog malformed_log_;
   daemon::DropLog drop_log_;
   tasks::Timer drop_timer_;
--- a/daemons/balancer/src/main.cpp
+++ b/daemons/balancer/src/main.cpp
@@ -7,8 +7,10 @@
 #include "balancer_worker.h"
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/daemon/command_line.h"
+#include "gaugevalve/daemon/control_task.h"
 #include "gaugevalve/daemon/drop_log.h"
 #include "gaugevalve/daemon/exit_code.h"
+#include "gaugevalve/daemon/incarnation.h"
 #include "gaugevalve/daemon/shutdown_signals.h"
 #include "gaugevalve/daemon/static_view.h"
 #include "gaugevalve/tasks/task.h"
@@ -64,11 +66,19 @@
   }
 
  private:
-  // The seam to the control task: it publishes each newer view to the worker in the same way.
+  // With static settings there is one view for ever; otherwise the control task sends newer ones.
   void PublishFirstView() {
-    if (command_line_.settings.static_settings) {
-      worker_.PublishView(daemon::MakeStaticView(command_line_.settings, base::Incarnation()));
+    const settings::NodeSettings& node = command_line_.settings;
+    if (node.static_settings) {
+      worker_.PublishView(daemon::MakeStaticView(node, base::Incarnation()));
+      return;
     }
+    control_ = std::make_unique<daemon::ControlTask>(
+        loop_.get(),
+        daemon::ControlTaskSettings{node, daemon::MakeIncarnation(), worker_.DataAddress()}, admin_,
+        [this](const balancer::ViewPointer& view) { return worker_.PublishView(view); },
+        [this] { End(daemon::kFailure); });
+    control_->Start();
   }
 
   void WriteDropLogs() {
@@ -82,13 +92,25 @@
     admin_.SetUnhealthy("draining");
     drain_started_ = clock_.Now();
     drain_timer_.StartPeriodic(kDrainPollPeriod);
+    if (control_ != nullptr) {
+      control_->StartLeaving();
+    }
   }
 
   void PollDrain() {
     const base::TimePoint now = clock_.Now();
     const base::TimePoint last = std::max(worker_.LastDatagramAt(), drain_started_);
     if (now - last >= kQuietTime || now - drain_started_ >= command_line_.drain_timeout) {
+      drain_timer_.Cancel();
+      SayFarewell();
+    }
+  }
+
+  void SayFarewell() {
+    if (control_ == nullptr) {
       End(daemon::kSuccess);
+    } else {
+      control_->Leave([this] { End(daemon::kSuccess); });
     }
   }
 
@@ -103,6 +125,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   balancer::BalancerWorker worker_;
   telemetry::AdminServer admin_;
+  std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
   daemon::DropLog malformed_log_;
   daemon::DropLog drop_log_;
   tasks::Timer drop_timer_;
--- a/libs/control/include/gaugevalve/control/control_node.h
+++ b/libs/control/include/gaugevalve/control/control_node.h
@@ -151,7 +151,7 @@
   std::shared_ptr<const NodeView> view_;
   base::TimePoint started_at_{};
   base::TimePoint next_view_at_{};
-  base::TimePoint next_duty_{};  // coordinator and the like, a few times a second
+  base::TimePoint next_duty_{};    // coordinator and the like, a few times a second
   base::TimePoint next_report_{};  // not before; while no planner is known
   bool view_stale_ = true;
   bool settings_stale_ = false;
--- a/libs/dissemination/src/dissemination_repair.cpp
+++ b/libs/dissemination/src/dissemination_repair.cpp
@@ -55,8 +55,8 @@
 }  // namespace
 
 void DisseminationCore::CompareWithRandomPeer(base::TimePoint now, Actions& actions) {
-  const base::Duration interval = options_.interest.everything ? options_.compare_interval
-                                                               : options_.narrow_compare_interval;
+  const base::Duration interval =
+      options_.interest.everything ? options_.compare_interval : options_.narrow_compare_interval;
   next_comparison_ = now + interval / 2 + random_->NextJitter(interval);
   const base::NodeId peer = peers_.ChooseFullPeer();
   if (peer != base::NodeId()) {
