--- a/libs/flow/include/gaugevalve/flow/bucket_ownership.h
+++ b/libs/flow/include/gaugevalve/flow/bucket_ownership.h
@@ -38,13 +38,6 @@
   base::Duration drain_grace = std::chrono::seconds(2);
 };
 
-// What this agent knows of a datagram's flow.
-enum class FlowPresence : std::uint8_t {
-  kAbsent,       // has no such flow
-  kConfirmed,    // has it, opened or confirmed under the newest entry of the bucket
-  kUnconfirmed,  // has it from an older entry; see BucketOwnership
-};
-
 // What is to be done with a datagram.
 enum class Verdict : std::uint8_t {
   kServe,   // the flow is here
@@ -58,7 +51,7 @@
   Verdict verdict = Verdict::kDrop;
   base::SocketAddress next_hop;              // kPassOn only
   DropReason reason = DropReason::kNoTable;  // kDrop only
-  bool confirms = false;  // kServe only: the flow is now confirmed under the newest entry
+  bool confirms = false;  // kServe and kOpen: the flow is now confirmed under the newest entry
 };
 
 // The newest entry of each bucket that this agent has seen, in a table or in a datagram, and the
@@ -68,10 +61,11 @@
 // Two agents never serve one flow: an owner opens one only after each previous owner that is alive
 // has acknowledged the owner's entry and doesn't have the flow. An agent that was wrongly taken for
 // dead breaks this: others were free to open its flows. It need not even see the entry that left it
-// out, if it was frozen then. So with each change of a bucket's entry the flows held there become
-// unconfirmed. Such a flow is served when the owner asks along the chain, which it does only if it
-// hasn't the flow itself; and the owner confirms its own once the chain has been asked. In this way
-// the flows of an agent that was wrongly taken for dead come back when the planner names it again.
+// out, if it was frozen then. So a flow is *confirmed* under an entry, the one under which it was
+// opened at first, and an agent serves only what is confirmed under the newest. Any other datagram
+// goes along the chain once; of all that have the flow, the one that has it confirmed under the
+// newest entry serves it, and confirms it anew. In this way the flows of an agent that was wrongly
+// taken for dead come back when the planner names it again, unless others have opened them.
 //
 // Memory: one entry per bucket, the size of the first table. Pure and not thread-safe.
 class BucketOwnership {
@@ -90,8 +84,10 @@
   // datagram, and leaves it in the header. `flow_key_hash` is the hash that chose the bucket.
   std::optional<DropReason> Settle(wire::ForwardingHeader& header, std::uint64_t flow_key_hash);
 
-  // Rules on a settled datagram; prepares the header for the next hop where it is passed on.
-  Ruling Rule(wire::ForwardingHeader& header, FlowPresence presence, base::TimePoint now) const;
+  // Rules on a settled datagram; prepares the header for the next hop where it is passed on. `held`
+  // is the version of the entry under which this agent has the flow confirmed, if it has the flow.
+  Ruling Rule(wire::ForwardingHeader& header, const std::optional<routing::TableVersion>& held,
+              base::TimePoint now) const;
 
   // Returns the version of the newest entry known of a bucket, which must be below BucketCount().
   routing::TableVersion EntryVersion(base::BucketIndex bucket) const {
@@ -115,9 +111,15 @@
   bool IsSelf(const wire::AgentAddress& agent) const { return agent.node == identity_.node; }
   std::optional<DropReason> ReasonNotToOpen(const wire::BucketEntry& entry,
                                             base::TimePoint now) const;
-  Ruling RuleAsOwner(wire::ForwardingHeader& header, FlowPresence presence,
-                     base::TimePoint now) const;
-  Ruling RuleAsOther(wire::ForwardingHeader& header, FlowPresence presence) const;
+  Ruling StartWalk(wire::ForwardingHeader& header, const std::optional<routing::TableVersion>& held,
+                   base::TimePoint now) const;
+  Ruling ContinueWalk(wire::ForwardingHeader& header,
+                      const std::optional<routing::TableVersion>& held) const;
+  Ruling EndWalk(wire::ForwardingHeader& header, const std::optional<routing::TableVersion>& held,
+                 base::TimePoint now) const;
+  Ruling OpenOrRefuse(const wire::BucketEntry& entry, base::TimePoint now) const;
+  Ruling PassToClaimant(wire::ForwardingHeader& header) const;
+  static Ruling PassToOwner(wire::ForwardingHeader& header);
   static Ruling PassTo(const wire::AgentAddress& agent, wire::ForwardingHeader& header);
 
   AgentIdentity identity_;
--- a/libs/flow/include/gaugevalve/flow/flow_core.h
+++ b/libs/flow/include/gaugevalve/flow/flow_core.h
@@ -74,7 +74,6 @@
 
  private:
   FlowAction Open(const wire::FlowKey& key, base::BucketIndex bucket, base::TimePoint now);
-  FlowPresence PresenceOf(std::optional<FlowId> flow, base::BucketIndex bucket) const;
 
   BucketOwnership ownership_;
   FlowTable table_;
--- a/libs/flow/src/bucket_ownership.cpp
+++ b/libs/flow/src/bucket_ownership.cpp
@@ -59,59 +59,90 @@
   }
   header.entry = known;
   header.walk = wire::ChainWalk::kNotStarted;
+  header.claim = {};
   return std::nullopt;
 }
 
-Ruling BucketOwnership::Rule(wire::ForwardingHeader& header, FlowPresence presence,
+Ruling BucketOwnership::Rule(wire::ForwardingHeader& header,
+                             const std::optional<routing::TableVersion>& held,
                              base::TimePoint now) const {
-  if (presence == FlowPresence::kConfirmed) {
+  if (held == header.entry.version) {
     return Serve(false);
   }
   if (header.entry.owner.node == base::NodeId()) {
     return Drop(DropReason::kNoOwner);
   }
   const bool hops_are_spent = header.hop_count >= kMaxHops;
-  const Ruling ruling = IsSelf(header.entry.owner) ? RuleAsOwner(header, presence, now)
-                                                   : RuleAsOther(header, presence);
+  const bool is_owner = IsSelf(header.entry.owner);
+  Ruling ruling;
+  if (header.walk == wire::ChainWalk::kFinished) {
+    ruling = EndWalk(header, held, now);
+  } else if (is_owner) {
+    ruling = StartWalk(header, held, now);
+  } else if (header.walk == wire::ChainWalk::kWalking) {
+    ruling = ContinueWalk(header, held);
+  } else {
+    ruling = PassToOwner(header);
+  }
   const bool passes_on = ruling.verdict == Verdict::kPassOn;
   return passes_on && hops_are_spent ? Drop(DropReason::kHopLimit) : ruling;
 }
 
-Ruling BucketOwnership::RuleAsOwner(wire::ForwardingHeader& header, FlowPresence presence,
-                                    base::TimePoint now) const {
+// At the owner: asks the first previous owner, or decides when there is none.
+Ruling BucketOwnership::StartWalk(wire::ForwardingHeader& header,
+                                  const std::optional<routing::TableVersion>& held,
+                                  base::TimePoint now) const {
   const auto& chain = header.entry.previous_owners;
   const auto first = std::find_if_not(chain.begin(), chain.end(),
                                       [this](const auto& agent) { return IsSelf(agent); });
-  if (first != chain.end() && header.walk != wire::ChainWalk::kFinished) {
-    header.walk = wire::ChainWalk::kWalking;
-    return PassTo(*first, header);
-  }
-  if (presence == FlowPresence::kUnconfirmed) {
-    return Serve(true);
+  if (first == chain.end()) {
+    return held ? Serve(true) : OpenOrRefuse(header.entry, now);
   }
-  const std::optional<DropReason> reason = ReasonNotToOpen(header.entry, now);
-  return reason ? Drop(*reason) : Ruling{Verdict::kOpen, {}, {}, true};
+  header.walk = wire::ChainWalk::kWalking;
+  header.claim = held ? wire::FlowClaim{identity_.node, *held} : wire::FlowClaim();
+  return PassTo(*first, header);
 }
 
-Ruling BucketOwnership::RuleAsOther(wire::ForwardingHeader& header, FlowPresence presence) const {
-  if (header.walk != wire::ChainWalk::kWalking) {
-    return PassTo(header.entry.owner, header);
-  }
-  if (presence == FlowPresence::kUnconfirmed) {
-    return Serve(false);
-  }
+// At a previous owner: enters its claim and asks the next one; the last one ends the walk.
+Ruling BucketOwnership::ContinueWalk(wire::ForwardingHeader& header,
+                                     const std::optional<routing::TableVersion>& held) const {
   const auto& chain = header.entry.previous_owners;
   const auto self =
       std::find_if(chain.begin(), chain.end(), [this](const auto& agent) { return IsSelf(agent); });
-  if (self == chain.end()) {  // not a stop of this walk: the owner starts it anew
-    header.walk = wire::ChainWalk::kNotStarted;
-    return PassTo(header.entry.owner, header);
+  if (self == chain.end()) {  // not a stop of this walk
+    return PassToOwner(header);
+  }
+  const bool is_claimed = header.claim.holder != base::NodeId();
+  if (held && (!is_claimed || *held > header.claim.confirmed)) {
+    header.claim = {identity_.node, *held};
   }
   if (self + 1 != chain.end()) {
     return PassTo(*(self + 1), header);
   }
   header.walk = wire::ChainWalk::kFinished;
-  return PassTo(header.entry.owner, header);
+  return header.claim.holder == identity_.node ? Serve(true) : PassToClaimant(header);
+}
+
+// Where a walk ended: at the agent whose claim is the best, or at the owner when there is none.
+Ruling BucketOwnership::EndWalk(wire::ForwardingHeader& header,
+                                const std::optional<routing::TableVersion>& held,
+                                base::TimePoint now) const {
+  const bool is_claimed = header.claim.holder != base::NodeId();
+  const bool is_own_claim = header.claim.holder == identity_.node;
+  const bool is_owner = IsSelf(header.entry.owner);
+  if (is_own_claim && held) {
+    return Serve(true);
+  }
+  if (is_owner && !is_claimed && !held) {
+    return OpenOrRefuse(header.entry, now);
+  }
+  // The claimant has closed the flow since, or the datagram has gone astray: ask anew.
+  return is_owner ? StartWalk(header, held, now) : PassToOwner(header);
+}
+
+Ruling BucketOwnership::OpenOrRefuse(const wire::BucketEntry& entry, base::TimePoint now) const {
+  const std::optional<DropReason> reason = ReasonNotToOpen(entry, now);
+  return reason ? Drop(*reason) : Ruling{Verdict::kOpen, {}, {}, true};
 }
 
 std::optional<DropReason> BucketOwnership::ReasonNotToOpen(const wire::BucketEntry& entry,
@@ -140,6 +171,20 @@
   });
 }
 
+Ruling BucketOwnership::PassToClaimant(wire::ForwardingHeader& header) const {
+  const auto& chain = header.entry.previous_owners;
+  const auto claimant = std::find_if(chain.begin(), chain.end(), [&](const auto& agent) {
+    return agent.node == header.claim.holder;
+  });
+  return PassTo(claimant == chain.end() ? header.entry.owner : *claimant, header);
+}
+
+Ruling BucketOwnership::PassToOwner(wire::ForwardingHeader& header) {
+  header.walk = wire::ChainWalk::kNotStarted;
+  header.claim = {};
+  return PassTo(header.entry.owner, header);
+}
+
 Ruling BucketOwnership::PassTo(const wire::AgentAddress& agent, wire::ForwardingHeader& header) {
   header.target = agent.node;
   header.target_incarnation = agent.incarnation;
--- a/libs/flow/src/flow_core.cpp
+++ b/libs/flow/src/flow_core.cpp
@@ -17,7 +17,8 @@
     return *reason;
   }
   const std::optional<FlowId> flow = table_.Find(key);
-  const Ruling ruling = ownership_.Rule(header, PresenceOf(flow, header.bucket), now);
+  const Ruling ruling =
+      ownership_.Rule(header, flow ? std::optional(table_.Confirmed(*flow)) : std::nullopt, now);
   switch (ruling.verdict) {
     case Verdict::kServe:
       table_.Touch(*flow, now);
@@ -46,14 +47,6 @@
   return Relay{*flow, true};
 }
 
-FlowPresence FlowCore::PresenceOf(std::optional<FlowId> flow, base::BucketIndex bucket) const {
-  if (!flow) {
-    return FlowPresence::kAbsent;
-  }
-  const bool is_confirmed = table_.Confirmed(*flow) == ownership_.EntryVersion(bucket);
-  return is_confirmed ? FlowPresence::kConfirmed : FlowPresence::kUnconfirmed;
-}
-
 void FlowCore::FillReport(routing::AgentReport& report) const {
   const AgentIdentity& identity = ownership_.Identity();
   report.service = identity.service;
--- a/libs/flow/tests/bucket_ownership_test.cpp
+++ b/libs/flow/tests/bucket_ownership_test.cpp
@@ -55,12 +55,15 @@
   }
 
   // Returns "serve", "open", "pass:PORT" or the reason for the drop.
-  std::string Decide(wire::ForwardingHeader& header, FlowPresence presence = FlowPresence::kAbsent,
+  // `held` is the version under which the agent has the flow confirmed; 0 is "not at all".
+  std::string Decide(wire::ForwardingHeader& header, std::uint32_t held = 0,
                      base::Duration age = base::Duration(0)) {
     if (const auto reason = ownership_.Settle(header, kFlowHash)) {
       return std::string(ToString(*reason));
     }
-    const Ruling ruling = ownership_.Rule(header, presence, base::TimePoint() + age);
+    const auto confirmed =
+        held > 0 ? std::optional(routing::TableVersion{1, 0, held}) : std::nullopt;
+    const Ruling ruling = ownership_.Rule(header, confirmed, base::TimePoint() + age);
     switch (ruling.verdict) {
       case Verdict::kServe:
         return "serve";
@@ -88,7 +91,9 @@
   CPPUNIT_TEST(PreviousOwnerNeverOpensUnderAnOlderEntry);
   CPPUNIT_TEST(NewerEntryOfADatagramIsRemembered);
   CPPUNIT_TEST(NewerEntryStartsTheWalkAnew);
-  CPPUNIT_TEST(UnconfirmedFlowIsServedOnlyWhenAsked);
+  CPPUNIT_TEST(UnconfirmedFlowIsServedOnlyAfterAWalk);
+  CPPUNIT_TEST(NewestClaimServes);
+  CPPUNIT_TEST(ClaimThatLapsedIsAskedForAnew);
   CPPUNIT_TEST(ForeignDatagramsAreDropped);
   CPPUNIT_TEST(StaleAgentServesButOpensNothing);
   CPPUNIT_TEST(FormerLifeInTheTableOpensNothing);
@@ -115,11 +120,10 @@
   }
 
   void PreviousOwnerServesWhatItHas() {
-    const auto table = MakeTable(2, 1, {2, 3});
+    const auto table = MakeTable(2, 1, {2});
     auto header = FromBalancer(table);
     Agent(1, table).Decide(header);
-    CPPUNIT_ASSERT_EQUAL(std::string("serve"),
-                         Agent(2, table).Decide(header, FlowPresence::kUnconfirmed));
+    CPPUNIT_ASSERT_EQUAL(std::string("serve"), Agent(2, table).Decide(header, 1));
   }
 
   void PreviousOwnerNeverOpensUnderAnOlderEntry() {
@@ -148,14 +152,34 @@
     CPPUNIT_ASSERT(header.walk == wire::ChainWalk::kWalking);
   }
 
-  void UnconfirmedFlowIsServedOnlyWhenAsked() {
+  void UnconfirmedFlowIsServedOnlyAfterAWalk() {
     const auto table = MakeTable(2, 1, {2});
     auto direct = FromBalancer(MakeTable(1, 2, {}));
     Agent previous(2, table);
-    CPPUNIT_ASSERT_EQUAL(std::string("pass:1"),
-                         previous.Decide(direct, FlowPresence::kUnconfirmed));
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:1"), previous.Decide(direct, 1));
     CPPUNIT_ASSERT_EQUAL(std::string("pass:2"), Agent(1, table).Decide(direct));
-    CPPUNIT_ASSERT_EQUAL(std::string("serve"), previous.Decide(direct, FlowPresence::kUnconfirmed));
+    CPPUNIT_ASSERT_EQUAL(std::string("serve"), previous.Decide(direct, 1));
+  }
+
+  void NewestClaimServes() {
+    const auto table = MakeTable(9, 1, {2, 3, 4});
+    auto header = FromBalancer(table);
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:2"), Agent(1, table).Decide(header, 5));
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:3"), Agent(2, table).Decide(header, 4));
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:4"), Agent(3, table).Decide(header, 7));
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:3"), Agent(4, table).Decide(header, 6));
+    CPPUNIT_ASSERT_EQUAL(std::string("serve"), Agent(3, table).Decide(header, 7));
+  }
+
+  void ClaimThatLapsedIsAskedForAnew() {
+    const auto table = MakeTable(9, 1, {2, 3});
+    auto header = FromBalancer(table);
+    Agent(1, table).Decide(header);
+    Agent(2, table).Decide(header, 4);
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:2"), Agent(3, table).Decide(header));
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:1"), Agent(2, table).Decide(header));
+    CPPUNIT_ASSERT_EQUAL(std::string("pass:2"), Agent(1, table).Decide(header));
+    CPPUNIT_ASSERT(header.claim == wire::FlowClaim());
   }
 
   void ForeignDatagramsAreDropped() {
@@ -179,15 +203,11 @@
     const auto table = MakeTable(1, 1, {});
     Agent agent(1, table);
     auto header = FromBalancer(table);
-    CPPUNIT_ASSERT_EQUAL(std::string("open"),
-                         agent.Decide(header, FlowPresence::kAbsent, seconds(5)));
-    CPPUNIT_ASSERT_EQUAL(std::string("stale_table"),
-                         agent.Decide(header, FlowPresence::kAbsent, seconds(6)));
-    CPPUNIT_ASSERT_EQUAL(std::string("serve"),
-                         agent.Decide(header, FlowPresence::kConfirmed, seconds(6)));
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("stale_table"), agent.Decide(header, 0, seconds(6)));
+    CPPUNIT_ASSERT_EQUAL(std::string("serve"), agent.Decide(header, 1, seconds(6)));
     agent.Ownership().UpdateTable(table, base::TimePoint(seconds(4)));
-    CPPUNIT_ASSERT_EQUAL(std::string("open"),
-                         agent.Decide(header, FlowPresence::kAbsent, seconds(6)));
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(6)));
   }
 
   void FormerLifeInTheTableOpensNothing() {
@@ -206,15 +226,12 @@
     Agent agent(1, table);
     auto header = FromBalancer(table);
     agent.Ownership().StartDraining(base::TimePoint());
-    CPPUNIT_ASSERT_EQUAL(std::string("open"),
-                         agent.Decide(header, FlowPresence::kAbsent, seconds(2)));
-    CPPUNIT_ASSERT_EQUAL(std::string("draining"),
-                         agent.Decide(header, FlowPresence::kAbsent, seconds(3)));
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(2)));
+    CPPUNIT_ASSERT_EQUAL(std::string("draining"), agent.Decide(header, 0, seconds(3)));
     auto alone = MakeTable(2, 1, {});
     alone.agents.resize(1);
     agent.Ownership().UpdateTable(alone, base::TimePoint());
-    CPPUNIT_ASSERT_EQUAL(std::string("open"),
-                         agent.Decide(header, FlowPresence::kAbsent, seconds(3)));
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(3)));
   }
 
   void HopsAreBounded() {
--- a/libs/flow/tests/flow_core_test.cpp
+++ b/libs/flow/tests/flow_core_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_ASSERT(std::holds_alternative<PassOn>(core.Decide(Key(1), header, {})));
     header.walk = wire::ChainWalk::kFinished;
     header.target = Node(1);
+    CPPUNIT_ASSERT(header.claim.holder == Node(1));
     CPPUNIT_ASSERT(std::get<Relay>(core.Decide(Key(1), header, {})).flow == opened.flow);
     CPPUNIT_ASSERT(std::get<Relay>(Decide(core, Key(1))).flow == opened.flow);
   }
--- a/libs/wire/include/gaugevalve/wire/forwarding_header.h
+++ b/libs/wire/include/gaugevalve/wire/forwarding_header.h
@@ -21,9 +21,9 @@
 inline constexpr std::size_t kMaxCarriedOwners = 2 * routing::kMaxPreviousOwners;
 
 // Largest header with all fields, bytes: the plain header, the route (41 + 3), the owner (32 + 19 +
-// 3) and the previous owners (16 + 19 + 3 each).
+// 3), the claim (24 + 3) and the previous owners (16 + 19 + 3 each).
 inline constexpr std::size_t kMaxForwardedHeaderSize =
-    kMaxPlainProxyHeaderSize + 44 + 54 + kMaxCarriedOwners * 38;
+    kMaxPlainProxyHeaderSize + 44 + 54 + 27 + kMaxCarriedOwners * 38;
 
 // One life of an agent and where its datagrams go.
 struct AgentAddress {
@@ -49,7 +49,18 @@
 enum class ChainWalk : std::uint8_t {
   kNotStarted = 0,
   kWalking = 1,   // on its way along the previous owners
-  kFinished = 2,  // none of them has the flow
+  kFinished = 2,  // all were asked; FlowClaim says who serves the flow
+};
+
+// The agent asked so far that has the flow from the newest entry. Each entry has one owner, and
+// only under an entry of its own, or after a walk, is a flow known to be an agent's alone. So of
+// two that have a flow, the one with the newer version is right and the other was taken for dead
+// between.
+struct FlowClaim {
+  base::NodeId holder;              // 0: nobody asked so far has the flow
+  routing::TableVersion confirmed;  // the entry under which the flow was last known to be its alone
+
+  friend bool operator==(const FlowClaim&, const FlowClaim&) = default;
 };
 
 // The facts that travel with a forwarded datagram.
@@ -62,6 +73,7 @@
   BucketEntry entry;
   std::uint8_t hop_count = 0;  // agents that have passed it on
   ChainWalk walk = ChainWalk::kNotStarted;
+  FlowClaim claim;  // of the walk
 
   friend bool operator==(const ForwardingHeader&, const ForwardingHeader&) = default;
 };
--- a/libs/wire/src/forwarding_header.cpp
+++ b/libs/wire/src/forwarding_header.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint8_t kRouteField = 0xe0;
 constexpr std::uint8_t kOwnerField = 0xe1;
 constexpr std::uint8_t kPreviousOwnerField = 0xe2;
+constexpr std::uint8_t kClaimField = 0xe3;
 constexpr std::uint8_t kFormatVersion = 1;
 constexpr std::uint8_t kWalkMask = 0x03;
 constexpr std::uint8_t kCutFlag = 0x04;
@@ -85,6 +86,13 @@
         }
         Expect(IsExact(reader));
         break;
+      case kClaimField:
+        Expect(!has_claim_);
+        has_claim_ = true;
+        header_.claim.holder = base::NodeId(reader.ReadUint64());
+        header_.claim.confirmed = ReadVersion(reader);
+        Expect(IsExact(reader) && header_.claim.holder != base::NodeId());
+        break;
       default:
         break;
     }
@@ -131,6 +139,7 @@
   ForwardingHeader header_;
   bool has_route_ = false;
   bool has_owner_ = false;
+  bool has_claim_ = false;
   std::optional<DecodeError> error_;
 };
 
@@ -174,6 +183,12 @@
     WriteAgent(writer.BeginField(kPreviousOwnerField), agent);
     writer.EndField();
   }
+  if (header.claim.holder != base::NodeId()) {
+    ByteWriter& claim = writer.BeginField(kClaimField);
+    claim.WriteUint64(header.claim.holder.value());
+    WriteVersion(claim, header.claim.confirmed);
+    writer.EndField();
+  }
   return writer.Finish();
 }
 
--- a/libs/wire/tests/forwarding_header_test.cpp
+++ b/libs/wire/tests/forwarding_header_test.cpp
@@ -36,6 +36,7 @@
   }
   header.hop_count = 3;
   header.walk = ChainWalk::kWalking;
+  header.claim = {base::NodeId(10), {4, 0, 2}};
   return header;
 }
 
