--- a/libs/store/src/http_exchange.h
+++ b/libs/http_client/include/gaugevalve/http_client/http_exchange.h
@@ -1,4 +1,4 @@
-// One HTTP connection of the store client, carrying one exchange at a time. Private.
+// One HTTP connection to a service of the platform, carrying one exchange at a time.
 #pragma once
 
 #include <event2/http.h>
@@ -10,12 +10,11 @@
 #include <string_view>
 
 #include "gaugevalve/base/socket_address.h"
-#include "gaugevalve/store/codec.h"
-#include "gaugevalve/store/request_scheduler.h"
+#include "gaugevalve/http_client/http_types.h"
 
-namespace gaugevalve::store {
+namespace gaugevalve::http_client {
 
-// What the owner of an HttpExchange hears. None may destroy the exchange or post on it.
+// What the owner of an HttpExchange hears. None may destroy the exchange or start it again.
 class HttpExchangeObserver {
  public:
   virtual ~HttpExchangeObserver() = default;
@@ -30,8 +29,9 @@
   virtual void OnHttpFailure(TransportFailure failure, const std::string& words) = 0;
 };
 
-// Posts to one address over a kept-alive connection, by libevent's HTTP client. It sends a request
-// once and never again by itself. Time-outs are its owner's business: the decision core's.
+// Talks to one address over a kept-alive connection, by libevent's HTTP client. It sends a request
+// once and never again by itself. Time-outs are its owner's business: the decision core's. Not
+// thread-safe: everything runs on the event loop's thread. The observer must outlive it.
 class HttpExchange {
  public:
   enum class Kind : std::uint8_t { kAnswer, kStream };
@@ -45,8 +45,8 @@
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
-  // Posts the request; one at a time. Returns false when it could not even be started.
-  bool Post(const EncodedRequest& request);
+  // Sends the request; one at a time. Returns false when it could not even be started.
+  bool Start(const HttpRequest& request);
 
   // Gives up the running request; nothing more is reported about it.
   void Cancel();
@@ -61,7 +61,7 @@
   static void OnDone(evhttp_request* request, void* self);
   static void OnError(evhttp_request_error error, void* self);
   static void OnChunk(evhttp_request* request, void* self);
-  void AddHeaders(evhttp_request* request, std::size_t body_size) const;
+  void AddContent(evhttp_request* request, const HttpRequest& content) const;
   void Finish(evhttp_request* request);
 
   base::SocketAddress address_;
@@ -72,4 +72,4 @@
   std::string error_words_;            // set when the running request failed after connecting
 };
 
-}  // namespace gaugevalve::store
+}  // namespace gaugevalve::http_client
--- a/libs/store/src/http_exchange.cpp
+++ b/libs/http_client/src/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "http_exchange.h"
+#include "gaugevalve/http_client/http_exchange.h"
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -7,7 +7,7 @@
 #include <new>
 #include <utility>
 
-namespace gaugevalve::store {
+namespace gaugevalve::http_client {
 namespace {
 
 constexpr int kHttpOk = 200;
@@ -77,7 +77,7 @@
 
 HttpExchange::~HttpExchange() { Cancel(); }
 
-bool HttpExchange::Post(const EncodedRequest& request) {
+bool HttpExchange::Start(const HttpRequest& request) {
   error_words_.clear();
   request_ = evhttp_request_new(&HttpExchange::OnDone, this);
   if (request_ == nullptr) {
@@ -87,11 +87,9 @@
   if (kind_ == Kind::kStream) {
     evhttp_request_set_chunked_cb(request_, &HttpExchange::OnChunk);
   }
-  AddHeaders(request_, request.body.size());
-  evbuffer_add(evhttp_request_get_output_buffer(request_), request.body.data(),
-               request.body.size());
-  if (evhttp_make_request(connection_.get(), request_, EVHTTP_REQ_POST, request.path.c_str()) !=
-      0) {
+  AddContent(request_, request);
+  const evhttp_cmd_type method = request.method == Method::kGet ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+  if (evhttp_make_request(connection_.get(), request_, method, request.path.c_str()) != 0) {
     request_ = nullptr;  // libevent leaves its memory to nobody here; freeing it isn't allowed
     return false;
   }
@@ -122,11 +120,15 @@
   }
 }
 
-void HttpExchange::AddHeaders(evhttp_request* request, std::size_t body_size) const {
+void HttpExchange::AddContent(evhttp_request* request, const HttpRequest& content) const {
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", address_.ToString().c_str());
-  evhttp_add_header(headers, "Content-Type", "application/json");
-  evhttp_add_header(headers, "Content-Length", std::to_string(body_size).c_str());
+  if (content.method == Method::kPost) {
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evhttp_add_header(headers, "Content-Length", std::to_string(content.body.size()).c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(request), content.body.data(),
+                 content.body.size());
+  }
 }
 
 void HttpExchange::Finish(evhttp_request* request) {
@@ -145,4 +147,4 @@
       {status, TakeBytes(evhttp_request_get_input_buffer(request)), RetryAfter(request)});
 }
 
-}  // namespace gaugevalve::store
+}  // namespace gaugevalve::http_client
--- a/libs/store/include/gaugevalve/store/request_scheduler.h
+++ b/libs/store/include/gaugevalve/store/request_scheduler.h
@@ -12,6 +12,7 @@
 #include "gaugevalve/base/random_source.h"
 #include "gaugevalve/base/strong_id.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/http_client/http_types.h"
 #include "gaugevalve/store/backoff.h"
 #include "gaugevalve/store/codec.h"
 #include "gaugevalve/store/request.h"
@@ -59,19 +60,6 @@
 
 using SchedulerAction = std::variant<SendAttempt, CancelAttempt, CompleteRequest>;
 
-// What the shell knows about an attempt that got no whole answer.
-enum class TransportFailure : std::uint8_t {
-  kNotSent,    // no byte reached the store
-  kMaybeSent,  // the store may have the request
-};
-
-// The answer to an attempt.
-struct HttpAnswer {
-  int status = 0;
-  std::string body;
-  std::optional<base::Duration> retry_after;
-};
-
 // Pure core of the store client; not thread-safe.
 //
 // - A token bucket bounds the attempts per second; lease renewals go first, then writes, reads
@@ -91,11 +79,11 @@
   RequestId Submit(Request request, base::TimePoint deadline, base::TimePoint now);
 
   // Reports the whole answer to an attempt. Unknown attempts are ignored.
-  void OnAnswer(AttemptId attempt, const HttpAnswer& answer, base::TimePoint now);
+  void OnAnswer(AttemptId attempt, const http_client::HttpAnswer& answer, base::TimePoint now);
 
   // Reports that an attempt failed without a whole answer. Unknown attempts are ignored.
-  void OnAttemptFailed(AttemptId attempt, TransportFailure failure, const std::string& words,
-                       base::TimePoint now);
+  void OnAttemptFailed(AttemptId attempt, http_client::TransportFailure failure,
+                       const std::string& words, base::TimePoint now);
 
   // Takes a token of the budget for opening a stream and returns when it may be opened.
   base::TimePoint ReserveStreamOpening(base::TimePoint now);
--- a/libs/store/src/request_scheduler.cpp
+++ b/libs/store/src/request_scheduler.cpp
@@ -7,6 +7,9 @@
 namespace gaugevalve::store {
 namespace {
 
+using http_client::HttpAnswer;
+using http_client::TransportFailure;
+
 constexpr int kHttpOk = 200;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpFirstServerError = 500;
--- a/libs/store/src/store_client_shell.cpp
+++ b/libs/store/src/store_client_shell.cpp
@@ -6,6 +6,10 @@
 
 namespace gaugevalve::store {
 
+using http_client::HttpAnswer;
+using http_client::HttpExchange;
+using http_client::TransportFailure;
+
 StoreClientShell::Slot::Slot(StoreClientShell& owner, const base::SocketAddress& address)
     : owner_(owner),
       address_(address),
@@ -13,7 +17,7 @@
 
 void StoreClientShell::Slot::Start(const SendAttempt& action) {
   attempt_ = action.attempt;
-  if (!exchange_.Post(action.encoded)) {
+  if (!exchange_.Start(ToHttpRequest(action.encoded))) {
     owner_.MoveToNextEndpoint();
     owner_.scheduler_.OnAttemptFailed(attempt_, TransportFailure::kNotSent, "can't connect",
                                       owner_.Now());
--- a/libs/store/src/store_client_shell.h
+++ b/libs/store/src/store_client_shell.h
@@ -4,14 +4,20 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
+#include "gaugevalve/http_client/http_exchange.h"
 #include "gaugevalve/store/store_client.h"
 #include "gaugevalve/tasks/timer.h"
-#include "http_exchange.h"
 
 namespace gaugevalve::store {
 
+// Returns the encoded request as it is posted.
+inline http_client::HttpRequest ToHttpRequest(EncodedRequest encoded) {
+  return {http_client::Method::kPost, std::move(encoded.path), std::move(encoded.body)};
+}
+
 // Carries out the scheduler's actions. Owns a connection per concurrent attempt.
 class StoreClientShell {
  public:
@@ -33,7 +39,7 @@
 
  private:
   // One connection and the attempt it carries.
-  class Slot final : public HttpExchangeObserver {
+  class Slot final : public http_client::HttpExchangeObserver {
    public:
     Slot(StoreClientShell& owner, const base::SocketAddress& address);
     void Start(const SendAttempt& action);
@@ -42,13 +48,13 @@
     bool Carries(AttemptId attempt) const { return exchange_.IsBusy() && attempt_ == attempt; }
     const base::SocketAddress& Address() const { return address_; }
 
-    void OnHttpAnswer(const HttpAnswer& answer) override;
-    void OnHttpFailure(TransportFailure failure, const std::string& words) override;
+    void OnHttpAnswer(const http_client::HttpAnswer& answer) override;
+    void OnHttpFailure(http_client::TransportFailure failure, const std::string& words) override;
 
    private:
     StoreClientShell& owner_;
     base::SocketAddress address_;
-    HttpExchange exchange_;
+    http_client::HttpExchange exchange_;
     AttemptId attempt_;
   };
 
--- a/libs/store/src/stream_watch.cpp
+++ b/libs/store/src/stream_watch.cpp
@@ -6,6 +6,10 @@
 #include "gaugevalve/base/finding.h"
 
 namespace gaugevalve::store {
+
+using http_client::HttpAnswer;
+using http_client::HttpExchange;
+using http_client::TransportFailure;
 namespace {
 
 constexpr base::Duration kReadTimeout = std::chrono::seconds(10);
@@ -89,7 +93,7 @@
   session_.OnStreamStarted(client_.Now());
   stream_ = std::make_unique<HttpExchange>(client_.loop(), client_.CurrentEndpoint(),
                                            HttpExchange::Kind::kStream, *this);
-  if (!stream_->Post(*std::exchange(opening_, std::nullopt))) {
+  if (!stream_->Start(ToHttpRequest(*std::exchange(opening_, std::nullopt)))) {
     OnHttpFailure(TransportFailure::kNotSent, "can't connect");
   }
   ArmTimer();
