--- a/examples/lease/src/main.cpp
+++ b/examples/lease/src/main.cpp
@@ -9,7 +9,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <memory>
 #include <random>
 #include <stdexcept>
 #include <string>
@@ -20,6 +19,8 @@
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/lease/lease_task.h"
 #include "gaugevalve/store/store_client.h"
+#include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/watch.h"
 #include "gaugevalve/telemetry/event.h"
 #include "gaugevalve/telemetry/logging.h"
 
@@ -32,16 +33,9 @@
 namespace base = gaugevalve::base;
 namespace lease = gaugevalve::lease;
 namespace store = gaugevalve::store;
+namespace tasks = gaugevalve::tasks;
 namespace telemetry = gaugevalve::telemetry;
 
-struct EventBaseDeleter {
-  void operator()(event_base* loop) const { event_base_free(loop); }
-};
-
-struct EventDeleter {
-  void operator()(event* signal) const { event_free(signal); }
-};
-
 const char* NameOf(lease::LeaseStatus status) {
   switch (status) {
     case lease::LeaseStatus::kNotHeld:
@@ -62,10 +56,6 @@
       .Field("renewal_fails", view.renewal_fails);
 }
 
-void OnStopSignal(evutil_socket_t /*signal*/, short /*events*/, void* loop) {
-  event_base_loopbreak(static_cast<event_base*>(loop));
-}
-
 store::StoreClientSettings ClientSettings() {
   const std::string text = absl::GetFlag(FLAGS_store);
   const auto address = base::SocketAddress::Parse(text);
@@ -79,10 +69,9 @@
 
 void Run() {
   const telemetry::LoggingSession logging(telemetry::Level::kInfo);
-  const std::unique_ptr<event_base, EventBaseDeleter> loop(event_base_new());
-  const std::unique_ptr<event, EventDeleter> interrupt(
-      evsignal_new(loop.get(), SIGINT, &OnStopSignal, loop.get()));
-  event_add(interrupt.get(), nullptr);
+  const tasks::LoopPointer loop = tasks::MakeLoop();
+  const auto on_interrupt =
+      tasks::Watch::Signal(loop.get(), SIGINT, [&loop] { event_base_loopbreak(loop.get()); });
   const base::SystemClock clock;
   std::random_device seeds;
   store::StoreClient client(loop.get(), ClientSettings(), clock, seeds());
--- a/libs/lease/tests/lease_holder_test.cpp
+++ b/libs/lease/tests/lease_holder_test.cpp
@@ -168,7 +168,7 @@
 
   base::ManualClock clock_;
   base::Duration store_time_{};
-  standin::MvccStore store_;
+  standins::MvccStore store_;
   std::optional<store::Result> answer_;  // given to every request while set
 };
 
--- a/libs/store/tests/store_client_test.cpp
+++ b/libs/store/tests/store_client_test.cpp
@@ -51,7 +51,7 @@
  public:
   void setUp() override {
     loop_.reset(event_base_new());
-    server_ = std::make_unique<standin::StoreServer>(loop_.get(), LoopbackAnyPort(), clock_);
+    server_ = std::make_unique<standins::StoreServer>(loop_.get(), LoopbackAnyPort(), clock_);
     StoreClientSettings settings;
     settings.endpoints = {server_->BoundAddress()};
     settings.scheduler.requests_per_second = 1000;
@@ -96,7 +96,7 @@
   }
 
   void RefusedConnectionIsRefusedAndRecovers() {
-    SetFaults({.outage = standin::Outage::kRefuse});
+    SetFaults({.outage = standins::Outage::kRefuse});
     const Result refused = Call(PutRequest{"a", "1", LeaseId{}}, std::chrono::milliseconds(200));
     CPPUNIT_ASSERT(refused.outcome == Outcome::kRefused);
     SetFaults({});
@@ -104,7 +104,7 @@
   }
 
   void HangingStoreEndsAtTheDeadline() {
-    SetFaults({.outage = standin::Outage::kHang});
+    SetFaults({.outage = standins::Outage::kHang});
     const Result put = Call(PutRequest{"a", "1", LeaseId{}}, std::chrono::milliseconds(200));
     CPPUNIT_ASSERT(put.outcome == Outcome::kUnknown);
     CPPUNIT_ASSERT(put.reason == Reason::kDeadline);
@@ -125,7 +125,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, observer.snapshots.at(0).key_values.size());
     Call(PutRequest{"w/2", "new", LeaseId{}});
     RunUntil([&] { return observer.events.size() == 1; });
-    SetFaults({.outage = standin::Outage::kRefuse});
+    SetFaults({.outage = standins::Outage::kRefuse});
     RunUntil([&] { return !observer.streaming; });
     SetFaults({});
     Call(PutRequest{"w/3", "after", LeaseId{}});
@@ -142,7 +142,7 @@
     const auto watch = StartWatch(observer, std::chrono::seconds(60));
     RunUntil([&] { return observer.streaming; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, observer.snapshots.at(0).key_values.size());
-    SetFaults({.outage = standin::Outage::kRefuse});
+    SetFaults({.outage = standins::Outage::kRefuse});
     RunUntil([&] { return !observer.streaming; });
     for (const LeaseId lease : server_->Store().Leases()) {
       server_->ExpireLease(lease);
@@ -176,7 +176,7 @@
     return {std::chrono::milliseconds(20), std::chrono::milliseconds(100)};
   }
 
-  void SetFaults(const standin::FaultSettings& faults) { server_->SetFaults(faults); }
+  void SetFaults(const standins::FaultSettings& faults) { server_->SetFaults(faults); }
 
   Result Call(Request request, base::Duration timeout = kPatience) {
     std::optional<Result> end;
@@ -224,7 +224,7 @@
 
   base::SystemClock clock_;
   std::unique_ptr<event_base, EventBaseDeleter> loop_;
-  std::unique_ptr<standin::StoreServer> server_;
+  std::unique_ptr<standins::StoreServer> server_;
   std::unique_ptr<StoreClient> client_;
 };
 
--- a/proofs/lease/src/lease_world.cpp
+++ b/proofs/lease/src/lease_world.cpp
@@ -157,7 +157,7 @@
 store::Result LeaseWorld::Apply(const store::Request& request) {
   try {
     return store::Result::Ok(store_.Apply(request, now_));
-  } catch (const standin::StoreError& error) {
+  } catch (const standins::StoreError& error) {
     return store::Result::Failed(store::Outcome::kRefused, store::Reason::kInvalid, error.what());
   }
 }
--- a/proofs/lease/src/lease_world.h
+++ b/proofs/lease/src/lease_world.h
@@ -87,7 +87,7 @@
 
   LeaseWorldSettings settings_;
   base::TimePoint now_{};  // the store's time line
-  standin::MvccStore store_;
+  standins::MvccStore store_;
   std::vector<Holder> holders_;
   std::deque<store::Request> late_;
   std::vector<lease::FencingToken> actions_;  // on their way to the resource
--- a/standins/store/src/fault_settings.h
+++ b/standins/store/src/fault_settings.h
@@ -7,7 +7,7 @@
 
 #include "gaugevalve/base/time.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 // How the store is away.
 enum class Outage : std::uint8_t {
@@ -20,11 +20,11 @@
 // All faults; the default is none.
 struct FaultSettings {
   Outage outage = Outage::kNone;
-  base::Duration delay{};          // between applying a request and answering it
-  double requests_per_second = 0;  // above 0: more are answered 429, over a burst of a second
+  base::Duration delay{};                 // between applying a request and answering it
+  std::uint32_t requests_per_second = 0;  // above 0: more are answered 429, after a second's burst
   // Answers to this many of the next writes are lost after the write took effect: the connection
   // is closed instead.
-  std::int64_t lost_answers = 0;
+  std::uint32_t lost_answers = 0;
   bool stale_watches = false;  // streams stay open and deliver nothing
 
   friend bool operator==(const FaultSettings&, const FaultSettings&) = default;
@@ -33,9 +33,9 @@
 // Returns `current` with the fields that the JSON object names replaced: "outage" ("none",
 // "refuse", "hang", "unavailable"), "delay_ms", "requests_per_second", "lost_answers",
 // "stale_watches". Throws base::FindingsError with every fault found.
-FaultSettings ParseFaults(std::string_view text, const FaultSettings& current);
+FaultSettings FaultsFromJson(const FaultSettings& current, std::string_view text);
 
-// Returns the settings as the JSON that ParseFaults() reads.
-std::string FormatFaults(const FaultSettings& faults);
+// Returns the settings as the JSON that FaultsFromJson() reads.
+std::string FaultsToJson(const FaultSettings& faults);
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/gateway_codec.cpp
+++ b/standins/store/src/gateway_codec.cpp
@@ -6,7 +6,7 @@
 
 #include "absl/strings/escaping.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 namespace {
 
 using Json = nlohmann::json;
@@ -337,4 +337,4 @@
   return 500;
 }
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/gateway_codec.h
+++ b/standins/store/src/gateway_codec.h
@@ -10,7 +10,7 @@
 #include "gaugevalve/store/response.h"
 #include "mvcc_store.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 // Reads the request posted to `path`. Returns nothing for an unknown path; throws StoreError
 // (kInvalidArgument) for a body it can't read.
@@ -28,4 +28,4 @@
 // Returns the HTTP status that the gateway gives for a gRPC status.
 int HttpStatus(store::StatusCode code);
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/main.cpp
+++ b/standins/store/src/main.cpp
@@ -1,5 +1,10 @@
 // standin-store: stands in for the platform's key-value service in tests and on one machine. It
 // speaks the part of the etcd v3 JSON gateway that gaugevalve uses and keeps everything in memory.
+// See docs/operators/store.md.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
 #include <event2/event.h>
 #include <prometheus/registry.h>
 
@@ -7,63 +12,55 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
-#include <stdexcept>
 #include <string>
 
-#include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
 #include "gaugevalve/base/clock.h"
+#include "gaugevalve/base/finding.h"
+#include "gaugevalve/standins/address_flags.h"
+#include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/watch.h"
 #include "gaugevalve/telemetry/admin_server.h"
 #include "gaugevalve/telemetry/event.h"
 #include "gaugevalve/telemetry/logging.h"
-#include "store_admin.h"
+#include "store_pages.h"
 #include "store_server.h"
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address of the store's gateway; port 0: any");
-ABSL_FLAG(std::string, admin, "127.0.0.1:0", "address of the admin port; port 0: any");
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:port of the store's gateway; port 0: any");
+ABSL_FLAG(std::string, admin, "127.0.0.1:0",
+          "IP:port of /admin/{faults,counters,leases,leases/expire,compact}; port 0: any");
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 namespace {
 
-struct EventBaseDeleter {
-  void operator()(event_base* base) const { event_base_free(base); }
-};
+constexpr int kExitUsage = 2;
 
-struct EventDeleter {
-  void operator()(event* signal) const { event_free(signal); }
+struct Addresses {
+  base::SocketAddress listen;
+  base::SocketAddress admin;
 };
 
-using EventPointer = std::unique_ptr<event, EventDeleter>;
-
-void OnStopSignal(evutil_socket_t /*signal*/, short /*events*/, void* base) {
-  event_base_loopbreak(static_cast<event_base*>(base));
-}
-
-EventPointer StopOn(int signal, event_base* base) {
-  EventPointer event(evsignal_new(base, signal, &OnStopSignal, base));
-  event_add(event.get(), nullptr);
-  return event;
-}
-
-base::SocketAddress ParseAddress(const std::string& flag, const std::string& text) {
-  const auto address = base::SocketAddress::Parse(text);
-  if (!address) {
-    throw std::invalid_argument("--" + flag + ": not an address with a port: " + text);
+Addresses ReadAddressFlags() {
+  base::Findings findings;
+  Addresses addresses;
+  addresses.listen = ReadAddress("--listen", absl::GetFlag(FLAGS_listen), findings);
+  addresses.admin = ReadAddress("--admin", absl::GetFlag(FLAGS_admin), findings);
+  if (!findings.empty()) {
+    throw base::FindingsError(findings);
   }
-  return *address;
+  return addresses;
 }
 
-void Run() {
-  const telemetry::LoggingSession logging(telemetry::Level::kInfo);
-  const std::unique_ptr<event_base, EventBaseDeleter> loop(event_base_new());
+void Serve() {
+  const Addresses addresses = ReadAddressFlags();
+  const tasks::LoopPointer loop = tasks::MakeLoop();
+  const auto stop = [&loop] { event_base_loopbreak(loop.get()); };
+  const auto on_terminate = tasks::Watch::Signal(loop.get(), SIGTERM, stop);
+  const auto on_interrupt = tasks::Watch::Signal(loop.get(), SIGINT, stop);
   const base::SystemClock clock;
-  StoreServer server(loop.get(), ParseAddress("listen", absl::GetFlag(FLAGS_listen)), clock);
-  telemetry::AdminServer admin(loop.get(), ParseAddress("admin", absl::GetFlag(FLAGS_admin)),
+  StoreServer server(loop.get(), addresses.listen, clock);
+  telemetry::AdminServer admin(loop.get(), addresses.admin,
                                std::make_shared<prometheus::Registry>());
-  AddStoreAdminHandlers(admin, server);
-  const EventPointer interrupt = StopOn(SIGINT, loop.get());
-  const EventPointer terminate = StopOn(SIGTERM, loop.get());
+  AddStorePages(admin, server);
   telemetry::Event(telemetry::Level::kInfo, "standin_store_started")
       .Field("listen", server.BoundAddress())
       .Field("admin", admin.BoundAddress());
@@ -71,14 +68,20 @@
 }
 
 }  // namespace
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
-      "Stand-in for the platform's store: etcd v3 JSON gateway, in memory, with faults.");
+      "The platform's store for tests: the etcd v3 JSON gateway, in memory, with faults set at "
+      "run\n"
+      "time. Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.");
   absl::ParseCommandLine(argc, argv);
+  const gaugevalve::telemetry::LoggingSession logging(gaugevalve::telemetry::Level::kInfo);
   try {
-    gaugevalve::standin::Run();
+    gaugevalve::standins::Serve();
+  } catch (const gaugevalve::base::FindingsError& error) {
+    std::cerr << gaugevalve::base::FormatFindings(error.findings());
+    return gaugevalve::standins::kExitUsage;
   } catch (const std::exception& error) {
     std::cerr << "standin-store: " << error.what() << '\n';
     return EXIT_FAILURE;
--- a/standins/store/src/mvcc_store.cpp
+++ b/standins/store/src/mvcc_store.cpp
@@ -4,7 +4,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 namespace {
 
 using store::StatusCode;
@@ -326,4 +326,4 @@
   }
 }
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/mvcc_store.h
+++ b/standins/store/src/mvcc_store.h
@@ -15,7 +15,7 @@
 #include "gaugevalve/store/request.h"
 #include "gaugevalve/store/response.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 // A request the store answers with an error; nothing of it was applied.
 class StoreError : public std::runtime_error {
@@ -112,4 +112,4 @@
 // Returns true when `key` is in the range of a request with this key and range end.
 bool IsInRange(const std::string& key, const std::string& range_key, const std::string& range_end);
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/request_counters.cpp
+++ b/standins/store/src/request_counters.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 void RequestCounters::Count(const std::string& kind, base::TimePoint now) {
   ++requests_[kind];
@@ -24,4 +24,4 @@
       .dump();
 }
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/request_counters.h
+++ b/standins/store/src/request_counters.h
@@ -7,7 +7,7 @@
 
 #include "gaugevalve/base/time.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 // Requests per kind, and the busiest second. A second is a whole one of the monotonic time line.
 class RequestCounters {
@@ -38,4 +38,4 @@
   std::uint64_t peak_per_second_ = 0;
 };
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/store_server.cpp
+++ b/standins/store/src/store_server.cpp
@@ -11,12 +11,13 @@
 
 #include "gateway_codec.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 namespace {
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
-constexpr timeval kTimerInterval{0, 100'000};  // lease expiry and progress; not the answers' path
+constexpr base::Duration kTimerInterval =
+    std::chrono::milliseconds(100);  // lease expiry and progress; not the answers' path
 
 std::string HostText(const base::SocketAddress& address) {
   const std::string text = address.ToString();
@@ -42,25 +43,21 @@
   int status = 0;
   std::string body;
   bool close = false;
-  std::unique_ptr<event, EventDeleter> timer;
+  std::unique_ptr<tasks::Timer> timer;
 };
 
 void StoreServer::HttpDeleter::operator()(evhttp* http) const { evhttp_free(http); }
 
-void StoreServer::EventDeleter::operator()(event* timer) const { event_free(timer); }
-
 StoreServer::StoreServer(event_base* base, const base::SocketAddress& address,
                          const base::Clock& clock)
-    : base_(base),
-      clock_(clock),
-      address_(address),
-      http_(evhttp_new(base)),
-      timer_(event_new(base, -1, EV_PERSIST, &StoreServer::OnTimer, this)) {
+    : base_(base), clock_(clock), address_(address), http_(evhttp_new(base)), timer_(base, [this] {
+        OnTimer();
+      }) {
   evhttp_set_gencb(http_.get(), &StoreServer::OnRequest, this);
   evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_POST);
   evhttp_set_default_content_type(http_.get(), "application/json");
   Bind();
-  event_add(timer_.get(), &kTimerInterval);
+  timer_.StartPeriodic(kTimerInterval);
 }
 
 StoreServer::~StoreServer() {
@@ -71,8 +68,8 @@
   const Outage previous = std::exchange(faults_, faults).outage;
   rate_limit_.reset();
   if (faults_.requests_per_second > 0) {
-    const double burst = std::max(1.0, faults_.requests_per_second);
-    rate_limit_ = std::make_unique<store::TokenBucket>(faults_.requests_per_second, burst);
+    const double limit = faults_.requests_per_second;
+    rate_limit_ = std::make_unique<store::TokenBucket>(limit, /*burst=*/limit);
   }
   if (faults_.outage == Outage::kRefuse) {
     Unbind();
@@ -102,21 +99,16 @@
   static_cast<StoreServer*>(self)->Forget(connection);
 }
 
-void StoreServer::OnTimer(int /*socket*/, short /*events*/, void* self) {
-  auto* server = static_cast<StoreServer*>(self);
-  const base::TimePoint now = server->clock_.Now();
-  server->store_.ExpireLeases(now);
-  server->NotifyWatches();
-  for (WatchStream& watch : server->watches_) {
-    watch.SendProgressIfDue(server->store_, now);
+void StoreServer::OnTimer() {
+  const base::TimePoint now = clock_.Now();
+  finished_.clear();
+  store_.ExpireLeases(now);
+  NotifyWatches();
+  for (WatchStream& watch : watches_) {
+    watch.SendProgressIfDue(store_, now);
   }
 }
 
-void StoreServer::OnDelayOver(int /*socket*/, short /*events*/, void* delayed) {
-  auto* answer = static_cast<DelayedAnswer*>(delayed);
-  answer->server->FinishDelayed(*answer);
-}
-
 void StoreServer::Bind() {
   bound_ = evhttp_bind_socket_with_handle(http_.get(), HostText(address_).c_str(), address_.port);
   if (bound_ == nullptr) {
@@ -229,23 +221,21 @@
   answer->status = status;
   answer->body = std::move(body);
   answer->close = close;
-  answer->timer.reset(evtimer_new(base_, &StoreServer::OnDelayOver, answer.get()));
-  constexpr base::Duration::rep kMicrosecondsPerSecond = 1'000'000;
-  const timeval interval{delay.count() / kMicrosecondsPerSecond,
-                         delay.count() % kMicrosecondsPerSecond};
-  evtimer_add(answer->timer.get(), &interval);
+  answer->timer =
+      std::make_unique<tasks::Timer>(base_, [this, raw = answer.get()] { FinishDelayed(*raw); });
+  answer->timer->StartOnce(delay);
   delayed_.push_back(std::move(answer));
 }
 
 void StoreServer::FinishDelayed(DelayedAnswer& delayed) {
   const auto position =
       std::ranges::find_if(delayed_, [&](const auto& entry) { return entry.get() == &delayed; });
-  const std::unique_ptr<DelayedAnswer> answer = std::move(*position);
-  delayed_.erase(position);
-  if (answer->close) {
-    evhttp_connection_free(evhttp_request_get_connection(answer->request));
+  // Destroyed later: this runs in the answer's own timer.
+  finished_.splice(finished_.end(), delayed_, position);
+  if (delayed.close) {
+    evhttp_connection_free(evhttp_request_get_connection(delayed.request));
   } else {
-    SendNow(answer->request, answer->status, answer->body);
+    SendNow(delayed.request, delayed.status, delayed.body);
   }
 }
 
@@ -272,4 +262,4 @@
       [this](WatchStream& watch) { return !watch.SendChanges(store_, clock_.Now()); });
 }
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/store_server.h
+++ b/standins/store/src/store_server.h
@@ -10,17 +10,17 @@
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/store/token_bucket.h"
+#include "gaugevalve/tasks/timer.h"
 #include "mvcc_store.h"
 #include "request_counters.h"
 #include "watch_stream.h"
 
-struct event;
 struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 // Runs on the caller's event loop; not thread-safe. It uses libevent's own HTTP server rather than
 // libevhtp, as an answer here may be held back, streamed or thrown away with its connection.
@@ -58,15 +58,11 @@
   struct HttpDeleter {
     void operator()(evhttp* http) const;
   };
-  struct EventDeleter {
-    void operator()(event* timer) const;
-  };
 
   static void OnRequest(evhttp_request* request, void* self);
   static void OnConnectionClosed(evhttp_connection* connection, void* self);
-  static void OnTimer(int socket, short events, void* self);
-  static void OnDelayOver(int socket, short events, void* delayed);
 
+  void OnTimer();
   void Bind();
   void Unbind();
   void Handle(evhttp_request* request);
@@ -88,7 +84,7 @@
   base::SocketAddress address_;
   std::unique_ptr<evhttp, HttpDeleter> http_;
   evhttp_bound_socket* bound_ = nullptr;  // owned by http_; null during a refusing outage
-  std::unique_ptr<event, EventDeleter> timer_;
+  tasks::Timer timer_;
   MvccStore store_;
   RequestCounters counters_;
   FaultSettings faults_;
@@ -96,6 +92,7 @@
   std::set<evhttp_connection*> connections_;
   std::list<WatchStream> watches_;
   std::list<std::unique_ptr<DelayedAnswer>> delayed_;
+  std::list<std::unique_ptr<DelayedAnswer>> finished_;  // sent; freed at the next timer
 };
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/watch_stream.cpp
+++ b/standins/store/src/watch_stream.cpp
@@ -9,7 +9,7 @@
 
 #include "gateway_codec.h"
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 namespace {
 
 constexpr base::Duration kProgressInterval = std::chrono::seconds(10);
@@ -77,4 +77,4 @@
   sent_at_ = now;
 }
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
--- a/standins/store/src/watch_stream.h
+++ b/standins/store/src/watch_stream.h
@@ -8,7 +8,7 @@
 
 struct evhttp_request;
 
-namespace gaugevalve::standin {
+namespace gaugevalve::standins {
 
 // Sends what a watch asked for as chunks of one HTTP answer. The request belongs to its
 // connection; the owner drops the stream when that closes.
@@ -36,4 +36,4 @@
   base::TimePoint sent_at_{};
 };
 
-}  // namespace gaugevalve::standin
+}  // namespace gaugevalve::standins
