--- a/libs/store/include/gaugevalve/store/key_value.h
+++ b/libs/store/include/gaugevalve/store/key_value.h
@@ -14,8 +14,8 @@
 
 // One key as of some revision.
 struct KeyValue {
-  std::string key;
-  std::string value;
+  std::string key{};
+  std::string value{};
   base::Revision create_revision{};  // the write that created the key; 0 when the key is absent
   base::Revision mod_revision{};     // the last write to the key
   std::int64_t version = 0;          // writes since the creation, counted from 1
