--- a/standins/backend/src/datagram_echo.h
+++ b/standins/backend/src/datagram_echo.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <deque>
-#include <string>
 #include <vector>
 
 #include "endpoint_faults.h"
+#include "endpoint_identity.h"
 #include "flow_ledger.h"
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/tasks/timer.h"
@@ -15,12 +15,6 @@
 
 namespace gaugevalve::standins {
 
-// Who the endpoint is.
-struct EndpointIdentity {
-  std::string name;
-  std::string service;
-};
-
 // Reads requests, writes the ledger and answers, under the faults in force. Runs on the loop's
 // thread; `faults` and `ledger` must outlive it.
 class DatagramEcho {
--- a/standins/backend/src/main.cpp
+++ b/standins/backend/src/main.cpp
@@ -3,6 +3,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/time/time.h>
 #include <prometheus/registry.h>
 
 #include <csignal>
@@ -17,21 +18,54 @@
 #include "gaugevalve/standins/address_flags.h"
 #include "gaugevalve/tasks/task.h"
 #include "gaugevalve/telemetry/logging.h"
+#include "http_endpoint.h"
 
 ABSL_FLAG(std::string, name, "endpoint-1", "name of this endpoint, put into every answer");
 ABSL_FLAG(std::string, service, "service", "service this endpoint belongs to");
 ABSL_FLAG(std::string, datagram, "127.0.0.1:0", "IP:port of the UDP echo; port 0: any free one");
+ABSL_FLAG(std::string, http, "127.0.0.1:0",
+          "IP:port of /board, /reservations, /drawings/N, /load and /health; port 0: any free one");
 ABSL_FLAG(std::string, admin, "127.0.0.1:0",
           "IP:port of /healthz, /ledger and /admin/faults; port 0: any free one");
+ABSL_FLAG(std::uint32_t, slots, 7, "requests that run at once");
+ABSL_FLAG(std::uint32_t, queue_limit, 7, "requests that wait for a slot; more are shed");
+ABSL_FLAG(std::uint32_t, max_connections, 2000, "HTTP connections; more are closed as they come");
+ABSL_FLAG(absl::Duration, service_time, absl::Milliseconds(20), "time a request runs when warm");
+ABSL_FLAG(absl::Duration, cold_start, absl::ZeroDuration(),
+          "time from the start until the endpoint is warm");
+ABSL_FLAG(std::uint32_t, cold_slowdown_percent, 500,
+          "service time at the start, in percent of that when warm");
+ABSL_FLAG(absl::Duration, board_interval, absl::Milliseconds(200), "time between board events");
+ABSL_FLAG(std::uint32_t, drawing_bytes, 2 << 20, "size of a drawing, bytes");
 
 namespace gaugevalve::standins {
 namespace {
 
 constexpr int kExitUsage = 2;
 
+base::Duration ReadDuration(const absl::Duration& value) {
+  return base::Duration(absl::ToInt64Microseconds(value));
+}
+
+HttpEndpointSettings ReadHttpSettings(const base::SocketAddress& address) {
+  HttpEndpointSettings settings;
+  settings.address = address;
+  settings.max_connections = absl::GetFlag(FLAGS_max_connections);
+  settings.board_interval = ReadDuration(absl::GetFlag(FLAGS_board_interval));
+  settings.work.slots = absl::GetFlag(FLAGS_slots);
+  settings.work.queue_limit = absl::GetFlag(FLAGS_queue_limit);
+  settings.work.drawing_bytes = absl::GetFlag(FLAGS_drawing_bytes);
+  ServiceTimeSettings& service_time = settings.work.service_time;
+  service_time.when_warm = ReadDuration(absl::GetFlag(FLAGS_service_time));
+  service_time.cold_start = ReadDuration(absl::GetFlag(FLAGS_cold_start));
+  service_time.cold_slowdown_percent = absl::GetFlag(FLAGS_cold_slowdown_percent);
+  return settings;
+}
+
 void Serve() {
   base::Findings findings;
   const auto datagram = ReadAddress("--datagram", absl::GetFlag(FLAGS_datagram), findings);
+  const auto http = ReadAddress("--http", absl::GetFlag(FLAGS_http), findings);
   const auto admin = ReadAddress("--admin", absl::GetFlag(FLAGS_admin), findings);
   if (!findings.empty()) {
     throw base::FindingsError(findings);
@@ -45,15 +79,20 @@
   EndpointFaults faults;
   FlowLedger flows(identity.service);
   const DatagramEcho echo(loop.get(), datagram, identity, faults, flows);
+  RequestLedger requests;
+  const HttpEndpoint http_endpoint(loop.get(), ReadHttpSettings(http), identity, faults, requests);
   telemetry::AdminServer server(loop.get(), admin, std::make_shared<prometheus::Registry>());
   AddBackendPages(server, faults, [&] {
-    return nlohmann::json{
-        {"endpoint", identity.name}, {"service", identity.service}, {"datagram", flows.ToJson()}};
+    return nlohmann::json{{"endpoint", identity.name},
+                          {"service", identity.service},
+                          {"datagram", flows.ToJson()},
+                          {"http", requests.ToJson()}};
   });
   telemetry::Event(telemetry::Level::kInfo, "endpoint_started")
       .Field("name", identity.name)
       .Field("service", identity.service)
       .Field("datagram", echo.BoundAddress())
+      .Field("http", http_endpoint.BoundAddress())
       .Field("admin", server.BoundAddress());
   event_base_dispatch(loop.get());
 }
@@ -63,7 +102,7 @@
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
-      "An endpoint for tests: echoes datagrams with its name and keeps a ledger of what it ran.\n"
+      "An endpoint for tests: answers datagrams and HTTP/1.1 and keeps a ledger of what it ran.\n"
       "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.");
   absl::ParseCommandLine(argc, argv);
   const gaugevalve::telemetry::LoggingSession logging(gaugevalve::telemetry::Level::kInfo);
