--- /dev/null
+++ b/scripts/local/nodes.py
@@ -0,0 +1,130 @@
+"""The processes of a deployment before they run: names, addresses and settings files."""
+
+import dataclasses
+import pathlib
+
+import yaml
+
+from .ports import PortAllocator
+from .specs import DeploymentSpec, ServiceSpec
+
+
+@dataclasses.dataclass(frozen=True)
+class Node:
+    """A balancer or an agent."""
+
+    name: str
+    zone: str
+    data_address: str
+    control_address: str
+    admin_address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """A back end with the agent beside it."""
+
+    name: str
+    service: ServiceSpec
+    datagram_address: str
+    http_address: str
+    admin_address: str
+    agent: Node
+
+
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """Every name and address of a deployment."""
+
+    spec: DeploymentSpec
+    egress_address: str
+    fabric_admin_address: str
+    store_address: str
+    store_admin_address: str
+    virtual_addresses: dict[str, str]
+    balancers: tuple[Node, ...]
+    endpoints: tuple[Endpoint, ...]
+
+    def endpoints_of(self, service_name: str) -> list[Endpoint]:
+        """Returns the endpoints of one service."""
+        return [endpoint for endpoint in self.endpoints if endpoint.service.name == service_name]
+
+
+def make_layout(spec: DeploymentSpec) -> Layout:
+    """Chooses free addresses for every process of the deployment."""
+    ports = PortAllocator()
+
+    def node(name: str, index: int) -> Node:
+        return Node(name, spec.zones[index % len(spec.zones)], ports.next_address(),
+                    ports.next_address(), ports.next_address())
+
+    def endpoint(service: ServiceSpec, index: int) -> Endpoint:
+        name = f"{service.name}-{index + 1}"
+        return Endpoint(name, service, ports.next_address(), ports.next_address(),
+                        ports.next_address(), node(f"agent-{name}", index))
+
+    return Layout(
+        spec=spec,
+        egress_address=ports.next_address(),
+        fabric_admin_address=ports.next_address(),
+        store_address=ports.next_address(),
+        store_admin_address=ports.next_address(),
+        virtual_addresses={service.name: ports.next_address() for service in spec.services},
+        balancers=tuple(node(f"balancer-{index + 1}", index) for index in range(spec.balancers)),
+        endpoints=tuple(endpoint(service, index) for service in spec.services
+                        for index in range(service.endpoints)),
+    )
+
+
+def write_balancer_settings(layout: Layout, balancer: Node, directory: pathlib.Path) -> pathlib.Path:
+    """Writes a balancer's settings file and returns its path."""
+    return _write(_common_settings(layout, balancer, "balancer"), balancer.name, directory)
+
+
+def write_agent_settings(layout: Layout, endpoint: Endpoint,
+                         directory: pathlib.Path) -> pathlib.Path:
+    """Writes the settings file of the agent beside `endpoint` and returns its path."""
+    settings = _common_settings(layout, endpoint.agent, "agent")
+    settings["egress_address"] = layout.egress_address
+    settings["agent"] = {
+        "service": endpoint.service.name,
+        "endpoint": endpoint.name,
+        "datagram_address": endpoint.datagram_address,
+    }
+    return _write(settings, endpoint.agent.name, directory)
+
+
+def _common_settings(layout: Layout, node: Node, role: str) -> dict:
+    return {
+        "name": node.name,
+        "role": role,
+        "region": layout.spec.region,
+        "zone": node.zone,
+        "data_address": node.data_address,
+        "control_address": node.control_address,
+        "admin_address": node.admin_address,
+        "static": _static_settings(layout),
+    }
+
+
+def _static_settings(layout: Layout) -> dict:
+    return {
+        "services": [{
+            "name": service.name,
+            "kind": service.kind,
+            "virtual_address": layout.virtual_addresses[service.name],
+            "bucket_count": service.bucket_count,
+        } for service in layout.spec.services],
+        "agents": [{
+            "node": endpoint.agent.name,
+            "service": endpoint.service.name,
+            "zone": endpoint.agent.zone,
+            "data_address": endpoint.agent.data_address,
+        } for endpoint in layout.endpoints],
+    }
+
+
+def _write(settings: dict, name: str, directory: pathlib.Path) -> pathlib.Path:
+    path = directory / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(settings, sort_keys=False), encoding="utf-8")
+    return path
