--- a/libs/membership/include/gaugevalve/membership/membership_options.h
+++ b/libs/membership/include/gaugevalve/membership/membership_options.h
@@ -37,10 +37,11 @@
   double retransmit_factor = 3.0;  // sends of an update = factor times log10 of the members
   std::size_t update_bytes_per_message = 700;
   double update_bytes_per_second = 2000;  // over all messages
-  double update_burst_bytes = 4000;
+  double update_burst_bytes = 2000;
 
   // Repair.
   base::Duration anti_entropy_interval = std::chrono::seconds(30);
+  base::Duration quick_offer_interval = std::chrono::seconds(2);  // at least, between comparisons
   base::Duration seed_check_interval = std::chrono::seconds(30);
   base::Duration heal_interval = std::chrono::seconds(5);  // between tries of a dead member
   base::Duration fast_heal_interval = std::chrono::milliseconds(500);  // after one has answered
--- a/libs/membership/src/failure_detector.cpp
+++ b/libs/membership/src/failure_detector.cpp
@@ -132,6 +132,7 @@
   proto::MembershipMessage message;
   message.mutable_ping()->set_sequence(sequence);
   message.mutable_ping()->set_target(member.node.value());
+  message.mutable_ping()->set_view_digest(table_.Digest().Whole());
   outbox_.SendTo(member, message);
 }
 
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -52,7 +52,12 @@
 void MemberTable::Forget(base::TimePoint before) {
   for (auto place = members_.begin(); place != members_.end();) {
     const bool is_old = !IsLive(place->second.state) && place->second.changed_at < before;
-    place = is_old ? members_.erase(place) : std::next(place);
+    if (is_old) {
+      Uncount(place->second);
+      place = members_.erase(place);
+    } else {
+      ++place;
+    }
   }
 }
 
@@ -109,11 +114,13 @@
       oldest = place;
     }
   }
+  Uncount(oldest->second);
   members_.erase(oldest);
   return true;
 }
 
 void MemberTable::Count(const Member& member) {
+  fingerprints_.Add(member.node, member.incarnation);
   if (IsLive(member.state)) {
     ++live_count_;
     digest_.Toggle(member);
@@ -121,6 +128,7 @@
 }
 
 void MemberTable::Uncount(const Member& member) {
+  fingerprints_.Remove(member.node, member.incarnation);
   if (IsLive(member.state)) {
     --live_count_;
     digest_.Toggle(member);
--- a/libs/membership/src/member_table.h
+++ b/libs/membership/src/member_table.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "absl/container/btree_map.h"
+#include "fingerprint_index.h"
 #include "gaugevalve/membership/member.h"
 #include "member_record.h"
 #include "table_digest.h"
@@ -57,6 +58,7 @@
   const Member* Find(base::NodeId node) const;
   const Map& Members() const { return members_; }
   const TableDigest& Digest() const { return digest_; }
+  const FingerprintIndex& Fingerprints() const { return fingerprints_; }
   std::size_t LiveCount() const { return live_count_; }
   std::size_t DeadCount() const { return members_.size() - live_count_; }
 
@@ -64,12 +66,14 @@
   MergeResult Add(const MemberRecord& record, base::TimePoint now);
   MergeResult Change(Member& member, const MemberRecord& record, base::TimePoint now);
   bool MakeRoom();
-  void Count(const Member& member);
+  // Keeps count, digest and fingerprints: each change of a member is between the two.
   void Uncount(const Member& member);
+  void Count(const Member& member);
 
   std::size_t maximum_members_;
   Map members_;
   TableDigest digest_;
+  FingerprintIndex fingerprints_;
   std::size_t live_count_ = 0;
 };
 
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t kExpectedConfirmations = 2;
 // Expected number of members that tell one which was taken for dead; all fail to in one of 10^7.
 constexpr double kTellersOfDeath = 16;
+// With this many updates waiting, suspicions by others aren't passed on.
+constexpr std::size_t kManyUpdates = 64;
 // For this long after a dead member answered, others are tried faster.
 constexpr base::Duration kFastHealPeriod = std::chrono::seconds(30);
 
@@ -200,6 +202,25 @@
         ++counters_.malformed_messages;
       }
     }
+    for (const Fingerprint fingerprint : message.dead()) {
+      TakeShortUpdate(fingerprint, MemberState::kDead);
+    }
+    for (const Fingerprint fingerprint : message.refuted()) {
+      TakeShortUpdate(fingerprint, MemberState::kAlive);
+    }
+  }
+
+  // Takes a death at the incarnation known here, or a refutation: alive at the next one. One that
+  // is about an incarnation unknown here is left to the comparison of digests.
+  void TakeShortUpdate(Fingerprint fingerprint, MemberState state) {
+    const std::optional<base::NodeId> node = table_.Fingerprints().Find(fingerprint);
+    if (!node) {
+      return;
+    }
+    const Member* member = table_.Find(*node);
+    const std::uint64_t step = state == MemberState::kAlive ? 1 : 0;
+    TakeRecord({*node, base::Incarnation(member->incarnation.value() + step),
+                member->metadata_version, state, nullptr, 0});
   }
 
   void TakeRecord(const MemberRecord& record) {
@@ -276,7 +297,16 @@
   void ConfirmSuspicion(const MemberRecord& record) {
     if (record.state == MemberState::kSuspect &&
         suspicions_.Confirm(record.node, record.incarnation, record.accuser)) {
-      queue_.Enqueue(record.node, record.accuser);
+      SpreadChange(*table_.Find(record.node), record.accuser);
+    }
+  }
+
+  // Passes news on. When there is very much of it, as at the loss of a zone, suspicions by others
+  // are left out: verdicts matter more, and come without confirmation too, only later.
+  void SpreadChange(const Member& member, AccuserTag accuser) {
+    const bool is_own = accuser == MakeAccuserTag(self_.node);
+    if (member.state != MemberState::kSuspect || is_own || queue_.size() < kManyUpdates) {
+      queue_.Enqueue(member.node, accuser);
     }
   }
 
@@ -284,7 +314,7 @@
                    AccuserTag accuser) {
     const Member member = *table_.Find(node);
     detector_.OnMemberChanged(member);
-    queue_.Enqueue(node, accuser);
+    SpreadChange(member, accuser);
     ReportChange(member, previous);
     if (previous && previous->state == MemberState::kDead) {
       TellOfDeath(member, *previous);
@@ -390,6 +420,7 @@
     switch (message.body_case()) {
       case proto::MembershipMessage::kPing:
         detector_.OnPing(sender, message.ping());
+        exchange_.OnViewDigest(sender, message.ping().view_digest(), queue_.empty(), now_);
         return;
       case proto::MembershipMessage::kIndirectPing:
         detector_.OnIndirectPing(sender, message.indirect_ping(), now_);
--- a/libs/membership/src/outbox.cpp
+++ b/libs/membership/src/outbox.cpp
@@ -33,7 +33,7 @@
 bool Outbox::SendUpdates(const Member& member) {
   proto::MembershipMessage message;
   AddUpdates(message);
-  if (message.updates_size() == 0) {
+  if (message.updates_size() + message.dead_size() + message.refuted_size() == 0) {
     return false;
   }
   Post(member.metadata->control_address, message);
@@ -55,7 +55,6 @@
   if (queue_.empty()) {
     return;
   }
-  constexpr std::size_t kFieldHeaderBytes = 3;  // tag and length before each record
   const std::size_t limit =
       std::min<std::size_t>(options_.update_bytes_per_message, budget_.Available(now_));
   std::size_t used = 0;
@@ -64,19 +63,43 @@
     if (member == nullptr) {
       return true;  // forgotten meanwhile: nothing to send, the entry wears off
     }
-    proto::MemberRecord& record = *message.add_updates();
-    EncodeRecord(*member, RecordDetail::kUpdate, accuser, record);
-    const std::size_t size = record.ByteSizeLong() + kFieldHeaderBytes;
-    if (used + size > limit) {
-      message.mutable_updates()->RemoveLast();
-      return false;
-    }
+    const std::size_t size = AddUpdate(*member, accuser, limit - used, message);
     used += size;
-    return true;
+    return size > 0;
   });
   budget_.TryTake(used, now_);
 }
 
+std::size_t Outbox::AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
+                              proto::MembershipMessage& message) const {
+  const FingerprintIndex& index = table_.Fingerprints();
+  const Fingerprint now_at = FingerprintIndex::Of(member.node, member.incarnation);
+  const bool has_short_form = index.Find(now_at) == member.node;
+  const bool is_refutation = member.state == MemberState::kAlive &&  //
+                             member.incarnation > member.metadata_version;
+  if (has_short_form && (member.state == MemberState::kDead || is_refutation)) {
+    if (room < sizeof(Fingerprint)) {
+      return 0;
+    }
+    if (is_refutation) {
+      const base::Incarnation refuted(member.incarnation.value() - 1);
+      message.add_refuted(FingerprintIndex::Of(member.node, refuted));
+    } else {
+      message.add_dead(now_at);
+    }
+    return sizeof(Fingerprint);
+  }
+  constexpr std::size_t kFieldHeaderBytes = 3;  // tag and length before each record
+  proto::MemberRecord& record = *message.add_updates();
+  EncodeRecord(member, RecordDetail::kUpdate, accuser, record);
+  const std::size_t size = record.ByteSizeLong() + kFieldHeaderBytes;
+  if (size > room) {
+    message.mutable_updates()->RemoveLast();
+    return 0;
+  }
+  return size;
+}
+
 void Outbox::Post(const base::SocketAddress& destination, const proto::MembershipMessage& message) {
   actions_->messages.push_back({destination, message.SerializeAsString()});
 }
--- a/libs/membership/src/outbox.h
+++ b/libs/membership/src/outbox.h
@@ -37,6 +37,10 @@
 
  private:
   void AddUpdates(proto::MembershipMessage& message);
+  // Adds a member's record in its shortest form if it takes at most `room` bytes; returns its size,
+  // 0 when it doesn't fit.
+  std::size_t AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
+                        proto::MembershipMessage& message) const;
   void Post(const base::SocketAddress& destination, const proto::MembershipMessage& message);
 
   base::NodeId self_;
--- a/libs/membership/src/state_exchange.cpp
+++ b/libs/membership/src/state_exchange.cpp
@@ -29,7 +29,8 @@
       random_(random),
       counters_(counters),
       sink_(std::move(sink)),
-      pages_(options.pages_per_second, options.pages_per_second) {}
+      pages_(options.pages_per_second, options.pages_per_second),
+      quick_offer_interval_(options.quick_offer_interval) {}
 
 void StateExchange::Start(base::TimePoint now) {
   seeds_ = OtherSeeds(options_, table_.Find(self_)->metadata->control_address);
@@ -51,6 +52,11 @@
   }
   ++counters_.pages_served;
   proto::MembershipMessage message;
+  const Member* requester = table_.Find(sender.node);
+  if (requester != nullptr && requester->incarnation > sender.incarnation) {
+    // Its clock was set back: it must go above its former life before it counts as joined.
+    EncodeRecord(*requester, RecordDetail::kState, MakeAccuserTag(self_), *message.add_updates());
+  }
   proto::StatePage& page = *message.mutable_state_page();
   page.set_after(request.after());
   std::size_t used = 0;
@@ -87,6 +93,20 @@
   RequestPage(now);
 }
 
+void StateExchange::OnViewDigest(const transport::SenderIdentity& sender, std::uint32_t digest,
+                                 bool has_no_news, base::TimePoint now) {
+  if (digest == table_.Digest().Whole()) {
+    quick_offer_interval_ = options_.quick_offer_interval;
+    return;
+  }
+  if (digest == 0 || !has_no_news || now < next_quick_offer_at_) {
+    return;
+  }
+  next_quick_offer_at_ = now + quick_offer_interval_;
+  quick_offer_interval_ = std::min(quick_offer_interval_ * 2, options_.anti_entropy_interval);
+  OfferDigestTo(sender.control_address);
+}
+
 void StateExchange::OnDigestOffer(const transport::SenderIdentity& sender,
                                   const proto::DigestOffer& offer) {
   const std::vector<std::size_t> buckets = DifferingBuckets(offer);
--- a/libs/membership/src/state_exchange.h
+++ b/libs/membership/src/state_exchange.h
@@ -36,6 +36,11 @@
                       base::TimePoint now);
   void OnStatePage(const transport::SenderIdentity& sender, const proto::StatePage& page,
                    base::TimePoint now);
+  // Takes the digest of a sender's whole view. When it differs and this node has no news left to
+  // spread (so the difference won't end by itself), compares in detail, ever more rarely as long as
+  // the views don't become the same. A zero digest is of a ping that doesn't carry one.
+  void OnViewDigest(const transport::SenderIdentity& sender, std::uint32_t digest, bool has_no_news,
+                    base::TimePoint now);
   void OnDigestOffer(const transport::SenderIdentity& sender, const proto::DigestOffer& offer);
   void OnBucketSummary(const transport::SenderIdentity& sender,
                        const proto::BucketSummary& summary);
@@ -85,6 +90,8 @@
   base::TimePoint page_deadline_{};
   base::TimePoint next_offer_at_{};
   base::TimePoint next_seed_check_at_{};
+  base::TimePoint next_quick_offer_at_{};
+  base::Duration quick_offer_interval_;
 
   std::vector<base::NodeId> missing_;
   absl::btree_map<base::NodeId, base::TimePoint> requested_at_;
--- a/libs/membership/src/table_digest.h
+++ b/libs/membership/src/table_digest.h
@@ -23,8 +23,12 @@
 
   const std::array<std::uint32_t, kBuckets>& Buckets() const { return buckets_; }
 
+  // Returns one hash of all live members.
+  std::uint32_t Whole() const { return whole_; }
+
  private:
   std::array<std::uint32_t, kBuckets> buckets_{};
+  std::uint32_t whole_ = 0;
 };
 
 }  // namespace gaugevalve::membership
--- /dev/null
+++ b/proofs/membership/src/membership_world.cpp
@@ -0,0 +1,171 @@
+#include "membership_world.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace gaugevalve::proofs {
+namespace {
+
+constexpr base::Duration kLookInterval = std::chrono::milliseconds(50);
+// The views of healed groups must be true after this long.
+constexpr base::Duration kConvergenceLimit = std::chrono::minutes(2);
+
+simulation::NetworkModel MakeNetwork() {
+  return {{{"north", "north-1"}, {"north", "north-2"}, {"south", "south-1"}},
+          simulation::LatencyProfile{}};
+}
+
+}  // namespace
+
+MembershipWorld::MembershipWorld(std::uint64_t seed, const membership::InjectedFaults& faults)
+    : simulator_(seed, MakeNetwork()) {
+  membership_simulation::HollowGroupSettings settings;
+  settings.members = kMembers;
+  settings.options.faults = faults;
+  settings.listener = [this](simulation::NodeIndex, const membership::MembershipEvent& event) {
+    OnEvent(event);
+  };
+  group_ = std::make_unique<membership_simulation::HollowGroup>(simulator_, settings);
+  NoteIssuedIncarnations();
+}
+
+void MembershipWorld::Run(base::Duration duration) {
+  const base::TimePoint end = simulator_.Now() + duration;
+  while (simulator_.Now() < end) {
+    simulator_.RunFor(std::min<base::Duration>(kLookInterval, end - simulator_.Now()));
+    NoteIssuedIncarnations();
+    LookAtViews();
+  }
+}
+
+void MembershipWorld::Kill(std::size_t member) { group_->Kill(member); }
+
+void MembershipWorld::Restart(std::size_t member) {
+  ++totals_.restarts;
+  group_->Restart(member);
+}
+
+void MembershipWorld::Freeze(std::size_t member) { simulator_.Freeze(group_->Index(member)); }
+
+void MembershipWorld::Thaw(std::size_t member) { simulator_.Thaw(group_->Index(member)); }
+
+void MembershipWorld::Leave(std::size_t member) {
+  if (IsRunning(member)) {
+    group_->Leave(member);
+  }
+}
+
+void MembershipWorld::ToggleLeavingMark(std::size_t member) {
+  if (!IsRunning(member)) {
+    return;
+  }
+  membership::MembershipRunner& runner = group_->Life(member).Runner();
+  membership::MemberMetadata metadata = *runner.Core().Self().metadata;
+  metadata.leaving = !metadata.leaving;
+  runner.UpdateMetadata(metadata);
+}
+
+void MembershipWorld::Isolate(std::size_t member) {
+  simulator_.Network().IsolateNode(group_->Index(member));
+}
+
+void MembershipWorld::BlockOneWay(std::size_t from, std::size_t to) {
+  simulator_.Network().BlockNodes(group_->Index(from), group_->Index(to));
+}
+
+void MembershipWorld::SplitRegions() { simulator_.Network().BlockRegions("north", "south"); }
+
+void MembershipWorld::EndPartitions() { simulator_.Network().HealPartitions(); }
+
+void MembershipWorld::SetNoise(double probability) {
+  simulator_.Network().SetFaults(
+      {.loss = probability, .duplication = probability, .reordering = probability});
+}
+
+void MembershipWorld::Heal() {
+  EndPartitions();
+  SetNoise(0);
+  for (std::size_t member = 0; member < kMembers; ++member) {
+    Thaw(member);
+    const bool is_seed = member < kSeeds;
+    if (is_seed && !IsRunning(member)) {
+      Restart(member);
+    }
+  }
+  const base::TimePoint end = simulator_.Now() + kConvergenceLimit;
+  while (simulator_.Now() < end && !group_->HasConverged()) {
+    Run(std::chrono::milliseconds(500));
+  }
+  std::string difference;
+  if (!violation_ && !group_->HasConverged(&difference)) {
+    violation_ = "views did not become true: " + difference;
+  }
+}
+
+bool MembershipWorld::IsRunning(std::size_t member) const { return group_->IsRunning(member); }
+
+void MembershipWorld::OnEvent(const membership::MembershipEvent& event) {
+  switch (event.kind) {
+    case membership::EventKind::kFailed:
+      ++totals_.deaths_reported;
+      return;
+    case membership::EventKind::kRecovered:
+      ++totals_.recoveries;
+      return;
+    case membership::EventKind::kSelfDeclaredDead:
+      ++totals_.told_of_own_death;
+      return;
+    default:
+      return;
+  }
+}
+
+void MembershipWorld::NoteIssuedIncarnations() {
+  for (std::size_t member = 0; member < kMembers; ++member) {
+    if (simulator_.State(group_->Index(member)) == simulation::NodeState::kDead) {
+      continue;
+    }
+    const membership::Member& self = group_->Life(member).Core().Self();
+    issued_[self.node] = std::max(issued_[self.node], self.incarnation);
+  }
+}
+
+void MembershipWorld::LookAtViews() {
+  for (std::size_t observer = 0; observer < kMembers; ++observer) {
+    if (IsRunning(observer)) {
+      group_->Life(observer).Core().ForEach(
+          [&](const membership::Member& seen) { LookAtMember(observer, seen); });
+    }
+  }
+}
+
+void MembershipWorld::LookAtMember(std::size_t observer, const membership::Member& seen) {
+  const base::Incarnation observer_life = group_->Life(observer).Core().Self().metadata->life;
+  const Knowledge now{seen.incarnation, seen.state, seen.metadata->life};
+  const auto [place, is_new] = known_.try_emplace({observer, observer_life, seen.node}, now);
+  const Knowledge before = std::exchange(place->second, now);
+  if (!is_new &&
+      std::tie(now.incarnation, now.state) < std::tie(before.incarnation, before.state)) {
+    Break("knowledge got older", observer, seen);
+  }
+  if (!is_new && now.life < before.life) {
+    Break("a newer life was taken for an older one", observer, seen);
+  }
+  if (now.incarnation > issued_[seen.node]) {
+    Break("an incarnation that the member never had", observer, seen);
+  }
+}
+
+void MembershipWorld::Break(const std::string& rule, std::size_t observer,
+                            const membership::Member& seen) {
+  if (violation_) {
+    return;
+  }
+  std::ostringstream text;
+  text << rule << ": member " << observer << " sees node " << seen.node << " "
+       << membership::MemberStateName(seen.state) << " at " << seen.incarnation << ", life "
+       << seen.metadata->life;
+  violation_ = text.str();
+}
+
+}  // namespace gaugevalve::proofs
