--- a/libs/membership/include/gaugevalve/membership_simulation/hollow_group.h
+++ b/libs/membership/include/gaugevalve/membership_simulation/hollow_group.h
@@ -38,8 +38,8 @@
   const HollowMember& Life(std::size_t member) const;
 
   void Kill(std::size_t member);
-  // Starts a new life that knows only the seeds.
-  void Restart(std::size_t member);
+  // Starts a new life that knows only the seeds; its wall clock is slow by `clock_error`.
+  void Restart(std::size_t member, base::Duration clock_error = base::Duration(0));
   // Says farewell; Kill() follows when the caller likes.
   void Leave(std::size_t member);
 
--- a/libs/membership/src/fingerprint_index.h
+++ b/libs/membership/src/fingerprint_index.h
@@ -1,4 +1,4 @@
-// Short names for (node, incarnation), to say in four bytes what a record says in twenty.
+// Short names for versions of members, to say in four bytes what a record says in twenty.
 #pragma once
 
 #include <cstdint>
@@ -16,11 +16,17 @@
 // still be mistaken for a known one, once in a million such updates; that one then refutes.
 class FingerprintIndex {
  public:
-  static Fingerprint Of(base::NodeId node, base::Incarnation incarnation);
-
-  void Add(base::NodeId node, base::Incarnation incarnation);
+  // Returns the fingerprint of a node at an incarnation, with its metadata as of a version: a node
+  // that hasn't that metadata must not take a refutation for it.
+  static Fingerprint Of(base::NodeId node, base::Incarnation incarnation,
+                        base::Incarnation metadata_version);
+  static Fingerprint Of(const Member& member) {
+    return Of(member.node, member.incarnation, member.metadata_version);
+  }
+
+  void Add(const Member& member);
   // Removes what Add() added. A shared fingerprint stays unusable.
-  void Remove(base::NodeId node, base::Incarnation incarnation);
+  void Remove(const Member& member);
 
   std::optional<base::NodeId> Find(Fingerprint fingerprint) const;
 
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -120,7 +120,7 @@
 }
 
 void MemberTable::Count(const Member& member) {
-  fingerprints_.Add(member.node, member.incarnation);
+  fingerprints_.Add(member);
   if (IsLive(member.state)) {
     ++live_count_;
     digest_.Toggle(member);
@@ -128,7 +128,7 @@
 }
 
 void MemberTable::Uncount(const Member& member) {
-  fingerprints_.Remove(member.node, member.incarnation);
+  fingerprints_.Remove(member);
   if (IsLive(member.state)) {
     --live_count_;
     digest_.Toggle(member);
--- a/libs/membership/src/outbox.cpp
+++ b/libs/membership/src/outbox.cpp
@@ -73,7 +73,7 @@
 std::size_t Outbox::AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
                               proto::MembershipMessage& message) const {
   const FingerprintIndex& index = table_.Fingerprints();
-  const Fingerprint now_at = FingerprintIndex::Of(member.node, member.incarnation);
+  const Fingerprint now_at = FingerprintIndex::Of(member);
   const bool has_short_form = index.Find(now_at) == member.node;
   const bool is_refutation = member.state == MemberState::kAlive &&  //
                              member.incarnation > member.metadata_version;
@@ -83,7 +83,7 @@
     }
     if (is_refutation) {
       const base::Incarnation refuted(member.incarnation.value() - 1);
-      message.add_refuted(FingerprintIndex::Of(member.node, refuted));
+      message.add_refuted(FingerprintIndex::Of(member.node, refuted, member.metadata_version));
     } else {
       message.add_dead(now_at);
     }
--- a/libs/membership/src/simulation/hollow_group.cpp
+++ b/libs/membership/src/simulation/hollow_group.cpp
@@ -70,10 +70,10 @@
 
 void HollowGroup::Kill(std::size_t member) { simulator_.Kill(Index(member)); }
 
-void HollowGroup::Restart(std::size_t member) {
+void HollowGroup::Restart(std::size_t member, base::Duration clock_error) {
   Entry& entry = members_.at(member);
   entry.has_left = false;
-  entry.metadata.life = LifeAt(simulator_.Now());
+  entry.metadata.life = LifeAt(simulator_.Now() - clock_error);
   simulator_.Restart(entry.index, MakeLife(member, false));
 }
 
--- a/libs/membership/tests/membership_test.cpp
+++ b/libs/membership/tests/membership_test.cpp
@@ -7,6 +7,8 @@
 #include <map>
 #include <set>
 
+#include "fingerprint_index.h"
+#include "gaugevalve/membership/membership.pb.h"
 #include "gaugevalve/membership_simulation/hollow_group.h"
 
 namespace gaugevalve::membership {
@@ -32,6 +34,8 @@
   CPPUNIT_TEST(MetadataChangeIsSeenByAll);
   CPPUNIT_TEST(FormerLifeEndsWhenItMeetsItsSuccessor);
   CPPUNIT_TEST(SuccessorAtTheAddressDoesNotAnswerForAnother);
+  CPPUNIT_TEST(ShortRefutationNeedsItsMetadata);
+  CPPUNIT_TEST(RestartWithAClockSetBackIsANewLife);
   CPPUNIT_TEST(LongNamesAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -169,6 +173,43 @@
     CPPUNIT_ASSERT(group_->Life(3).Core().Find(settings.node)->state == MemberState::kAlive);
   }
 
+  // Found by the proof: a member that had missed a change, but not the death after it, took the
+  // refutation of that death together with the metadata of before the change.
+  void ShortRefutationNeedsItsMetadata() {
+    constexpr base::NodeId kOther(9);
+    constexpr base::Incarnation kKnown(10);
+    constexpr base::Incarnation kDiedAt(11);  // where its metadata had changed too
+    Member other{
+        kOther, kKnown, kKnown, MemberState::kAlive, {}, std::make_shared<MemberMetadata>()};
+    Membership core(base::NodeId(1), {}, {}, kSeed);
+    core.Preload({&other, 1});
+    MembershipActions actions;
+    core.Start({}, actions);
+    proto::MembershipMessage message;
+    proto::MemberRecord& death = *message.add_updates();
+    death.set_node(kOther.value());
+    death.set_incarnation(kDiedAt.value());
+    death.set_state(proto::MEMBER_STATE_DEAD);
+    message.add_refuted(FingerprintIndex::Of(kOther, kDiedAt, kDiedAt));
+    const transport::SenderIdentity sender{base::NodeId(2), {}, {}, {}};
+    core.OnMessage(sender, message.SerializeAsString(), {}, actions);
+    CPPUNIT_ASSERT(core.Find(kOther)->incarnation == kDiedAt);
+    CPPUNIT_ASSERT(core.Find(kOther)->state == MemberState::kDead);
+  }
+
+  void RestartWithAClockSetBackIsANewLife() {
+    MakeGroup(true);
+    simulator_->RunFor(seconds(5));
+    const base::Incarnation former = group_->Life(9).Core().Self().incarnation;
+    group_->Kill(9);
+    simulator_->RunFor(seconds(1));
+    group_->Restart(9, std::chrono::hours(1));
+    ExpectConvergence(seconds(60));
+    CPPUNIT_ASSERT(group_->Life(9).Core().Self().incarnation > former);
+    CPPUNIT_ASSERT(group_->Life(9).Core().Self().metadata->life < former);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Observers(EventKind::kSelfSuperseded, 9));
+  }
+
   void LongNamesAreRefused() {
     MemberMetadata metadata;
     metadata.zone = std::string(kMaximumNameBytes + 1, 'z');
