--- a/standins/backend/src/main.cpp
+++ b/standins/backend/src/main.cpp
@@ -1,14 +1,11 @@
 // standin-backend: an endpoint of a service for tests and trials. See docs/operators/first-run.md.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/time/time.h>
 #include <prometheus/registry.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +13,7 @@
 #include "datagram_echo.h"
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/standins/address_flags.h"
+#include "gaugevalve/standins/command_line.h"
 #include "gaugevalve/tasks/task.h"
 #include "gaugevalve/telemetry/logging.h"
 #include "http_endpoint.h"
@@ -41,8 +39,6 @@
 namespace gaugevalve::standins {
 namespace {
 
-constexpr int kExitUsage = 2;
-
 base::Duration ReadDuration(const absl::Duration& value) {
   return base::Duration(absl::ToInt64Microseconds(value));
 }
@@ -62,7 +58,8 @@
   return settings;
 }
 
-void Serve() {
+int Serve() {
+  const telemetry::LoggingSession logging(telemetry::Level::kInfo);
   base::Findings findings;
   const auto datagram = ReadAddress("--datagram", absl::GetFlag(FLAGS_datagram), findings);
   const auto http = ReadAddress("--http", absl::GetFlag(FLAGS_http), findings);
@@ -95,25 +92,16 @@
       .Field("http", http_endpoint.BoundAddress())
       .Field("admin", server.BoundAddress());
   event_base_dispatch(loop.get());
+  return EXIT_SUCCESS;
 }
 
 }  // namespace
 }  // namespace gaugevalve::standins
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
+  return gaugevalve::standins::RunProgram(
+      argc, argv,
       "An endpoint for tests: answers datagrams and HTTP/1.1 and keeps a ledger of what it ran.\n"
-      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.");
-  absl::ParseCommandLine(argc, argv);
-  const gaugevalve::telemetry::LoggingSession logging(gaugevalve::telemetry::Level::kInfo);
-  try {
-    gaugevalve::standins::Serve();
-  } catch (const gaugevalve::base::FindingsError& error) {
-    std::cerr << gaugevalve::base::FormatFindings(error.findings());
-    return gaugevalve::standins::kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "standin-backend: " << error.what() << "\n";
-    return EXIT_FAILURE;
-  }
-  return EXIT_SUCCESS;
+      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.",
+      gaugevalve::standins::Serve);
 }
--- a/standins/fabric/src/main.cpp
+++ b/standins/fabric/src/main.cpp
@@ -1,17 +1,15 @@
 // standin-fabric: the platform's network for tests and trials. See docs/operators/first-run.md.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
 #include <memory>
 
 #include "fabric.h"
 #include "fabric_pages.h"
 #include "gaugevalve/base/finding.h"
+#include "gaugevalve/standins/command_line.h"
 #include "gaugevalve/tasks/task.h"
 #include "gaugevalve/telemetry/logging.h"
 
@@ -26,8 +24,6 @@
 namespace gaugevalve::standins {
 namespace {
 
-constexpr int kExitUsage = 2;
-
 FabricSettings ReadSettings(base::SocketAddress& admin) {
   base::Findings findings;
   FabricSettings settings;
@@ -43,7 +39,8 @@
   return settings;
 }
 
-void Serve() {
+int Serve() {
+  const telemetry::LoggingSession logging(telemetry::Level::kInfo);
   base::SocketAddress admin;
   const FabricSettings settings = ReadSettings(admin);
   const tasks::LoopPointer loop = tasks::MakeLoop();
@@ -66,26 +63,17 @@
       .Field("admin", server.BoundAddress())
       .Field("seed", settings.seed);
   event_base_dispatch(loop.get());
+  return EXIT_SUCCESS;
 }
 
 }  // namespace
 }  // namespace gaugevalve::standins
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
+  return gaugevalve::standins::RunProgram(
+      argc, argv,
       "The platform's network for tests: sprays each datagram over all balancers behind a PROXY\n"
       "protocol v2 header and carries the agents' answers back, with faults set at run time.\n"
-      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.");
-  absl::ParseCommandLine(argc, argv);
-  const gaugevalve::telemetry::LoggingSession logging(gaugevalve::telemetry::Level::kInfo);
-  try {
-    gaugevalve::standins::Serve();
-  } catch (const gaugevalve::base::FindingsError& error) {
-    std::cerr << gaugevalve::base::FormatFindings(error.findings());
-    return gaugevalve::standins::kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "standin-fabric: " << error.what() << "\n";
-    return EXIT_FAILURE;
-  }
-  return EXIT_SUCCESS;
+      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.",
+      gaugevalve::standins::Serve);
 }
--- a/tools/load/src/main.cpp
+++ b/tools/load/src/main.cpp
@@ -1,8 +1,6 @@
 // gaugevalve-load: load generator and checker. See docs/operators/first-run.md.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/time/time.h>
 
 #include <charconv>
@@ -14,6 +12,7 @@
 
 #include "datagram_run.h"
 #include "gaugevalve/base/finding.h"
+#include "gaugevalve/standins/command_line.h"
 #include "gaugevalve/tasks/task.h"
 
 ABSL_FLAG(std::string, services, "",
@@ -40,7 +39,6 @@
 namespace {
 
 constexpr int kExitNotClean = 1;
-constexpr int kExitUsage = 2;
 constexpr std::uint64_t kMaxPayloadBytes = 1400;
 constexpr std::uint64_t kMaxSeed = 0x7FFFFFFF;
 
@@ -136,18 +134,10 @@
 }  // namespace gaugevalve::load
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
+  return gaugevalve::standins::RunProgram(
+      argc, argv,
       "Opens flows to services, checks every answer and reports broken flows and imbalance.\n"
       "Exit status: 0 all is well, 1 a flow broke, an answer was crossed or a service never\n"
-      "answered, 2 a bad flag. SIGTERM ends the run early, with a report.");
-  absl::ParseCommandLine(argc, argv);
-  try {
-    return gaugevalve::load::Run();
-  } catch (const gaugevalve::base::FindingsError& error) {
-    std::cerr << gaugevalve::base::FormatFindings(error.findings());
-    return gaugevalve::load::kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "gaugevalve-load: " << error.what() << "\n";
-    return gaugevalve::load::kExitNotClean;
-  }
+      "answered, 2 a bad flag. SIGTERM ends the run early, with a report.",
+      gaugevalve::load::Run);
 }
