--- /dev/null
+++ b/proofs/real_processes/real_processes_test.py
@@ -0,0 +1,184 @@
+#!/usr/bin/python3
+"""Faults and planned changes under load, with real processes on loopback.
+
+Both deployments are started as plain processes. Each test runs the load tool, causes its fault
+while traffic passes, ends the load and compares the tool's report with the endpoints' ledgers. All
+waiting is for conditions; no verdict depends on time.
+"""
+
+import argparse
+import pathlib
+import signal
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "scripts"))
+
+from local import admin, specs  # noqa: E402  the path is set above
+from local.processes import ManagedProcess  # noqa: E402
+from scenario import ScenarioTest, format_rows  # noqa: E402
+
+
+class BalancerFaults(ScenarioTest):
+    """Balancers come and go, planned and unplanned; flows don't notice."""
+
+    spec = specs.PARTS_PLATFORM
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.names = list(self.deployment.balancers)
+        self.addCleanup(self._restore)
+
+    def _restore(self) -> None:
+        for process in self.deployment.balancers.values():
+            if not process.is_running():
+                process.start()
+            process.wait_healthy()
+        self.deployment.spray_over(self.names)
+
+    def test_balancer_killed(self) -> None:
+        victim, *others = self.names
+        self.deployment.balancers[victim].send_signal(signal.SIGKILL)
+        self.let_traffic_pass()  # half of it goes to nobody
+        self.deployment.spray_over(others)
+        self.let_traffic_pass()
+        self.assert_nothing_broke()
+
+    def test_balancer_frozen_and_woken(self) -> None:
+        victim, *others = self.names
+        self.freeze(self.deployment.balancers[victim])
+        self.let_traffic_pass()
+        self.deployment.spray_over(others)
+        self.let_traffic_pass()
+        # It wakes with a full receive buffer and forwards what is old by now.
+        self.deployment.balancers[victim].send_signal(signal.SIGCONT)
+        self.deployment.spray_over(self.names)
+        self.let_traffic_pass()
+        self.assert_nothing_broke()
+
+    def test_balancers_replaced_one_by_one(self) -> None:
+        for name, process in self.deployment.balancers.items():
+            self.deployment.spray_over([other for other in self.names if other != name])
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(0, process.wait(limit_seconds=60), f"{name} drained")
+            process.start()
+            process.wait_healthy()
+            self.deployment.spray_over(self.names)
+            self.let_traffic_pass()
+        self.assert_nothing_broke()
+
+
+class NetworkFaults(ScenarioTest):
+    """The network loses, doubles, delays and reorders datagrams both ways."""
+
+    spec = specs.PORT
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.addCleanup(self._restore)
+
+    def _restore(self) -> None:
+        for direction in ("inbound", "outbound"):
+            self.deployment.set_network_faults(
+                direction, drop_fraction=0, duplicate_fraction=0, reorder_fraction=0, delay_ms=0,
+                jitter_ms=0, reorder_delay_ms=0)
+
+    def test_datagrams_lost_and_doubled(self) -> None:
+        for direction in ("inbound", "outbound"):
+            self.deployment.set_network_faults(direction, drop_fraction=0.1,
+                                               duplicate_fraction=0.1)
+        self.let_traffic_pass(3000)
+        self.assert_nothing_broke()
+
+    def test_datagrams_delayed_and_reordered(self) -> None:
+        for direction in ("inbound", "outbound"):
+            self.deployment.set_network_faults(direction, delay_ms=5, jitter_ms=20,
+                                               reorder_fraction=0.2, reorder_delay_ms=60,
+                                               duplicate_fraction=0.2)
+        self.let_traffic_pass(3000)
+        self.assert_nothing_broke()
+
+
+class AgentFaults(ScenarioTest):
+    """Agents and endpoints pause; their flows wait for them and stay."""
+
+    spec = specs.PORT
+
+    def test_agent_frozen_and_woken(self) -> None:
+        endpoint = next(iter(self.deployment.agents))
+        self.freeze(self.deployment.agents[endpoint])
+        self.let_traffic_pass()
+        self.deployment.agents[endpoint].send_signal(signal.SIGCONT)
+        self.let_traffic_pass()
+        self.assert_nothing_broke()
+
+    def test_endpoint_answers_late(self) -> None:
+        endpoint = self.deployment.layout.endpoints[0]
+        self.addCleanup(admin.request_json, endpoint.admin_address, "/admin/faults",
+                        {"answer_delay_ms": 0})
+        admin.request_json(endpoint.admin_address, "/admin/faults", {"answer_delay_ms": 300})
+        self.let_traffic_pass(3000)
+        self.assert_nothing_broke()
+
+
+class CheckerControl(ScenarioTest):
+    """The checks themselves: faults that no balancer could mend must be seen."""
+
+    spec = specs.PARTS_PLATFORM
+
+    def _replace_first_endpoint(self, name: str, service: str) -> None:
+        endpoint = self.deployment.layout.endpoints[0]
+        old = self.deployment.backends[endpoint.name]
+        old.send_signal(signal.SIGKILL)
+        old.wait(limit_seconds=60)
+        impostor = self.deployment.run_beside(
+            f"impostor-{name}", "standin-backend",
+            [f"--name={name}", f"--service={service}", f"--datagram={endpoint.datagram_address}",
+             f"--http={endpoint.http_address}", f"--admin={endpoint.admin_address}"],
+            endpoint.admin_address)
+        impostor.wait_healthy()
+        self.deployment.backends[endpoint.name] = impostor
+        self.addCleanup(self._restore, endpoint.name, old, impostor)
+
+    def _restore(self, endpoint_name: str, old: ManagedProcess, impostor: ManagedProcess) -> None:
+        impostor.send_signal(signal.SIGTERM)
+        impostor.wait(limit_seconds=60)
+        self.deployment.backends[endpoint_name] = old
+        old.start()
+        old.wait_healthy()
+
+    def _broken_by_cause(self, name: str, service: str) -> dict[str, int]:
+        self.let_traffic_pass(4000)  # the endpoint has flows
+        self._replace_first_endpoint(name, service)
+        self.let_traffic_pass()
+        first_service = self.spec.services[0].name
+        return self.end_load(check_ledgers=False)["services"][first_service]["broken_by_cause"]
+
+    def test_control_another_endpoint_answers(self) -> None:
+        first_service = self.spec.services[0].name
+        broken = self._broken_by_cause("impostor", first_service)
+        self.assertGreater(broken.get("endpoint_changed", 0), 0)
+
+    def test_control_another_service_answers(self) -> None:
+        broken = self._broken_by_cause("impostor", self.spec.services[1].name)
+        self.assertGreater(broken.get("wrong_service", 0), 0)
+        self.assertGreater(ScenarioTest.rows[-1].foreign, 0)
+
+
+def main() -> int:
+    """Runs the tests and prints the table; returns 0 when all passed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--programs", type=pathlib.Path, default=ROOT / "build" / "bin",
+                        help="directory of the programs to run (default: %(default)s)")
+    parser.add_argument("tests", nargs="*", help="names of tests, as BalancerFaults (default: all)")
+    arguments = parser.parse_args()
+    ScenarioTest.programs = arguments.programs
+    program = unittest.main(argv=[sys.argv[0], *arguments.tests], verbosity=2, exit=False)
+    print(format_rows(ScenarioTest.rows))
+    ran = program.result.testsRun > 0
+    return 0 if ran and program.result.wasSuccessful() else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -49,10 +49,11 @@
         return [self.fabric, *self.backends.values(), *self.agents.values(),
                 *self.balancers.values()]
 
-    def run_beside(self, name: str, program: str, arguments: list[str]) -> ManagedProcess:
+    def run_beside(self, name: str, program: str, arguments: list[str],
+                   admin_address: str = "") -> ManagedProcess:
         """Starts a further program, such as the load tool, and returns it."""
         process = ManagedProcess(name, [str(self._programs / program), *arguments],
-                                 self._directory)
+                                 self._directory, admin_address)
         self._others.append(process)
         process.start()
         return process
--- a/scripts/local/load.py
+++ b/scripts/local/load.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 from typing import Any
 
 from .deployment import Deployment
@@ -19,6 +20,7 @@
     flows_per_second: float = 50.0
     flow_lifetime_seconds: float = 5.0
     request_interval_milliseconds: int = 50
+    silence_seconds: float = 5.0
     output: str = "json"
     seed: int = 1
 
@@ -39,7 +41,7 @@
              f"--duration={settings.seconds}s", f"--flows_per_second={settings.flows_per_second}",
              f"--flow_lifetime={settings.flow_lifetime_seconds}s",
              f"--request_interval={settings.request_interval_milliseconds}ms",
-             f"--seed={settings.seed}", f"--output={settings.output}"])
+             f"--silence={settings.silence_seconds}s", f"--seed={settings.seed}", f"--output={settings.output}"])
 
     def is_running(self) -> bool:
         """Tells whether the run goes on."""
@@ -49,6 +51,12 @@
         """Waits for the end and returns the exit status: 0 clean, 1 not clean."""
         return self._process.wait(self.settings.seconds + _GRACE_SECONDS)
 
+    def end(self) -> None:
+        """Makes the run end now, each flow with the answer it waits for, and waits for it."""
+        if self.is_running():
+            self._process.send_signal(signal.SIGTERM)
+            self._process.wait(self.settings.silence_seconds + _GRACE_SECONDS)
+
     def output(self) -> str:
         """Returns what the tool has printed."""
         return pathlib.Path(self._process.output_file).read_text(encoding="utf-8")
