--- a/libs/requests/include/gaugevalve/requests/at_most_once.h
+++ b/libs/requests/include/gaugevalve/requests/at_most_once.h
@@ -36,6 +36,9 @@
 
 namespace gaugevalve::requests {
 
+class BucketSettlements;
+class MemoryHorizon;
+
 // The mechanisms of the guarantee. All are on; a proof switches one off to show that it would
 // notice.
 struct AtMostOnceMechanisms {
@@ -96,6 +99,9 @@
   // look younger; `clock_margin` bounds how far the clocks of callers and agents are apart.
   AtMostOnce(base::NodeId self, base::Incarnation incarnation, const AtMostOnceLimits& limits,
              base::TimePoint now, base::Duration wall_time);
+  ~AtMostOnce();
+  AtMostOnce(AtMostOnce&&) noexcept;
+  AtMostOnce& operator=(AtMostOnce&&) = delete;
 
   // Takes a newer table of the service; older ones are passed over. `confirmed_at` is when this
   // node sent the last report that the planner acknowledged.
@@ -140,13 +146,6 @@
     base::TimePoint resend_at{};
   };
 
-  // The collection of what others know of a bucket that this agent came to own.
-  struct Settlement {
-    routing::TableVersion version;
-    absl::flat_hash_map<base::NodeId, KeyDigest> cursors;  // of those yet to answer in full
-    base::TimePoint resend_at{};
-  };
-
   // A copy that is being restored after its holder was lost.
   struct Restoration {
     base::NodeId holder;
@@ -171,10 +170,7 @@
   void SendRestoration(const KeyDigest& key, Restoration& restoration, base::TimePoint now,
                        AtMostOnceActions& actions);
   void StartSettlements(base::TimePoint now, AtMostOnceActions& actions);
-  void RequestCollection(base::BucketIndex bucket, Settlement& settlement, base::TimePoint now,
-                         AtMostOnceActions& actions);
-  void CompleteSettlement(base::BucketIndex bucket);
-  void TakeOverMemory();
+  void AskForCollections(base::TimePoint now, AtMostOnceActions& actions);
 
   proto::Verdict Decide(const ExecutionRecord& wanted, const std::optional<base::Duration>& key_age,
                         base::TimePoint now);
@@ -224,13 +220,9 @@
   absl::flat_hash_map<RequestId, Pending> pending_;
   absl::flat_hash_map<std::uint64_t, RequestId> by_grant_;  // the pending ones' grant numbers
   absl::flat_hash_map<KeyDigest, Restoration> restorations_;
-  absl::flat_hash_map<base::BucketIndex, Settlement> settlements_;
-  absl::flat_hash_map<base::BucketIndex, routing::TableVersion> settled_;
-  base::TimePoint unix_epoch_;   // on our time line
-  base::TimePoint whole_since_;  // the record of a key first used after this is held by someone
-  bool memory_known_ = false;    // whole_since_ is what the service knows, not only our own start
-  std::optional<base::TimePoint> inherited_whole_since_;  // newest told by agents that know
-  std::optional<base::TimePoint> last_loss_at_;
+  std::unique_ptr<BucketSettlements> settlements_;
+  std::unique_ptr<MemoryHorizon> horizon_;
+  base::TimePoint unix_epoch_;  // on our time line
   std::uint64_t next_grant_ = 1;
 };
 
--- /dev/null
+++ b/libs/requests/src/at_most_once_owner.cpp
@@ -0,0 +1,90 @@
+// The owner's decision on a key.
+#include <algorithm>
+
+#include "gaugevalve/requests/at_most_once.h"
+#include "message_codec.h"
+
+namespace gaugevalve::requests {
+namespace {
+
+// The time in a key has 48 bits (RFC 9562); a larger number is malformed.
+constexpr std::uint64_t kLatestKeyMilliseconds = (std::uint64_t{1} << 48U) - 1;
+
+}  // namespace
+
+proto::Verdict AtMostOnce::Decide(const ExecutionRecord& wanted,
+                                  const std::optional<base::Duration>& key_created_at,
+                                  base::TimePoint now) {
+  const ExecutionRecord* const known = records_.Find(wanted.key);
+  if (known == nullptr) {
+    if (MayBeForgotten(key_created_at, now)) {
+      return proto::FORGOTTEN;
+    }
+    return records_.Put(wanted) ? proto::RUN : proto::TABLE_FULL;
+  }
+  if (known->fingerprint != wanted.fingerprint) {
+    return proto::REUSED;
+  }
+  if (known->grant == wanted.grant && known->state == ExecutionState::kGranted) {
+    return proto::RUN;
+  }
+  if (known->state != ExecutionState::kNotRun) {
+    return proto::KNOWN;
+  }
+  if (MayBeForgotten(key_created_at, now)) {
+    return proto::FORGOTTEN;  // a later grant than the one that didn't run may be lost
+  }
+  records_.Put(wanted);
+  return proto::RUN;
+}
+
+void AtMostOnce::OnPermitRequest(base::NodeId sender, const proto::PermitRequest& message,
+                                 base::TimePoint now, AtMostOnceActions& actions) {
+  ExecutionRecord wanted;
+  wanted.key = DecodeKey(message.key());
+  wanted.fingerprint = message.fingerprint();
+  wanted.grant = {sender, base::Incarnation(message.executor_incarnation()), message.grant()};
+  wanted.first_recorded_at = now;
+  const base::BucketIndex bucket = BucketOf(wanted.key);
+
+  OutgoingMessage outgoing{sender, {}};
+  proto::PermitReply* const reply = outgoing.message.mutable_permit_reply();
+  EncodeRecord(wanted, now, reply->mutable_asked());
+  EncodeVersion(EntryOf(bucket).version, reply->mutable_version());
+  Acknowledge(bucket, DecodeVersion(message.version()));
+  if (!IsOwner(bucket, now) || !IsLiveLife(sender, wanted.grant.incarnation)) {
+    reply->set_verdict(proto::NOT_OWNER);
+  } else if (!IsSettledOwner(bucket, now)) {
+    reply->set_verdict(proto::UNSETTLED);
+  } else {
+    std::optional<base::Duration> key_created_at;
+    if (message.has_key_created_milliseconds()) {
+      key_created_at = std::chrono::milliseconds(
+          std::min(message.key_created_milliseconds(), kLatestKeyMilliseconds));
+    }
+    reply->set_verdict(Decide(wanted, key_created_at, now));
+    if (reply->verdict() == proto::KNOWN) {
+      const ExecutionRecord& known = *records_.Find(wanted.key);
+      EncodeRecord(known, now, reply->mutable_known());
+      RemindExecutor(known, now, actions);
+    }
+  }
+  actions.send.push_back(std::move(outgoing));
+}
+
+// Asks an executor that has not said how a grant ended; its answer is a Finished message.
+void AtMostOnce::RemindExecutor(const ExecutionRecord& record, base::TimePoint now,
+                                AtMostOnceActions& actions) {
+  const bool unfinished = record.state == ExecutionState::kGranted;
+  if (!unfinished || record.grant.executor == self_ || !IsLive(record.grant.executor)) {
+    return;
+  }
+  OutgoingMessage outgoing{record.grant.executor, {}};
+  proto::PermitReply* const reminder = outgoing.message.mutable_permit_reply();
+  EncodeRecord(record, now, reminder->mutable_asked());
+  EncodeVersion(EntryOf(BucketOf(record.key)).version, reminder->mutable_version());
+  reminder->set_verdict(proto::RUN);
+  actions.send.push_back(std::move(outgoing));
+}
+
+}  // namespace gaugevalve::requests
