--- a/libs/store/include/gaugevalve/store/backoff.h
+++ b/libs/store/include/gaugevalve/store/backoff.h
@@ -12,6 +12,11 @@
   base::Duration cap = std::chrono::seconds(10);         // upper bound of all delays
 };
 
+// Returns the settings with their bounds raised so that clients which all lose the store at once
+// come back spread over at least the time that their rates allow for one request each. Without it
+// the first retries of a large deployment arrive within `base`, since every client has a token.
+BackoffSettings SpreadBackoff(const BackoffSettings& settings, double requests_per_second);
+
 // Delay number n is uniform in [0, min(cap, base * 2^n)]. The jitter is over the whole range, as
 // clients which failed together must not come back together. Not thread-safe.
 class Backoff {
--- a/libs/store/src/request_scheduler.cpp
+++ b/libs/store/src/request_scheduler.cpp
@@ -73,7 +73,7 @@
       random_(seed),
       rate_(settings.requests_per_second, settings.burst),
       retry_budget_(settings.retry_budget),
-      backoff_(settings.backoff) {}
+      backoff_(SpreadBackoff(settings.backoff, settings.requests_per_second)) {}
 
 RequestId RequestScheduler::Submit(Request request, base::TimePoint deadline, base::TimePoint now) {
   const RequestId id{next_request_++};
--- a/libs/store/src/store_client.cpp
+++ b/libs/store/src/store_client.cpp
@@ -19,6 +19,7 @@
 
 std::unique_ptr<Watch> StoreClient::StartWatch(WatchSessionSettings settings,
                                                WatchObserver& observer) {
+  settings.backoff = SpreadBackoff(settings.backoff, shell_->RequestsPerSecond());
   return std::make_unique<StreamWatch>(*shell_, std::move(settings), observer);
 }
 
--- a/libs/store/src/store_client_shell.cpp
+++ b/libs/store/src/store_client_shell.cpp
@@ -42,6 +42,7 @@
     : base_(base),
       clock_(clock),
       endpoints_(settings.endpoints),
+      requests_per_second_(settings.scheduler.requests_per_second),
       seeds_(seed),
       scheduler_(settings.scheduler, seeds_.NextUint64()),
       timer_(base, [this] { Advance(); }) {
--- a/libs/store/src/store_client_shell.h
+++ b/libs/store/src/store_client_shell.h
@@ -29,6 +29,9 @@
   // Returns when a stream may be opened within the budget.
   base::TimePoint ReserveStreamOpening();
 
+  // Returns this process's share of the deployment's rate budget.
+  double RequestsPerSecond() const { return requests_per_second_; }
+
   // Returns the address to use now; after a failure another one.
   const base::SocketAddress& CurrentEndpoint() const;
   void MoveToNextEndpoint();
@@ -69,6 +72,7 @@
   const base::Clock& clock_;
   std::vector<base::SocketAddress> endpoints_;
   std::size_t endpoint_ = 0;
+  double requests_per_second_;
   base::RandomSource seeds_;
   RequestScheduler scheduler_;
   tasks::Timer timer_;
