--- a/proofs/lease/src/lease_proof.cpp
+++ b/proofs/lease/src/lease_proof.cpp
@@ -58,8 +58,8 @@
                                                    {3, StepKind::kResume},
                                                    {1, StepKind::kOutageBegins},
                                                    {2, StepKind::kOutageEnds},
-                                                   {8, StepKind::kDecide},
-                                                   {6, StepKind::kDeliverAction},
+                                                   {14, StepKind::kDecide},
+                                                   {12, StepKind::kDeliverAction},
                                                    {1, StepKind::kResign},
                                                    {2, StepKind::kCampaign},
                                                    {1, StepKind::kExpireEarly}})),
@@ -69,6 +69,7 @@
                                                        {1, Delivery::kRefused},
                                                        {1, Delivery::kLostBefore},
                                                        {2, Delivery::kLostAfter},
+                                                       {4, Delivery::kSlowAnswer},
                                                        {2, Delivery::kLate}})) {}
 
   void checkPreconditions(const Model& model) const override {  // NOLINT: rapidcheck's name
@@ -95,7 +96,7 @@
       case StepKind::kAdvanceTime:
         return world.AdvanceTime(number_ * std::chrono::milliseconds(25));
       case StepKind::kRunAlone:
-        return world.RunAlone(holder_, number_ * std::chrono::milliseconds(80));
+        return world.RunAlone(holder_, number_ * std::chrono::milliseconds(100), delivery_);
       case StepKind::kStep:
         return world.Step(holder_);
       case StepKind::kDeliver:
@@ -139,7 +140,7 @@
 rc::detail::TestResult Explore(const LeaseWorldSettings& settings, Totals& totals) {
   rc::detail::TestParams parameters;
   parameters.seed = kSeed;
-  parameters.maxSuccess = 1000;
+  parameters.maxSuccess = 1500;
   parameters.maxSize = 250;
   const auto property = [&] {
     LeaseWorld world(settings);
--- a/proofs/lease/src/lease_world.cpp
+++ b/proofs/lease/src/lease_world.cpp
@@ -33,6 +33,7 @@
                         false,
                         {},
                         {},
+                        {},
                         {}});
     Campaign(index);
   }
@@ -44,13 +45,20 @@
   CheckBeliefs();
 }
 
-void LeaseWorld::RunAlone(std::size_t holder, base::Duration span) {
+void LeaseWorld::RunAlone(std::size_t holder, base::Duration span, Delivery last) {
   constexpr base::Duration kStep = std::chrono::milliseconds(200);
+  constexpr base::Duration kLongestWait = std::chrono::seconds(4);  // over a renewal interval
   for (base::Duration done{}; done < span; done += kStep) {
     AdvanceTime(kStep);
     Step(holder);
     Deliver(holder, Delivery::kAnswered);
   }
+  for (base::Duration done{}; done < kLongestWait && holders_[holder].requests.empty();
+       done += kStep) {
+    AdvanceTime(kStep);
+    Step(holder);
+  }
+  Deliver(holder, last);
 }
 
 void LeaseWorld::Step(std::size_t holder) {
@@ -63,14 +71,26 @@
 
 void LeaseWorld::Deliver(std::size_t holder, Delivery delivery) {
   Holder& chosen = holders_[holder];
-  if (chosen.paused || chosen.requests.empty()) {
+  if (chosen.paused) {
+    return;
+  }
+  if (!chosen.answers.empty()) {
+    const Answer answer = chosen.answers.front();
+    chosen.answers.pop_front();
+    return Hand(chosen, answer);
+  }
+  if (chosen.requests.empty()) {
     return;
   }
   const lease::LeaseRequest request = chosen.requests.front();
   chosen.requests.pop_front();
-  const store::Result result = ResultOf(request.request, outage_ ? Delivery::kRefused : delivery);
-  chosen.core.OnResult(request.tag, result, LocalTime(chosen));
-  Collect(chosen);
+  const Answer answer{request.tag,
+                      ResultOf(request.request, outage_ ? Delivery::kRefused : delivery)};
+  if (delivery == Delivery::kSlowAnswer) {
+    chosen.answers.push_back(answer);
+  } else {
+    Hand(chosen, answer);
+  }
 }
 
 void LeaseWorld::ApplyLateRequest() {
@@ -167,6 +187,7 @@
       store::ChangesStore(request) ? store::Outcome::kUnknown : store::Outcome::kRefused;
   switch (delivery) {
     case Delivery::kAnswered:
+    case Delivery::kSlowAnswer:
       return Apply(request);
     case Delivery::kRefused:
       return store::Result::Failed(store::Outcome::kRefused, store::Reason::kUnreachable, "");
@@ -182,6 +203,11 @@
   return store::Result::Failed(unknown, store::Reason::kConnectionLost, "");
 }
 
+void LeaseWorld::Hand(Holder& holder, const Answer& answer) {
+  holder.core.OnResult(answer.tag, answer.result, LocalTime(holder));
+  Collect(holder);
+}
+
 void LeaseWorld::Collect(Holder& holder) {
   for (lease::LeaseRequest& request : holder.core.TakeRequests()) {
     holder.requests.push_back(std::move(request));
--- a/proofs/lease/src/lease_world.h
+++ b/proofs/lease/src/lease_world.h
@@ -30,6 +30,7 @@
   kRefused,     // not applied, and the holder is told so
   kLostBefore,  // not applied, the holder doesn't know
   kLostAfter,   // applied, the holder doesn't know
+  kSlowAnswer,  // applied now, answered at a later step
   kLate,        // the holder doesn't know; applied some time later
 };
 
@@ -41,8 +42,9 @@
   explicit LeaseWorld(const LeaseWorldSettings& settings);
 
   void AdvanceTime(base::Duration step);
-  // Lets one holder work undisturbed for a while; the others do nothing meanwhile.
-  void RunAlone(std::size_t holder, base::Duration span);
+  // Lets one holder work undisturbed for a while, and gives its next request after that this end.
+  // The others do nothing meanwhile.
+  void RunAlone(std::size_t holder, base::Duration span, Delivery last);
   void Step(std::size_t holder);
   void Deliver(std::size_t holder, Delivery delivery);
   void ApplyLateRequest();
@@ -66,12 +68,18 @@
   std::size_t ActionsRefused() const { return actions_refused_; }
 
  private:
+  struct Answer {
+    lease::LeaseRequestTag tag;
+    store::Result result;
+  };
+
   struct Holder {
     lease::LeaseHolder core;
     double clock_rate = 1;
     base::Duration clock_offset{};
     bool paused = false;
     std::deque<lease::LeaseRequest> requests;
+    std::deque<Answer> answers;  // on their way back
     lease::LeaseView last_view;
     lease::FencingToken last_token;
   };
@@ -80,6 +88,7 @@
   lease::LeaseView Belief(const Holder& holder) const;
   store::Result Apply(const store::Request& request);
   store::Result ResultOf(const store::Request& request, Delivery delivery);
+  void Hand(Holder& holder, const Answer& answer);
   void Collect(Holder& holder);
   void CheckBeliefs();
   void CheckOrder(lease::FencingToken token);
