--- a/libs/lease/include/gaugevalve/lease/lease_task.h
+++ b/libs/lease/include/gaugevalve/lease/lease_task.h
@@ -31,7 +31,8 @@
   // Begins to try for the lease.
   void Campaign();
 
-  // Gives the lease up and stops trying.
+  // Gives the lease up and stops trying. The store is told from the event loop: a task or client
+  // destroyed before that leaves the lease to end by itself.
   void Resign();
 
   // Returns what may be believed now. Ask right before each action: the callback may be late.
