--- a/libs/settings/include/gaugevalve/settings/effective_settings.h
+++ b/libs/settings/include/gaugevalve/settings/effective_settings.h
@@ -19,19 +19,16 @@
 struct FieldOrigin {
   bool is_default = true;      // no branch set it
   Level level = Level::kRoot;  // meaningful unless is_default
-  std::string name;            // of that branch; empty at the root
-
-  // Returns "built-in default", "from the root" or "from zone east".
-  std::string ToString() const;
 
   friend bool operator==(const FieldOrigin&, const FieldOrigin&) = default;
 };
 
 // The typed values that an endpoint's agent and its service's planner go by.
 struct EndpointSettings {
-  std::string name;
+  std::string service;
   std::string region;
   std::string zone;
+  std::string name;
   AdministrativeState state = AdministrativeState::kServing;
   std::uint32_t weight = 0;
   std::uint32_t priority = 0;
@@ -49,7 +46,13 @@
   std::array<FieldOrigin, kFieldCount> origins;  // indexed by FieldId
 
   // Returns where the value of an inherited field came from.
-  const FieldOrigin& OriginOf(FieldId id) const { return origins[static_cast<std::size_t>(id)]; }
+  FieldOrigin OriginOf(FieldId id) const { return origins[static_cast<std::size_t>(id)]; }
+
+  // Returns the origin in words: "built-in default", "from the root" or "from zone east".
+  std::string DescribeOrigin(FieldId id) const;
+
+  // Returns the value of an inherited field. Throws std::invalid_argument for another field.
+  FieldValue ValueOf(FieldId id) const;
 
   friend bool operator==(const EndpointSettings&, const EndpointSettings&) = default;
 };
--- a/libs/settings/include/gaugevalve/settings/tree_change.h
+++ b/libs/settings/include/gaugevalve/settings/tree_change.h
@@ -20,8 +20,8 @@
   std::optional<Branch> branch_before;
   std::optional<Branch> branch_after;
 
-  // Returns the change in words: "changed services.stock.slots from 5 to 7",
-  // "added endpoint services.stock.regions.coast.zones.east.endpoints.stock-9".
+  // Returns the change in words: "changed services.orders.slots from 5 to 7",
+  // "added endpoint services.orders.regions.north.zones.east.endpoints.orders-9".
   std::string ToString() const;
 
   friend bool operator==(const TreeChange&, const TreeChange&) = default;
--- a/libs/settings/include/gaugevalve/settings/tree_path.h
+++ b/libs/settings/include/gaugevalve/settings/tree_path.h
@@ -1,5 +1,5 @@
 // Paths into the settings tree, written as in the YAML:
-// "services.stock.regions.coast.zones.east.slots".
+// "services.orders.regions.north.zones.east.slots".
 #pragma once
 
 #include <optional>
--- a/libs/settings/src/effective_settings.cpp
+++ b/libs/settings/src/effective_settings.cpp
@@ -1,15 +1,17 @@
 #include "gaugevalve/settings/effective_settings.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "field_resolver.h"
 
 namespace gaugevalve::settings {
 namespace {
 
-EndpointSettings MakeEndpoint(const FieldResolver& values, const Branch& region, const Branch& zone,
-                              const Branch& endpoint) {
+EndpointSettings MakeEndpoint(const FieldResolver& values, const Branch& service,
+                              const Branch& region, const Branch& zone, const Branch& endpoint) {
   EndpointSettings result;
+  result.service = service.name;
   result.name = endpoint.name;
   result.region = region.name;
   result.zone = zone.name;
@@ -52,7 +54,8 @@
     for (const auto& [zone_name, zone] : region.children) {
       const FieldResolver zone_values = Below(region_values, zone);
       for (const auto& [endpoint_name, endpoint] : zone.children) {
-        endpoints.push_back(MakeEndpoint(Below(zone_values, endpoint), region, zone, endpoint));
+        endpoints.push_back(
+            MakeEndpoint(Below(zone_values, endpoint), service, region, zone, endpoint));
       }
     }
   }
@@ -60,14 +63,64 @@
 
 }  // namespace
 
-std::string FieldOrigin::ToString() const {
-  if (is_default) {
+std::string EndpointSettings::DescribeOrigin(FieldId id) const {
+  const FieldOrigin origin = OriginOf(id);
+  if (origin.is_default) {
     return "built-in default";
   }
-  if (level == Level::kRoot) {
-    return "from the root";
+  const std::string prefix = "from " + std::string(LevelName(origin.level)) + " ";
+  switch (origin.level) {
+    case Level::kRoot:
+      return "from the root";
+    case Level::kService:
+      return prefix + service;
+    case Level::kRegion:
+      return prefix + region;
+    case Level::kZone:
+      return prefix + zone;
+    case Level::kEndpoint:
+      return prefix + name;
   }
-  return "from " + std::string(LevelName(level)) + " " + name;
+  return prefix;
+}
+
+FieldValue EndpointSettings::ValueOf(FieldId id) const {
+  switch (id) {
+    case FieldId::kState:
+      return Choice{static_cast<std::uint8_t>(state)};
+    case FieldId::kWeight:
+      return std::int64_t{weight};
+    case FieldId::kPriority:
+      return std::int64_t{priority};
+    case FieldId::kSlots:
+      return std::int64_t{slots};
+    case FieldId::kConnections:
+      return std::int64_t{connections};
+    case FieldId::kQueueLength:
+      return std::int64_t{queue_length};
+    case FieldId::kRequestDeadline:
+      return request_deadline;
+    case FieldId::kDrainTimeout:
+      return drain_timeout;
+    case FieldId::kIdleTimeout:
+      return idle_timeout;
+    case FieldId::kNewFlowsPerSource:
+      return std::int64_t{new_flows_per_source};
+    case FieldId::kColdStartRamp:
+      return cold_start_ramp;
+    case FieldId::kBrownoutEnter:
+      return brownout_enter;
+    case FieldId::kBrownoutLeave:
+      return brownout_leave;
+    case FieldId::kIdempotencyWindow:
+      return idempotency_window;
+    case FieldId::kKind:
+    case FieldId::kVirtualAddress:
+    case FieldId::kBucketCount:
+    case FieldId::kDrainingZones:
+      break;
+  }
+  throw std::invalid_argument("an endpoint has no " + std::string(SchemaOf(id).name));
 }
 
 const EndpointSettings* ServiceSettings::FindEndpoint(std::string_view endpoint_name) const {
--- a/libs/settings/src/field_resolver.cpp
+++ b/libs/settings/src/field_resolver.cpp
@@ -17,7 +17,7 @@
   for (const auto& [id, setting] : branch.fields) {
     const auto index = static_cast<std::size_t>(id);
     values_[index] = setting.value;
-    origins_[index] = {false, branch.level, branch.name};
+    origins_[index] = {false, branch.level};
   }
 }
 
--- a/libs/settings/src/node_settings.cpp
+++ b/libs/settings/src/node_settings.cpp
@@ -2,41 +2,31 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <set>
 #include <span>
-#include <system_error>
 #include <utility>
 
 #include "gaugevalve/settings/field_schema.h"
+#include "node_keys.h"
 #include "yaml_reader.h"
 
 namespace gaugevalve::settings {
 namespace {
 
-constexpr std::array<std::string_view, 12> kNodeKeys{
-    "name",           "role",         "region",
-    "zone",           "data_address", "control_address",
-    "admin_address",  "seed_peers",   "store_endpoints",
-    "egress_address", "agent",        "static"};
-constexpr std::array<std::string_view, 6> kAgentKeys{
-    "service", "endpoint", "datagram_address", "http_address", "certificate_file", "key_file"};
-constexpr std::array<std::string_view, 2> kStaticKeys{"services", "agents"};
-constexpr std::array<std::string_view, 4> kStaticServiceKeys{"name", "kind", "virtual_address",
-                                                             "bucket_count"};
-constexpr std::array<std::string_view, 4> kStaticAgentKeys{"node", "service", "zone",
-                                                           "data_address"};
-
 // Gives one mapping's values by key, and reports what is unknown, missing or malformed.
 class Section {
  public:
   Section(YamlReader& reader, const YAML::Node& node, base::SourcePlace place,
-          std::span<const std::string_view> known)
+          std::span<const NodeKey> known)
       : reader_(reader), place_(std::move(place)) {
     entries_ = reader_.Entries(node, place_);
+    std::vector<std::string_view> names;
+    for (const NodeKey& key : known) {
+      names.push_back(key.name);
+    }
     for (const YamlEntry& entry : entries_) {
-      if (std::find(known.begin(), known.end(), entry.key) == known.end()) {
-        reader_.AddUnknownKey(entry, known);
+      if (std::find(names.begin(), names.end(), entry.key) == names.end()) {
+        reader_.AddUnknownKey(entry, names);
       }
     }
   }
@@ -134,7 +124,7 @@
 };
 
 AgentSettings ReadAgent(YamlReader& reader, const YamlEntry& entry) {
-  const Section section(reader, entry.value, entry.place, kAgentKeys);
+  const Section section(reader, entry.value, entry.place, AgentKeys());
   AgentSettings agent;
   agent.service = section.RequireName("service");
   agent.endpoint = section.RequireName("endpoint");
@@ -152,7 +142,7 @@
 }
 
 StaticService ReadStaticService(YamlReader& reader, const YamlEntry& item) {
-  const Section section(reader, item.value, item.place, kStaticServiceKeys);
+  const Section section(reader, item.value, item.place, StaticServiceKeys());
   StaticService service;
   service.name = section.RequireName("name");
   if (const auto kind = section.RequireField(FieldId::kKind)) {
@@ -167,7 +157,7 @@
 
 StaticAgent ReadStaticAgent(YamlReader& reader, const YamlEntry& item,
                             const std::vector<StaticService>& services) {
-  const Section section(reader, item.value, item.place, kStaticAgentKeys);
+  const Section section(reader, item.value, item.place, StaticAgentKeys());
   StaticAgent agent;
   agent.node = section.RequireName("node");
   agent.service = section.RequireName("service");
@@ -197,7 +187,7 @@
 }
 
 StaticSettings ReadStatic(YamlReader& reader, const YamlEntry& entry) {
-  const Section section(reader, entry.value, entry.place, kStaticKeys);
+  const Section section(reader, entry.value, entry.place, StaticKeys());
   StaticSettings result;
   if (const YamlEntry* list = section.Require("services")) {
     for (const YamlEntry& item : reader.Items(*list)) {
@@ -253,7 +243,7 @@
   const std::optional<YAML::Node> document = reader.Load(text);
   reader.ThrowIfAny();
 
-  const Section section(reader, *document, reader.PlaceOf(*document, ""), kNodeKeys);
+  const Section section(reader, *document, reader.PlaceOf(*document, ""), NodeKeys());
   NodeSettings settings;
   settings.name = section.RequireName("name");
   ReadRole(reader, section, settings);
--- a/libs/settings/tests/node_settings_test.cpp
+++ b/libs/settings/tests/node_settings_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr const char* kAgentFile = R"(name: agent-1
 role: agent
-region: coast
+region: north
 zone: east
 data_address: 127.0.0.1:7000
 control_address: 127.0.0.1:0
@@ -18,14 +18,14 @@
 store_endpoints: [127.0.0.1:2379]
 egress_address: 127.0.0.1:7200
 agent:
-  service: stock
-  endpoint: stock-1
+  service: orders
+  endpoint: orders-1
   datagram_address: 127.0.0.1:9000
 static:
   services:
-    - {name: stock, kind: datagram, virtual_address: 192.0.2.1:443, bucket_count: 64}
+    - {name: orders, kind: datagram, virtual_address: 192.0.2.1:443, bucket_count: 64}
   agents:
-    - {node: agent-1, service: stock, zone: east, data_address: 127.0.0.1:7000}
+    - {node: agent-1, service: orders, zone: east, data_address: 127.0.0.1:7000}
 )";
 
 class NodeSettingsTest : public CppUnit::TestFixture {
@@ -43,7 +43,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("east"), settings.zone);
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:7000"), settings.data_address.ToString());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings.seed_peers.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("stock-1"), settings.agent->endpoint);
+    CPPUNIT_ASSERT_EQUAL(std::string("orders-1"), settings.agent->endpoint);
     CPPUNIT_ASSERT(!settings.agent->http_address);
     CPPUNIT_ASSERT_EQUAL(64U, settings.static_settings->services.at(0).bucket_count);
     CPPUNIT_ASSERT_EQUAL(std::string("agent-1"), settings.static_settings->agents.at(0).node);
@@ -51,7 +51,7 @@
 
   void ReportsAllFaultsTogetherWithTheirPlaces() {
     const std::string text =
-        "name: b.1\nrole: balancer\nregion: coast\nzonne: east\ndata_address: 0.0.0.0:1\n"
+        "name: b.1\nrole: balancer\nregion: north\nzonne: east\ndata_address: 0.0.0.0:1\n"
         "control_address: here\nadmin_address: 127.0.0.1:1\nrole: agent\nseed_peers: 5\n";
     CPPUNIT_ASSERT_EQUAL(
         std::string("n.yaml:8:1: role: key 'role' appears twice in this mapping\n"
--- a/libs/settings/tests/root_document_test.cpp
+++ b/libs/settings/tests/root_document_test.cpp
@@ -48,20 +48,20 @@
     parts[0].text += "weight: 3\n";
     parts.pop_back();
     const std::string findings = FindingsOf([&] { AssembleTree(root, parts); });
-    CPPUNIT_ASSERT(findings.find("services.sheets: no subtree with digest") != std::string::npos);
-    CPPUNIT_ASSERT(findings.find("services.stock: no subtree with digest") != std::string::npos);
+    CPPUNIT_ASSERT(findings.find("services.files: no subtree with digest") != std::string::npos);
+    CPPUNIT_ASSERT(findings.find("services.orders: no subtree with digest") != std::string::npos);
   }
 
   void AnEditMovesOnlyItsSubtree() {
     const SettingsTree before = SampleTree();
     const RootDocument first = MakeRootDocument(nullptr, before, SampleEdit());
-    const TreePath path = TreePath::Parse("services.stock.weight", "test");
+    const TreePath path = TreePath::Parse("services.orders.weight", "test");
     const SettingsTree after = ApplyOperations(before, {SetOperation{path, "3"}});
     const RootDocument second = MakeRootDocument(&first, after, SampleEdit());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second.revision.value());
-    CPPUNIT_ASSERT(*second.Find("sheets") == *first.Find("sheets"));
-    CPPUNIT_ASSERT(second.Find("stock")->digest != first.Find("stock")->digest);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second.Find("stock")->changed_in.value());
+    CPPUNIT_ASSERT(*second.Find("files") == *first.Find("files"));
+    CPPUNIT_ASSERT(second.Find("orders")->digest != first.Find("orders")->digest);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second.Find("orders")->changed_in.value());
   }
 
   void MalformedDocumentsAreFindings() {
@@ -89,7 +89,7 @@
     const RootDocument first = MakeRootDocument(nullptr, before, SampleEdit());
     const SettingsTree after =
         ApplyOperations(before, {SetOperation{TreePath::Parse("slots", "test"), "3"},
-                                 UnsetOperation{TreePath::Parse("services.sheets", "test")}});
+                                 UnsetOperation{TreePath::Parse("services.files", "test")}});
     const RootDocument second = MakeRootDocument(&first, after, SampleEdit());
     const HistoryEntry entry = MakeHistoryEntry(&first, before, second, after);
     const HistoryEntry read = ParseHistoryEntry(FormatHistoryEntry(entry));
--- a/libs/settings/tests/sample_tree.h
+++ b/libs/settings/tests/sample_tree.h
@@ -8,17 +8,17 @@
 inline constexpr const char* kSampleTree = R"(version: 1
 slots: 7
 services:
-  stock:
+  orders:
     kind: http3
     virtual_address: 192.0.2.10:443
     regions:
-      coast:
+      north:
         zones:
           east:
-            endpoints: {stock-1: {weight: 10}, stock-2: {}}
+            endpoints: {orders-1: {weight: 10}, orders-2: {}}
           west:
-            endpoints: {stock-3: {}}
-  sheets:
+            endpoints: {orders-3: {}}
+  files:
     kind: datagram
     virtual_address: 192.0.2.11:443
     bucket_count: 64
--- a/libs/settings/tests/settings_tree_test.cpp
+++ b/libs/settings/tests/settings_tree_test.cpp
@@ -12,21 +12,21 @@
 slots: 7
 request_deadline: 1500ms
 services:
-  stock:
+  orders:
     kind: http3
     virtual_address: 192.0.2.10:443
     regions:
-      coast:
+      north:
         weight: 50
         zones:
           east:
             slots: 5
             endpoints:
-              stock-1: {weight: 10, brownout_leave: 0.5}
-              stock-2:
+              orders-1: {weight: 10, brownout_leave: 0.5}
+              orders-2:
           west:
-            endpoints: {stock-3: {}}
-  sheets:
+            endpoints: {orders-3: {}}
+  files:
     kind: datagram
     virtual_address: 192.0.2.11:443
     bucket_count: 64
@@ -46,28 +46,27 @@
  public:
   void InnermostBranchWins() {
     const EffectiveSettings settings = Resolve(ParseTree(kTree, "t"));
-    const ServiceSettings* stock = settings.FindService("stock");
-    CPPUNIT_ASSERT(stock->kind == ServiceKind::kHttp3);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, stock->endpoints.size());
-    CPPUNIT_ASSERT_EQUAL(10U, stock->FindEndpoint("stock-1")->weight);
-    CPPUNIT_ASSERT_EQUAL(50U, stock->FindEndpoint("stock-2")->weight);
-    CPPUNIT_ASSERT_EQUAL(5U, stock->FindEndpoint("stock-2")->slots);
-    CPPUNIT_ASSERT_EQUAL(7U, stock->FindEndpoint("stock-3")->slots);
-    CPPUNIT_ASSERT(base::Duration(1'500'000) == stock->FindEndpoint("stock-3")->request_deadline);
-    CPPUNIT_ASSERT_EQUAL(64U, settings.FindService("sheets")->bucket_count);
+    const ServiceSettings* orders = settings.FindService("orders");
+    CPPUNIT_ASSERT(orders->kind == ServiceKind::kHttp3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, orders->endpoints.size());
+    CPPUNIT_ASSERT_EQUAL(10U, orders->FindEndpoint("orders-1")->weight);
+    CPPUNIT_ASSERT_EQUAL(50U, orders->FindEndpoint("orders-2")->weight);
+    CPPUNIT_ASSERT_EQUAL(5U, orders->FindEndpoint("orders-2")->slots);
+    CPPUNIT_ASSERT_EQUAL(7U, orders->FindEndpoint("orders-3")->slots);
+    CPPUNIT_ASSERT(base::Duration(1'500'000) == orders->FindEndpoint("orders-3")->request_deadline);
+    CPPUNIT_ASSERT_EQUAL(64U, settings.FindService("files")->bucket_count);
   }
 
   void EachValueKnowsItsOrigin() {
     const EffectiveSettings settings = Resolve(ParseTree(kTree, "t"));
-    const EndpointSettings& endpoint = *settings.FindService("stock")->FindEndpoint("stock-1");
-    CPPUNIT_ASSERT_EQUAL(std::string("from endpoint stock-1"),
-                         endpoint.OriginOf(FieldId::kWeight).ToString());
-    CPPUNIT_ASSERT_EQUAL(std::string("from zone east"),
-                         endpoint.OriginOf(FieldId::kSlots).ToString());
+    const EndpointSettings& endpoint = *settings.FindService("orders")->FindEndpoint("orders-1");
+    CPPUNIT_ASSERT_EQUAL(std::string("from endpoint orders-1"),
+                         endpoint.DescribeOrigin(FieldId::kWeight));
+    CPPUNIT_ASSERT_EQUAL(std::string("from zone east"), endpoint.DescribeOrigin(FieldId::kSlots));
     CPPUNIT_ASSERT_EQUAL(std::string("from the root"),
-                         endpoint.OriginOf(FieldId::kRequestDeadline).ToString());
+                         endpoint.DescribeOrigin(FieldId::kRequestDeadline));
     CPPUNIT_ASSERT_EQUAL(std::string("built-in default"),
-                         endpoint.OriginOf(FieldId::kPriority).ToString());
+                         endpoint.DescribeOrigin(FieldId::kPriority));
   }
 
   void ExportIsCanonicalAndReadsBack() {
--- a/libs/settings/tests/tree_editor_test.cpp
+++ b/libs/settings/tests/tree_editor_test.cpp
@@ -23,7 +23,7 @@
 }
 
 TreeEditor SetSlots(const std::string& id, const std::string& value) {
-  return TreeEditor(Base(), {SetOperation{TreePath::Parse("services.stock.slots", "test"), value}},
+  return TreeEditor(Base(), {SetOperation{TreePath::Parse("services.orders.slots", "test"), value}},
                     Edit(id));
 }
 
@@ -57,7 +57,7 @@
     CPPUNIT_ASSERT(transaction.conditions.at(0) == (KeyCondition{std::string(kRootKey), kRootAt}));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, transaction.writes.size());
     CPPUNIT_ASSERT_EQUAL(std::string(kRootKey), transaction.writes[0].key);
-    CPPUNIT_ASSERT_EQUAL(SubtreeKey("stock"), transaction.writes[1].key);
+    CPPUNIT_ASSERT_EQUAL(SubtreeKey("orders"), transaction.writes[1].key);
     CPPUNIT_ASSERT_EQUAL(HistoryKey(base::Revision(2)), transaction.writes[2].key);
     CPPUNIT_ASSERT(transaction.deletions.empty());
   }
@@ -75,7 +75,7 @@
     TreeEditor loser = SetSlots("a", "3");
     const EditOutcome outcome = loser.OnAnswer({false, AfterCommitOf(SetSlots("b", "4"))});
     CPPUNIT_ASSERT(outcome.status == EditStatus::kLostRace);
-    CPPUNIT_ASSERT_EQUAL(std::string("set services.stock.slots to 4\n"),
+    CPPUNIT_ASSERT_EQUAL(std::string("set services.orders.slots to 4\n"),
                          DescribeChanges(ChangesOf(*outcome.winner)));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, outcome.present_revision.value());
   }
