--- /dev/null
+++ b/tools/gaugevalvectl/src/command_table.cpp
@@ -0,0 +1,127 @@
+#include "command_table.h"
+
+#include <array>
+#include <exception>
+
+#include "certificate.h"
+#include "edit_runner.h"
+#include "gaugevalve/base/finding.h"
+#include "gaugevalve/settings/reference.h"
+#include "node_commands.h"
+#include "tree_commands.h"
+#include "watch_command.h"
+
+namespace gaugevalve::ctl {
+namespace {
+
+constexpr bool kNeedsStore = true;
+constexpr bool kNoStore = false;
+
+ExitCode PrintReference(const CommandContext& context, const std::vector<std::string>& /*none*/) {
+  const std::string text = settings::SettingsReference();
+  context.Print(text, {{"markdown", text}});
+  return ExitCode::kOk;
+}
+
+constexpr std::array<Command, 17> kCommands{{
+    {"tree get", "[PATH]", 0, 1, kNeedsStore, &TreeGet,
+     "shows what is set at a path; with --effective what is in force and where it comes from"},
+    {"tree set", "PATH VALUE", 2, 2, kNeedsStore, &TreeSet,
+     "sets a field, or puts a branch given as YAML"},
+    {"tree unset", "PATH", 1, 1, kNeedsStore, &TreeUnset,
+     "removes a field's setting or a whole branch"},
+    {"tree apply", "FILE", 1, 1, kNeedsStore, &TreeApply,
+     "puts the tree in a file (- for standard input) in the place of the stored one"},
+    {"tree diff", "FILE", 1, 1, kNeedsStore, &TreeDiff, "shows what apply would change"},
+    {"tree history", "", 0, 0, kNeedsStore, &TreeHistory, "shows the last edits"},
+    {"tree undo", "REVISION", 1, 1, kNeedsStore, &TreeUndo,
+     "takes back what that edit changed, unless it was changed again since"},
+    {"tree export", "", 0, 0, kNeedsStore, &TreeExport, "prints the whole tree as YAML"},
+    {"check", "FILE", 1, 1, kNoStore, &CheckFile, "reports the findings of a tree in a file"},
+    {"drain", "ENDPOINT|ZONE", 1, 1, kNeedsStore, &Drain,
+     "stops new work to an endpoint (service/endpoint) or a zone (region/zone)"},
+    {"undrain", "ENDPOINT|ZONE", 1, 1, kNeedsStore, &Undrain, "lets it take new work again"},
+    {"status", "", 0, 0, kNoStore, &Status,
+     "shows which node has which revision in force, who holds the lease, and who is behind"},
+    {"explain", "SERVICE SOURCE", 2, 2, kNoStore, &Explain,
+     "asks nodes why a flow from this source IP:port goes where it goes"},
+    {"watch", "", 0, 0, kNeedsStore, &WatchTree, "shows edits as they are committed"},
+    {"certificate self-signed", "HOST CERTIFICATE_FILE KEY_FILE", 3, 3, kNoStore,
+     &CertificateSelfSigned, "writes a certificate and key for trying an http3 service"},
+    {"reference", "", 0, 0, kNoStore, &PrintReference, "prints the settings reference"},
+    {"help", "", 0, 0, kNoStore,
+     [](const CommandContext& context, const std::vector<std::string>& /*none*/) {
+       context.Print(UsageText(), {{"usage", UsageText()}});
+       return ExitCode::kOk;
+     },
+     "prints this text"},
+}};
+
+// Returns how many of the typed words the command's own words take, or 0 when it isn't meant.
+std::size_t MatchedWords(const Command& command, const std::vector<std::string>& words) {
+  std::string typed;
+  for (std::size_t count = 1; count <= words.size(); ++count) {
+    typed += (typed.empty() ? "" : " ") + words[count - 1];
+    if (typed == command.words) {
+      return count;
+    }
+  }
+  return 0;
+}
+
+ExitCode RunMatched(const CommandContext& context, const Command& command,
+                    const std::vector<std::string>& arguments) {
+  if (arguments.size() < command.minimum_arguments ||
+      arguments.size() > command.maximum_arguments) {
+    context.err << "usage: gaugevalvectl " << command.words << " " << command.arguments << "\n";
+    return ExitCode::kUsage;
+  }
+  if (command.needs_store && context.options.store_endpoints.empty()) {
+    context.err << "--store: give the address of the store, as in --store=192.0.2.1:2379\n";
+    return ExitCode::kFindings;
+  }
+  return command.run(context, arguments);
+}
+
+}  // namespace
+
+std::span<const Command> Commands() { return kCommands; }
+
+std::string UsageText() {
+  std::string text = "gaugevalvectl [--store=IP:PORT,...] [--node=IP:PORT,...] COMMAND\n";
+  for (const Command& command : kCommands) {
+    text += "  " + std::string(command.words);
+    text += command.arguments.empty() ? "" : " " + std::string(command.arguments);
+    text += "\n      " + std::string(command.description) + "\n";
+  }
+  text +=
+      "Exit codes: 0 done; 1 wrong command line or unexpected error; 2 findings, nothing changed; "
+      "3 another edit came first, nothing changed; 4 store away, nothing changed; 5 outcome of the "
+      "edit not known; 6 nodes behind or silent; 7 no node answered.\n";
+  return text;
+}
+
+ExitCode RunCommand(const CommandContext& context, const std::vector<std::string>& words) {
+  try {
+    for (const Command& command : kCommands) {
+      const std::size_t matched = MatchedWords(command, words);
+      if (matched > 0) {
+        const auto first_argument = words.begin() + static_cast<std::ptrdiff_t>(matched);
+        return RunMatched(context, command, {first_argument, words.end()});
+      }
+    }
+    context.err << UsageText();
+    return ExitCode::kUsage;
+  } catch (const base::FindingsError& error) {
+    context.err << error.what();
+    return ExitCode::kFindings;
+  } catch (const StoreAwayError& error) {
+    context.err << error.what() << "\nNothing was changed.\n";
+    return ExitCode::kStoreAway;
+  } catch (const std::exception& error) {
+    context.err << error.what() << "\n";
+    return ExitCode::kUsage;
+  }
+}
+
+}  // namespace gaugevalve::ctl
