--- a/proofs/flow_ownership/src/flow_world.h
+++ b/proofs/flow_ownership/src/flow_world.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -65,7 +66,8 @@
 
   // A table, the `age`-th newest, is sent to an agent; or is at once what a balancer has. The
   // newest is the planner's own word, by which the agent knows that it counted as alive at this
-  // time; an older one comes from a peer and confirms nothing more than the agent had heard before.
+  // time; an older one comes from a peer and confirms nothing more than the planner had, of it or
+  // its elders.
   void SendTable(std::size_t agent, std::size_t age);
   void SetBalancerTable(std::size_t balancer, std::size_t age);
 
@@ -105,6 +107,9 @@
   using Message = std::variant<Datagram, TableMessage, routing::AgentReport>;
 
   std::optional<Datagram> Route(std::size_t flow, std::size_t balancer) const;
+  // Returns when the planner last confirmed this table or an older one to the agent.
+  base::TimePoint LastConfirmation(std::size_t agent, std::size_t table) const;
+
   bool CanReceive(const Message& message) const;
   void Handle(Message message);
   std::optional<Datagram> Process(Datagram datagram);
@@ -116,9 +121,9 @@
   base::TimePoint now_{};
   PlannerModel planner_;
   std::vector<SimulatedAgent> agents_;
-  std::vector<base::TimePoint> superseded_at_;  // when each table but the newest ceased to be so
   std::array<std::size_t, kBalancers> balancer_tables_{};
-  std::array<base::TimePoint, kAgents> last_confirmation_{};  // newest one ever sent to the agent
+  // When the planner last confirmed each table to the agent, by the table's number.
+  std::array<std::map<std::size_t, base::TimePoint>, kAgents> confirmations_;
   std::vector<Message> network_;
   OwnershipOracle oracle_;
   std::optional<flow::FlowAction> last_action_;
