--- a/daemons/balancer/src/balancer_worker.h
+++ b/daemons/balancer/src/balancer_worker.h
@@ -29,6 +29,9 @@
   // Starts forwarding. Datagrams are dropped as "no_view" until the first view.
   void Start() { task_.Start(); }
 
+  // Returns the clock of the processor time that the thread has used, while it runs.
+  clockid_t ProcessorClock() { return task_.ProcessorClock(); }
+
   // Ends the thread and waits for it.
   void Stop();
 
--- a/libs/tasks/include/gaugevalve/tasks/task.h
+++ b/libs/tasks/include/gaugevalve/tasks/task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <event2/event.h>
+#include <sys/types.h>
 
 #include <functional>
 #include <memory>
@@ -39,6 +40,9 @@
   // Returns the loop; owned by the task. Only from the task's thread once it is started.
   event_base* Loop() const { return loop_.get(); }
 
+  // Returns the clock of the processor time that the thread has used. Between Start() and Join().
+  clockid_t ProcessorClock();
+
   // Starts the thread. At most once.
   void Start();
 
--- a/libs/tasks/src/task.cpp
+++ b/libs/tasks/src/task.cpp
@@ -43,6 +43,14 @@
   thread_ = std::thread([this] { Run(); });
 }
 
+clockid_t Task::ProcessorClock() {
+  clockid_t clock{};
+  if (pthread_getcpuclockid(thread_.native_handle(), &clock) != 0) {
+    throw std::runtime_error("the task has no thread");
+  }
+  return clock;
+}
+
 void Task::Stop() { stop_event_.Signal(); }
 
 void Task::Join() {
