--- /dev/null
+++ b/libs/control/fuzz/control_message_fuzzer.cpp
@@ -0,0 +1,26 @@
+// Feeds arbitrary bytes to the decoders of what other nodes send the control task.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "gaugevalve/control/control_message.h"
+#include "gaugevalve/control/roster.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace gaugevalve::control;  // NOLINT(google-build-using-namespace)
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  const ControlMessage message = DecodeControlMessage(bytes);
+  if (const auto* report = std::get_if<NumberedReport>(&message)) {
+    // What was decoded must be encodable, and then mean the same.
+    const ControlMessage again = DecodeControlMessage(EncodeReport(*report));
+    if (!std::holds_alternative<NumberedReport>(again)) {
+      std::abort();
+    }
+  }
+  const std::optional<Roster> roster = DecodeRoster(bytes);
+  if (roster.has_value() && DecodeRoster(EncodeRoster(*roster)) != roster) {
+    std::abort();
+  }
+  return 0;
+}
--- a/libs/control/include/gaugevalve/control/control_node.h
+++ b/libs/control/include/gaugevalve/control/control_node.h
@@ -45,6 +45,7 @@
   // Least time between two views.
   base::Duration view_interval = std::chrono::milliseconds(10);
   std::uint64_t seed = 0;
+  InjectedFaults faults;
 };
 
 // Decision core. The daemons and the emulator drive it alike: give it messages, the time, what the
--- a/libs/control/include/gaugevalve/control/planner_host.h
+++ b/libs/control/include/gaugevalve/control/planner_host.h
@@ -27,7 +27,7 @@
   base::Duration collect_time = std::chrono::milliseconds(800);
   // Table changes a second that the whole deployment may make for steering; each service gets its
   // share. Changes forced by agents that died, left or joined aren't held back.
-  double table_changes_per_second = 8;
+  double table_changes_per_second = 2;
   // Reports kept for a service whose planner isn't running yet.
   std::size_t max_early_reports = 256;
 };
--- a/libs/control/include/gaugevalve/control/settings_activator.h
+++ b/libs/control/include/gaugevalve/control/settings_activator.h
@@ -29,6 +29,11 @@
   kRefused = 3,     // it can't be applied here: see Findings()
 };
 
+// Deliberate faults, by which the proofs show that they would notice. Never set in production.
+struct InjectedFaults {
+  bool activate_partially = false;
+};
+
 // Decision core over the records held. Not thread-safe.
 //
 // The root record names every service's subtree by digest. A revision is activated when the subtree
@@ -36,6 +41,8 @@
 // While a part is missing, or is already a later revision's, the revision in force stays.
 class SettingsActivator {
  public:
+  explicit SettingsActivator(const InjectedFaults& faults = {}) : faults_(faults) {}
+
   // Activates the newest root's revision if it is newer than the one in force and whole. Call when
   // the root or a subtree changed; a call costs little when neither did.
   ActivationResult Advance(const dissemination::RecordStore& records);
@@ -59,6 +66,7 @@
                    const settings::SubtreeReference& reference);
   void Activate();
 
+  InjectedFaults faults_;
   ActiveSettings active_;
   base::Revision newest_known_;
   base::Revision refused_;
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -61,6 +61,7 @@
       random_(options.seed),
       membership_(self_, options.metadata, options.membership, options.seed + 1),
       dissemination_(DisseminationOptionsOf(options), random_),
+      activator_(options.faults),
       service_reader_(options.service_name),
       coordinator_(options.coordinator),
       planners_(self_, options.planners),
--- a/libs/control/src/settings_activator.cpp
+++ b/libs/control/src/settings_activator.cpp
@@ -51,11 +51,9 @@
     for (const settings::SubtreeReference& reference : root_.services) {
       whole = ReadSubtree(records, reference) && whole;
     }
-#ifndef GAUGEVALVE_MUTATION_ACTIVATE_PARTIAL  // proofs/dissemination must find this left out
-    if (!whole) {
+    if (!whole && !faults_.activate_partially) {
       return ActivationResult::kIncomplete;
     }
-#endif
     Activate();
   } catch (const base::FindingsError& error) {
     findings_ = error.findings();
@@ -86,11 +84,8 @@
     return false;
   }
   const std::optional<settings::SubtreeDocument> document = DecodeSubtree(*record->value);
-#ifdef GAUGEVALVE_MUTATION_ACTIVATE_PARTIAL
-  const bool named = document.has_value();
-#else
-  const bool named = document.has_value() && document->Digest() == reference.digest;
-#endif
+  const bool named = document.has_value() &&
+                     (document->Digest() == reference.digest || faults_.activate_partially);
   if (named) {
     subtrees_[reference.service] = {document->Digest(), settings::ParseSubtreeDocument(*document)};
   }
--- /dev/null
+++ b/libs/control/tests/agent_reporter_test.cpp
@@ -0,0 +1,71 @@
+#include "gaugevalve/control/agent_reporter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace gaugevalve::control {
+namespace {
+
+class AgentReporterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AgentReporterTest);
+  CPPUNIT_TEST(ReportsAtABoundedRate);
+  CPPUNIT_TEST(OnlyAnAnswerForAsNewATableConfirms);
+  CPPUNIT_TEST(MessagesReadBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  static base::TimePoint At(int milliseconds) {
+    return base::TimePoint{} + std::chrono::milliseconds(milliseconds);
+  }
+
+  void ReportsAtABoundedRate() {
+    AgentReporter reporter({});
+    CPPUNIT_ASSERT(!reporter.Tick(At(0)).has_value());  // nothing measured yet
+    routing::AgentReport report;
+    report.open_flows = 100;
+    int sent = 0;
+    for (int time = 0; time < 10'000; time += 10) {
+      reporter.Update(report);
+      sent += reporter.Tick(At(time)).has_value() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(10, sent);
+    report.open_flows = 200;
+    reporter.Update(report);
+    CPPUNIT_ASSERT(reporter.Tick(At(10'010)).has_value());  // much has changed
+    report.open_flows = 300;
+    reporter.Update(report);
+    CPPUNIT_ASSERT(!reporter.Tick(At(10'020)).has_value());
+    CPPUNIT_ASSERT(reporter.Tick(At(10'210)).has_value());
+  }
+
+  void OnlyAnAnswerForAsNewATableConfirms() {
+    AgentReporter reporter({});
+    reporter.Update({});
+    const std::uint64_t first = reporter.Tick(At(1000))->sequence;
+    reporter.TakeAnswer({first, {2, 1, 5}}, {2, 1, 4});
+    CPPUNIT_ASSERT(reporter.ConfirmedAt() == base::TimePoint{});  // the planner has a newer one
+    reporter.TakeAnswer({first + 7, {2, 1, 4}}, {2, 1, 4});
+    CPPUNIT_ASSERT(reporter.ConfirmedAt() == base::TimePoint{});  // no such report
+    reporter.TakeAnswer({first, {2, 1, 4}}, {2, 1, 4});
+    CPPUNIT_ASSERT(reporter.ConfirmedAt() == At(1000));  // when it was sent, not when answered
+  }
+
+  void MessagesReadBack() {
+    NumberedReport report;
+    report.sequence = 9;
+    report.report.service = base::ServiceId(4);
+    report.report.node = base::NodeId(5);
+    report.report.flows_in_buckets = {0, 3, 0, 1};
+    const ControlMessage decoded = DecodeControlMessage(EncodeReport(report));
+    const auto& read = std::get<NumberedReport>(decoded);
+    CPPUNIT_ASSERT_EQUAL(report.sequence, read.sequence);
+    CPPUNIT_ASSERT(report.report.flows_in_buckets == read.report.flows_in_buckets);
+    const ControlMessage answer = DecodeControlMessage(EncodeAnswer({9, {1, 2, 3}}));
+    CPPUNIT_ASSERT(
+        (std::get<ReportAnswer>(answer).table_version == routing::TableVersion{1, 2, 3}));
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(DecodeControlMessage("\xff")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentReporterTest);
+
+}  // namespace
+}  // namespace gaugevalve::control
--- /dev/null
+++ b/libs/control/tests/member_fixture.h
@@ -0,0 +1,25 @@
+// Members for the tests of the control cores.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "gaugevalve/control/member_directory.h"
+
+namespace gaugevalve::control {
+
+// Returns a live balancer.
+inline membership::Member MakeBalancer(std::uint64_t node, const std::string& zone,
+                                       std::uint64_t life = 1) {
+  membership::MemberMetadata metadata;
+  metadata.zone = zone;
+  metadata.region = "region";
+  metadata.life = base::Incarnation(life);
+  membership::Member member;
+  member.node = base::NodeId(node);
+  member.incarnation = metadata.life;
+  member.metadata = std::make_shared<const membership::MemberMetadata>(metadata);
+  return member;
+}
+
+}  // namespace gaugevalve::control
--- a/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
@@ -52,7 +52,8 @@
   base::NodeId self;
   std::string zone;
   Interest interest;
-  std::size_t relays = 4;                 // peers told of each new record
+  std::size_t relays = 4;                 // peers told of each new record ...
+  std::size_t eager_relays = 2;           // ... and so many of them get its bytes at once
   std::size_t eager_bytes = 640;          // updates above this size go out as announcements only
   std::size_t max_scope_peers = 64;       // narrow peers that an author sends to directly
   std::size_t max_queue = 8192;           // entries waiting for each budget; the oldest fall out
@@ -70,6 +71,7 @@
   base::Duration request_timeout = std::chrono::seconds(1);
   base::Duration page_timeout = std::chrono::seconds(2);
   RecordStoreLimits limits;
+  InjectedFaults faults;
 };
 
 // A message for a peer; the bytes are what its Receive() takes.
--- a/libs/dissemination/include/gaugevalve/dissemination/peer_directory.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/peer_directory.h
@@ -8,6 +8,7 @@
 
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/random_source.h"
+#include "gaugevalve/base/time.h"
 #include "gaugevalve/dissemination/record.h"
 
 namespace gaugevalve::dissemination {
@@ -38,10 +39,11 @@
   // Returns the peer, or null.
   const Peer* Find(base::NodeId node) const;
 
-  // Returns up to `count` different peers that relay records of this key: for records of common
-  // kinds any peer, otherwise those that hold everything. The last one comes from any zone.
-  std::vector<base::NodeId> ChooseRelays(const RecordKey& key, std::size_t count,
-                                         base::NodeId except);
+  // Returns the peers that this node tells of new records of this key: for records of common kinds
+  // any peers, otherwise such that hold everything. Up to `count` different ones, the last of them
+  // from any zone. They stay the same for a while, so that what is due at one time shares messages.
+  const std::vector<base::NodeId>& Relays(const RecordKey& key, std::size_t count,
+                                          base::TimePoint now);
 
   // Returns a random peer that holds everything, or node 0 when there is none. One in four is from
   // any zone, the others from the own zone where it has one.
@@ -59,7 +61,14 @@
     std::vector<base::NodeId> all;   // every zone, the own one too
   };
 
+  // Relays chosen for a while.
+  struct RelaySet {
+    std::vector<base::NodeId> nodes;
+    base::TimePoint valid_until{};
+  };
+
   void Rebuild();
+  std::vector<base::NodeId> ChooseRelays(const Group& group, std::size_t count);
   base::NodeId Pick(const Group& group, bool any_zone);
 
   std::string own_zone_;
@@ -68,6 +77,8 @@
   Group full_;                      // rebuilt from peers_ when it changed
   Group every_;                     // likewise
   std::uint32_t common_kinds_ = 0;  // of all peers: these kinds are relayed by every peer
+  RelaySet full_relays_;
+  RelaySet every_relays_;
   bool stale_ = false;
 };
 
--- a/libs/dissemination/include/gaugevalve/dissemination/record_store.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/record_store.h
@@ -21,6 +21,11 @@
   std::size_t max_patches = 4;                            // kept per record
 };
 
+// Deliberate faults, by which the proofs show that they would notice. Never set in production.
+struct InjectedFaults {
+  bool accept_older_records = false;
+};
+
 // What became of a record that was offered.
 enum class PutResult : std::uint8_t {
   kStored = 0,
@@ -32,7 +37,8 @@
 // thread-safe.
 class RecordStore {
  public:
-  explicit RecordStore(const RecordStoreLimits& limits) : limits_(limits) {}
+  explicit RecordStore(const RecordStoreLimits& limits, const InjectedFaults& faults = {})
+      : limits_(limits), faults_(faults) {}
 
   // Offers a record of this node's own making. Makes the patch from the bytes held until now, if
   // one is worth it.
@@ -69,10 +75,12 @@
   };
 
   static Position PositionOf(const RecordKey& key) { return {DigestTree::LeafOf(key), key}; }
+  bool IsNewer(const RecordStamp& offered, const RecordStamp& held) const;
   bool Fits(const Record* held, const std::string& value) const;
   void Replace(Record record);
 
   RecordStoreLimits limits_;
+  InjectedFaults faults_;
   std::map<Position, Record> records_;
   DigestTree digests_;
   std::size_t total_bytes_ = 0;
--- a/libs/dissemination/src/dissemination_core.cpp
+++ b/libs/dissemination/src/dissemination_core.cpp
@@ -29,7 +29,7 @@
                                      base::RandomSource& random)
     : options_(options),
       random_(&random),
-      store_(options.limits),
+      store_(options.limits, options.faults),
       peers_(options.zone, random),
       pushes_{{}, ByteBudget(options.push_bytes_per_second, options.burst_bytes)},
       answers_{{}, ByteBudget(options.answer_bytes_per_second, options.burst_bytes)},
@@ -114,10 +114,12 @@
 
 // Queues the record for a few random peers.
 void DisseminationCore::Offer(const RecordKey& key, base::NodeId except, bool eager) {
-  bool push = eager;
-  for (const base::NodeId node : peers_.ChooseRelays(key, options_.relays, except)) {
-    Enqueue({node, key, push ? SendMode::kPush : SendMode::kAnnounce, {}, false, now_});
-    push = false;
+  std::size_t pushes = eager ? options_.eager_relays : 0;
+  for (const base::NodeId node : peers_.Relays(key, options_.relays, now_)) {
+    if (node != except) {
+      Enqueue({node, key, pushes > 0 ? SendMode::kPush : SendMode::kAnnounce, {}, false, now_});
+      pushes -= pushes > 0 ? 1 : 0;
+    }
   }
 }
 
@@ -228,7 +230,8 @@
     return;
   }
   const Record* held = store_.Find(key);
-  if (held != nullptr && held->stamp >= stamp) {
+  const bool is_known = held != nullptr && held->stamp >= stamp;
+  if (is_known && !options_.faults.accept_older_records) {
     ++counters_.duplicates_received;
     return;
   }
--- a/libs/dissemination/src/peer_directory.cpp
+++ b/libs/dissemination/src/peer_directory.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::uint64_t kFarChoiceOneIn = 4;
+constexpr base::Duration kRelayPeriod = std::chrono::seconds(1);
 // Draws per wanted relay before giving up on finding another distinct one.
 constexpr std::size_t kDrawsPerRelay = 4;
 
@@ -41,6 +42,8 @@
   }
   full_ = {};
   every_ = {};
+  full_relays_ = {};
+  every_relays_ = {};
   common_kinds_ = 0;
   std::vector<base::NodeId> sorted;  // the same order on every run, whatever the hash map's
   sorted.reserve(peers_.size());
@@ -71,17 +74,25 @@
   return from.empty() ? base::NodeId() : from[random_->NextBelow(from.size())];
 }
 
-std::vector<base::NodeId> PeerDirectory::ChooseRelays(const RecordKey& key, std::size_t count,
-                                                      base::NodeId except) {
+const std::vector<base::NodeId>& PeerDirectory::Relays(const RecordKey& key, std::size_t count,
+                                                       base::TimePoint now) {
   Rebuild();
+  // A kind that any narrow peer wants whatever its scope is relayed by all.
   const bool common = Interest{false, 0, common_kinds_}.Covers(key);
-  const Group& group = common ? every_ : full_;
+  RelaySet& relays = common ? every_relays_ : full_relays_;
+  if (now >= relays.valid_until) {
+    relays = {ChooseRelays(common ? every_ : full_, count), now + kRelayPeriod};
+  }
+  return relays.nodes;
+}
+
+std::vector<base::NodeId> PeerDirectory::ChooseRelays(const Group& group, std::size_t count) {
   std::vector<base::NodeId> chosen;
   for (std::size_t draw = 0; draw < count * kDrawsPerRelay && chosen.size() < count; ++draw) {
     const bool any_zone = chosen.size() + 1 == count || draw >= count;
     const base::NodeId node = Pick(group, any_zone);
     const bool taken = std::find(chosen.begin(), chosen.end(), node) != chosen.end();
-    if (node != base::NodeId() && node != except && !taken) {
+    if (node != base::NodeId() && !taken) {
       chosen.push_back(node);
     }
   }
--- a/libs/dissemination/src/record_store.cpp
+++ b/libs/dissemination/src/record_store.cpp
@@ -16,18 +16,14 @@
   return size;
 }
 
-bool IsNewer(const RecordStamp& offered, const RecordStamp& held) {
-#ifdef GAUGEVALVE_MUTATION_ACCEPT_OLDER
-  return offered != held;  // proofs/dissemination builds this fault in and must find it
-#else
-  return offered > held;
-#endif
-}
-
 }  // namespace
 
 std::uint64_t DigestOf(const std::string& value) { return base::HashText(value); }
 
+bool RecordStore::IsNewer(const RecordStamp& offered, const RecordStamp& held) const {
+  return offered > held || (faults_.accept_older_records && offered != held);
+}
+
 PutResult RecordStore::Publish(const RecordKey& key, const RecordVersion& version,
                                std::string value) {
   const Record* held = Find(key);
--- /dev/null
+++ b/proofs/dissemination/src/control_world.cpp
@@ -0,0 +1,206 @@
+#include "control_world.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace gaugevalve::proofs {
+namespace {
+
+using control_simulation::HollowDeployment;
+using control_simulation::HollowDeploymentSettings;
+
+// How often the oracle looks.
+constexpr base::Duration kCheckInterval = std::chrono::milliseconds(100);
+constexpr base::Duration kTimeToSettle = std::chrono::minutes(2);
+
+simulation::NetworkModel MakeNetwork() {
+  return {{{"north", "n1"}, {"north", "n2"}, {"south", "s1"}}, {}};
+}
+
+HollowDeploymentSettings MakeDeployment(const ControlWorldSettings& settings) {
+  HollowDeploymentSettings deployment;
+  deployment.balancers = ControlWorld::kBalancers;
+  deployment.services = ControlWorld::kServices;
+  deployment.agents_per_service = ControlWorld::kAgentsPerService;
+  deployment.is_preloaded = false;
+  deployment.options.dissemination.faults.accept_older_records = settings.accept_older_records;
+  deployment.options.faults.activate_partially = settings.activate_partially;
+  return deployment;
+}
+
+base::ServiceId ServiceAt(std::size_t service) {
+  return base::MakeServiceId(HollowDeployment::ServiceName(service));
+}
+
+}  // namespace
+
+ControlWorld::ControlWorld(const ControlWorldSettings& settings)
+    : simulator_(settings.seed, MakeNetwork()), nodes_(simulator_, MakeDeployment(settings)) {
+  Run(std::chrono::seconds(10));
+}
+
+bool ControlWorld::IsLive(std::size_t node) const { return nodes_.IsRunning(node); }
+
+std::size_t ControlWorld::RunningBalancers() const {
+  std::size_t running = 0;
+  for (std::size_t node = 0; node < kBalancers; ++node) {
+    running += IsLive(node) ? 1 : 0;
+  }
+  return running;
+}
+
+void ControlWorld::Edit(std::size_t service, std::uint32_t weight) {
+  if (nodes_.Store().IsAvailable()) {
+    newest_ = nodes_.Edit(service % kServices, weight);
+    ++commits_;
+  }
+}
+
+void ControlWorld::Kill(std::size_t node) {
+  const bool is_last = node < kBalancers && RunningBalancers() == 1;
+  if (IsLive(node) && !is_last) {
+    nodes_.Kill(node);
+  }
+}
+
+void ControlWorld::Restart(std::size_t node) {
+  const bool is_last = node < kBalancers && RunningBalancers() == 1 && IsLive(node);
+  if (!is_last) {
+    nodes_.Restart(node);
+  }
+}
+
+void ControlWorld::Freeze(std::size_t node) {
+  if (IsLive(node)) {
+    simulator_.Freeze(nodes_.Index(node));
+  }
+}
+
+void ControlWorld::Thaw(std::size_t node) {
+  if (simulator_.State(nodes_.Index(node)) == simulation::NodeState::kFrozen) {
+    simulator_.Thaw(nodes_.Index(node));
+  }
+}
+
+void ControlWorld::SetStoreAvailable(bool available) { nodes_.Store().SetAvailable(available); }
+
+void ControlWorld::SplitRegions() { simulator_.Network().BlockRegions("north", "south"); }
+
+void ControlWorld::IsolateNode(std::size_t node) {
+  simulator_.Network().IsolateNode(nodes_.Index(node));
+}
+
+void ControlWorld::HealNetwork() { simulator_.Network().HealPartitions(); }
+
+void ControlWorld::SetMessageFaults(double probability) {
+  simulation::NetworkFaults faults;
+  faults.loss = probability;
+  faults.duplication = probability;
+  faults.reordering = probability;
+  simulator_.Network().SetFaults(faults);
+}
+
+void ControlWorld::Run(base::Duration duration) {
+  for (base::Duration done{0}; done < duration; done += kCheckInterval) {
+    simulator_.RunFor(kCheckInterval);
+    Check();
+  }
+}
+
+void ControlWorld::HealAndSettle() {
+  SetStoreAvailable(true);
+  HealNetwork();
+  SetMessageFaults(0);
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    Thaw(node);
+    if (!IsLive(node)) {
+      nodes_.Restart(node);
+    }
+  }
+  for (base::Duration done{0}; done < kTimeToSettle && !HasSettled(); done += kCheckInterval) {
+    Run(kCheckInterval);
+  }
+  if (!violation_ && !HasSettled()) {
+    std::ostringstream words;
+    words << "not settled after the faults: newest is " << newest_ << ", in force";
+    for (std::size_t node = 0; node < kBalancers; ++node) {
+      words << ' ' << nodes_.Life(node).Core().Settings().Active().revision;
+    }
+    for (std::size_t service = 0; service < kServices; ++service) {
+      words << ", tables of " << HollowDeployment::ServiceName(service);
+      for (std::size_t node = 0; node < kNodes; ++node) {
+        const auto table = nodes_.Life(node).Core().TableOf(ServiceAt(service));
+        words << ' ' << (table == nullptr ? routing::TableVersion() : table->version);
+      }
+    }
+    violation_ = words.str();
+  }
+}
+
+bool ControlWorld::HasSettled() {
+  bool settled = nodes_.IsInForceEverywhere(newest_);
+  for (std::size_t service = 0; service < kServices; ++service) {
+    settled = settled && nodes_.HasOneTable(service);
+  }
+  return settled;
+}
+
+void ControlWorld::Check() {
+  for (std::size_t node = 0; node < kNodes && !violation_; ++node) {
+    if (IsLive(node)) {
+      CheckNode(node);
+    }
+  }
+}
+
+void ControlWorld::CheckNode(std::size_t node) {
+  const control::ControlNode& core = nodes_.Life(node).Core();
+  Seen& seen = seen_[node];
+  if (seen.life != core.Options().metadata.life) {
+    seen = {core.Options().metadata.life, {}, {}};
+  }
+  CheckTables(node, seen);
+  if (node < kBalancers) {
+    CheckSettings(node, core.Settings().Active(), seen);
+  }
+}
+
+void ControlWorld::CheckSettings(std::size_t node, const control::ActiveSettings& active,
+                                 Seen& seen) {
+  if (active.revision < seen.revision) {
+    Violate(node, "the revision in force went back");
+  }
+  activations_ += active.revision > seen.revision ? 1 : 0;
+  seen.revision = active.revision;
+  if (active.settings == nullptr) {
+    return;
+  }
+  const auto committed = nodes_.Store().Committed().find(active.revision);
+  if (committed == nodes_.Store().Committed().end()) {
+    Violate(node, "a revision is in force that was never committed");
+  } else if (committed->second != *active.settings) {
+    Violate(node, "the settings in force are a mix of revisions");
+  }
+}
+
+void ControlWorld::CheckTables(std::size_t node, Seen& seen) {
+  for (std::size_t service = 0; service < kServices; ++service) {
+    const base::ServiceId id = ServiceAt(service);
+    const auto table = nodes_.Life(node).Core().TableOf(id);
+    if (table == nullptr) {
+      continue;
+    }
+    if (table->version < seen.tables[id]) {
+      Violate(node, "a table went back");
+    }
+    seen.tables[id] = table->version;
+  }
+}
+
+void ControlWorld::Violate(std::size_t node, const std::string& words) {
+  if (!violation_) {
+    violation_ = "node " + std::to_string(node) + ": " + words;
+  }
+}
+
+}  // namespace gaugevalve::proofs
--- /dev/null
+++ b/proofs/dissemination/src/control_world.h
@@ -0,0 +1,84 @@
+// A small deployment under faults, with an oracle that knows every committed revision.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "gaugevalve/control_simulation/hollow_deployment.h"
+#include "gaugevalve/simulation/simulator.h"
+
+namespace gaugevalve::proofs {
+
+// Protections taken away, to see that the oracle notices.
+struct ControlWorldSettings {
+  std::uint64_t seed = 1;
+  bool accept_older_records = false;
+  bool activate_partially = false;
+};
+
+// Five balancers and two services of two agents, in three zones of two regions. Every step runs
+// some simulated time and asks the oracle:
+// - what a balancer has in force is a committed revision, with exactly the settings committed;
+// - within a life neither the revision in force nor a table's version goes back.
+class ControlWorld {
+ public:
+  static constexpr std::size_t kBalancers = 5;
+  static constexpr std::size_t kServices = 2;
+  static constexpr std::size_t kAgentsPerService = 2;
+  static constexpr std::size_t kNodes = kBalancers + kServices * kAgentsPerService;
+
+  explicit ControlWorld(const ControlWorldSettings& settings);
+
+  // The adversary's steps. What can't be done now does nothing.
+  void Edit(std::size_t service, std::uint32_t weight);
+  void Kill(std::size_t node);  // the last running balancer stays: else the newest could be lost
+  void Restart(std::size_t node);
+  void Freeze(std::size_t node);
+  void Thaw(std::size_t node);
+  void SetStoreAvailable(bool available);
+  void SplitRegions();
+  void IsolateNode(std::size_t node);
+  void HealNetwork();
+  void SetMessageFaults(double probability);
+  void Run(base::Duration duration);
+
+  // Ends every fault and runs until all balancers have the newest revision and all nodes one table
+  // a service, at most two minutes; then says what isn't so.
+  void HealAndSettle();
+
+  // Returns the first rule seen broken.
+  const std::optional<std::string>& Violation() const { return violation_; }
+
+  std::size_t Commits() const { return commits_; }
+  std::size_t Activations() const { return activations_; }
+
+ private:
+  // What a balancer's life had when it was last looked at.
+  struct Seen {
+    base::Incarnation life;
+    base::Revision revision;
+    std::map<base::ServiceId, routing::TableVersion> tables;
+  };
+
+  bool IsLive(std::size_t node) const;
+  std::size_t RunningBalancers() const;
+  void Check();
+  void CheckNode(std::size_t node);
+  void CheckSettings(std::size_t node, const control::ActiveSettings& active, Seen& seen);
+  void CheckTables(std::size_t node, Seen& seen);
+  bool HasSettled();
+  void Violate(std::size_t node, const std::string& words);
+
+  simulation::Simulator simulator_;
+  control_simulation::HollowDeployment nodes_;
+  std::map<std::size_t, Seen> seen_;
+  std::optional<std::string> violation_;
+  base::Revision newest_{1};
+  std::size_t commits_ = 1;
+  std::size_t activations_ = 0;
+};
+
+}  // namespace gaugevalve::proofs
