--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -21,6 +21,7 @@
 constexpr base::Duration kFarewellTime = std::chrono::milliseconds(500);
 constexpr base::Duration kLongestSleep = std::chrono::seconds(1);
 constexpr base::Duration kViewRetry = std::chrono::milliseconds(20);
+constexpr const char* kJson = "application/json";
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 
@@ -149,7 +150,8 @@
   } else if (store_.has_value()) {
     unwanted_since_ = std::min(unwanted_since_, now);
     if (now >= unwanted_since_ + kStoreHandover) {
-      telemetry::Event(telemetry::Level::kInfo, "store_access_closed");
+      telemetry::Event(telemetry::Level::kInfo, "store_access_closed")
+          .Field("name", settings_.name);
       store_->lease->Resign();
       store_.reset();
       control::ControlActions actions;
@@ -164,7 +166,7 @@
 }
 
 void ControlTask::OpenStore() {
-  telemetry::Event(telemetry::Level::kInfo, "store_access_opened");
+  telemetry::Event(telemetry::Level::kInfo, "store_access_opened").Field("name", settings_.name);
   const std::uint64_t seed = transport_->Identity().incarnation.value();
   store::StoreClientSettings client_settings;
   client_settings.endpoints = settings_.store_endpoints;
@@ -278,7 +280,6 @@
 }
 
 void ControlTask::AddHandlers(telemetry::AdminServer& admin) {
-  constexpr char kJson[] = "application/json";
   admin.Handle("/status", [this](const telemetry::AdminRequest&) {
     return telemetry::AdminResponse{200, kJson,
                                     control::FormatStatus(*node_, StoreState(), clock_.Now())};
--- a/libs/control/src/member_directory.cpp
+++ b/libs/control/src/member_directory.cpp
@@ -71,9 +71,9 @@
 }
 
 const std::set<base::NodeId>& MemberDirectory::AgentsOf(base::ServiceId service) const {
-  static const std::set<base::NodeId> kNone;
+  static const std::set<base::NodeId> none;
   const auto found = agents_.find(service);
-  return found == agents_.end() ? kNone : found->second;
+  return found == agents_.end() ? none : found->second;
 }
 
 }  // namespace gaugevalve::control
