--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import json
 import pathlib
 import signal
 import sys
@@ -15,7 +16,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "scripts"))
 
-from local import admin, specs  # noqa: E402  the path is set above
+from local import admin, polling, specs  # noqa: E402  the path is set above
 from local.processes import ManagedProcess  # noqa: E402
 from scenario import ScenarioTest, format_rows  # noqa: E402
 
@@ -34,7 +35,7 @@
         for process in self.deployment.balancers.values():
             if not process.is_running():
                 process.start()
-            process.wait_healthy()
+        self.wait_settled()
         self.deployment.spray_over(self.names)
 
     def test_balancer_killed(self) -> None:
@@ -63,12 +64,63 @@
             process.send_signal(signal.SIGTERM)
             self.assertEqual(0, process.wait(limit_seconds=60), f"{name} drained")
             process.start()
-            process.wait_healthy()
+            self.wait_settled()
             self.deployment.spray_over(self.names)
             self.let_traffic_pass()
         self.assert_nothing_broke()
 
 
+class ControlPlane(ScenarioTest):
+    """Edits, drains and outages of the store; flows stay where they are."""
+
+    spec = specs.PARTS_PLATFORM
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.addCleanup(self.deployment.set_store_faults, outage="none")
+
+    def test_endpoint_drained(self) -> None:
+        name = self.deployment.layout.endpoints[0].name
+        path = f"{self.spec.services[0].name}/{name}"
+        self.deployment.control("drain", path)
+        self.addCleanup(self.wait_settled)
+        self.addCleanup(self.deployment.control, "undrain", path)
+        self.wait_for_no_new_flows(name)
+        flows = self.flows_seen_by(name)
+        self.let_traffic_pass(5000)
+        self.assertEqual(flows, self.flows_seen_by(name), "new flows on a drained endpoint")
+        self.assert_nothing_broke()
+
+    def test_settings_edited(self) -> None:
+        for slots in ("5", "6", "7"):
+            edit = json.loads(self.deployment.control(
+                "--output=json", "tree", "set", "services.stock.slots", slots))
+            polling.wait_until(lambda: self._revisions_in_force() == {edit["planned_revision"]},
+                               "the edit is in force on every balancer")
+            self.let_traffic_pass(500)
+        self.assert_nothing_broke()
+
+    def test_balancer_replaced_while_the_store_is_away(self) -> None:
+        for outage in ("refuse", "hang"):
+            self.deployment.set_store_faults(outage=outage)
+            self.let_traffic_pass()
+            name, process = next(iter(self.deployment.balancers.items()))
+            others = [other for other in self.deployment.balancers if other != name]
+            process.send_signal(signal.SIGKILL)
+            process.wait(limit_seconds=60)
+            self.deployment.spray_over(others)
+            process.start()
+            self.wait_settled()  # it gets everything from its peers
+            self.deployment.spray_over(list(self.deployment.balancers))
+            self.let_traffic_pass()
+            self.deployment.set_store_faults(outage="none")
+        self.assert_nothing_broke()
+
+    def _revisions_in_force(self) -> set[int]:
+        return {self.deployment.status(balancer)["settings"]["revision_in_force"]
+                for balancer in self.deployment.layout.balancers}
+
+
 class NetworkFaults(ScenarioTest):
     """The network loses, doubles, delays and reorders datagrams both ways."""
 
--- a/proofs/real_processes/scenario.py
+++ b/proofs/real_processes/scenario.py
@@ -74,6 +74,31 @@
         polling.wait_until(lambda: self.received_datagrams() >= target,
                            f"callers send {datagrams} datagrams")
 
+    def wait_settled(self) -> None:
+        """Waits until every node runs and has its settings and tables."""
+
+        def is_settled() -> bool:
+            try:
+                return self.deployment.is_settled()
+            except admin.AdminError:
+                return False  # a process that has just been started
+
+        polling.wait_until(is_settled, "every node has its settings and tables")
+
+    def flows_seen_by(self, endpoint: str) -> set[int]:
+        """Returns the flows that an endpoint has seen since it was started."""
+        return set(self.deployment.ledgers()[endpoint]["datagram"]["flows"])
+
+    def wait_for_no_new_flows(self, endpoint: str) -> None:
+        """Waits until traffic passes without a new flow at the endpoint."""
+
+        def saw_none() -> bool:
+            before = self.flows_seen_by(endpoint)
+            self.let_traffic_pass(3000)
+            return self.flows_seen_by(endpoint) == before
+
+        polling.wait_until(saw_none, f"no new flow comes to {endpoint}")
+
     def end_load(self, check_ledgers: bool = True) -> dict[str, Any]:
         """Ends the load run and returns its report, having noted it in the table.
 
--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -1,11 +1,12 @@
 """A running deployment: stand-ins, balancers, agents and back ends on loopback."""
 
 import pathlib
-from typing import Any
+import subprocess
+from typing import Any, Sequence
 
-from . import admin, nodes, processes
+from . import admin, nodes, polling, processes
 from .processes import ManagedProcess
-from .specs import DeploymentSpec
+from .specs import DeploymentSpec, ServiceSpec
 
 
 class Deployment:
@@ -18,6 +19,7 @@
         self._programs = programs
         self._directory = directory
         self.fabric = self._make_fabric()
+        self.store = self._make_store()
         self.backends = {endpoint.name: self._make_backend(endpoint)
                          for endpoint in self.layout.endpoints}
         self.agents = {endpoint.name: self._make_agent(endpoint)
@@ -28,10 +30,15 @@
 
     def __enter__(self) -> "Deployment":
         try:
+            self.store.start()
+            self.store.wait_healthy()
+            self.control("tree", "apply", str(nodes.write_tree(self.layout, self._directory)))
             for process in self.processes():
-                process.start()
+                if process is not self.store:
+                    process.start()
             for process in self.processes():
                 process.wait_healthy()
+            polling.wait_until(self.is_settled, "every node has its settings and tables")
         except BaseException:
             self.end()
             raise
@@ -46,7 +53,7 @@
 
     def processes(self) -> list[ManagedProcess]:
         """Returns the processes in the order in which they are started."""
-        return [self.fabric, *self.backends.values(), *self.agents.values(),
+        return [self.store, self.fabric, *self.backends.values(), *self.agents.values(),
                 *self.balancers.values()]
 
     def run_beside(self, name: str, program: str, arguments: list[str],
@@ -58,6 +65,34 @@
         process.start()
         return process
 
+    def is_settled(self) -> bool:
+        """Tells whether every balancer has every service's whole table, and every agent its own."""
+        return (all(self._has_tables(balancer, self.spec.services)
+                    for balancer in self.layout.balancers)
+                and all(self._has_tables(endpoint.agent, [endpoint.service])
+                        for endpoint in self.layout.endpoints))
+
+    def status(self, node: nodes.Node) -> dict[str, Any]:
+        """Returns what a balancer or agent says of itself."""
+        return admin.request_json(node.admin_address, "/status")
+
+    def _has_tables(self, node: nodes.Node, services: Sequence[ServiceSpec]) -> bool:
+        status = self.status(node)
+        agents = {service["name"]: service["agents"] for service in status["services"]}
+        return (status["confirmed_milliseconds_ago"] is not None
+                and all(agents.get(service.name) == service.endpoints for service in services))
+
+    def control(self, *arguments: str) -> str:
+        """Runs gaugevalvectl and returns what it printed; RuntimeError when it fails."""
+        command = [self._program("gaugevalvectl"), f"--store={self.layout.store_address}",
+                   "--node=" + ",".join(node.admin_address for node in self.layout.balancers),
+                   *arguments]
+        result = subprocess.run(command, capture_output=True, text=True, check=False)
+        if result.returncode != 0:
+            raise RuntimeError(f"{command} ended with {result.returncode}:\n"
+                               f"{result.stdout}{result.stderr}")
+        return result.stdout
+
     def spray_over(self, balancer_names: list[str]) -> None:
         """Makes the fabric spray over just these balancers."""
         addresses = [balancer.data_address for balancer in self.layout.balancers
@@ -65,6 +100,10 @@
         admin.request_json(self.layout.fabric_admin_address, "/admin/balancers",
                            {"balancers": addresses, "cut": []})
 
+    def set_store_faults(self, **faults: Any) -> None:
+        """Sets faults of the store."""
+        admin.request_json(self.layout.store_admin_address, "/admin/faults", faults)
+
     def set_network_faults(self, direction: str, **faults: float) -> None:
         """Sets faults of the fabric; direction is "inbound" or "outbound"."""
         admin.request_json(self.layout.fabric_admin_address, f"/admin/faults/{direction}", faults)
@@ -88,6 +127,12 @@
                    f"--admin={layout.fabric_admin_address}"]
         return ManagedProcess("fabric", command, self._directory, layout.fabric_admin_address)
 
+    def _make_store(self) -> ManagedProcess:
+        layout = self.layout
+        command = [self._program("standin-store"), f"--listen={layout.store_address}",
+                   f"--admin={layout.store_admin_address}"]
+        return ManagedProcess("store", command, self._directory, layout.store_admin_address)
+
     def _make_backend(self, endpoint: nodes.Endpoint) -> ManagedProcess:
         command = [self._program("standin-backend"), f"--name={endpoint.name}",
                    f"--service={endpoint.service.name}", f"--datagram={endpoint.datagram_address}",
--- a/scripts/local/nodes.py
+++ b/scripts/local/nodes.py
@@ -94,6 +94,28 @@
     return _write(settings, endpoint.agent.name, directory)
 
 
+def write_tree(layout: Layout, directory: pathlib.Path) -> pathlib.Path:
+    """Writes the deployment's settings tree, as operators keep it, and returns its path."""
+    return _write({
+        "version": 1,
+        "services": {service.name: _service_branch(layout, service)
+                     for service in layout.spec.services},
+    }, "tree", directory)
+
+
+def _service_branch(layout: Layout, service: ServiceSpec) -> dict:
+    zones: dict = {zone: {"endpoints": {}} for zone in layout.spec.zones}
+    for endpoint in layout.endpoints_of(service.name):
+        zones[endpoint.agent.zone]["endpoints"][endpoint.name] = {}
+    used_zones = {name: zone for name, zone in zones.items() if zone["endpoints"]}
+    return {
+        "kind": service.kind,
+        "virtual_address": layout.virtual_addresses[service.name],
+        "bucket_count": service.bucket_count,
+        "regions": {layout.spec.region: {"zones": used_zones}},
+    }
+
+
 def _common_settings(layout: Layout, node: Node, role: str) -> dict:
     return {
         "name": node.name,
@@ -103,24 +125,8 @@
         "data_address": node.data_address,
         "control_address": node.control_address,
         "admin_address": node.admin_address,
-        "static": _static_settings(layout),
-    }
-
-
-def _static_settings(layout: Layout) -> dict:
-    return {
-        "services": [{
-            "name": service.name,
-            "kind": service.kind,
-            "virtual_address": layout.virtual_addresses[service.name],
-            "bucket_count": service.bucket_count,
-        } for service in layout.spec.services],
-        "agents": [{
-            "node": endpoint.agent.name,
-            "service": endpoint.service.name,
-            "zone": endpoint.agent.zone,
-            "data_address": endpoint.agent.data_address,
-        } for endpoint in layout.endpoints],
+        "seed_peers": [balancer.control_address for balancer in layout.balancers],
+        "store_endpoints": [layout.store_address],
     }
 
 
