--- a/standins/backend/src/board.cpp
+++ b/standins/backend/src/board.cpp
@@ -4,11 +4,14 @@
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
 
-#include <string>
+#include <utility>
+
+#include "gaugevalve/standins/endpoint_headers.h"
 
 namespace gaugevalve::standins {
 
-Board::Board(event_base* loop, base::Duration interval) : timer_(loop, [this] { SendEvents(); }) {
+Board::Board(event_base* loop, base::Duration interval, std::string endpoint)
+    : endpoint_(std::move(endpoint)), timer_(loop, [this] { SendEvents(); }) {
   timer_.StartPeriodic(interval);
 }
 
@@ -16,6 +19,7 @@
   evhtp_request_set_hook(request, evhtp_hook_on_request_fini, AsHook(&Board::OnRequestEnd), this);
   AddHeader(request, "Content-Type", "text/event-stream");
   AddHeader(request, "Cache-Control", "no-store");
+  AddHeader(request, kEndpointHeader, endpoint_);
   open_.insert(request);
   evhtp_send_reply_chunk_start(request, EVHTP_RES_OK);
 }
--- a/standins/backend/src/board.h
+++ b/standins/backend/src/board.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <set>
+#include <string>
 
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/tasks/timer.h"
@@ -18,7 +19,7 @@
  public:
   static constexpr std::size_t kMaxBacklogBytes = 1U << 20U;
 
-  Board(event_base* loop, base::Duration interval);
+  Board(event_base* loop, base::Duration interval, std::string endpoint);
 
   // Answers the request with events until its caller goes away.
   void Open(evhtp_request_t* request);
@@ -28,6 +29,7 @@
 
   void SendEvents();
 
+  std::string endpoint_;  // its name, put into every answer
   std::set<evhtp_request_t*> open_;
   std::uint64_t event_number_ = 0;
   tasks::Timer timer_;
--- a/standins/backend/src/http_endpoint.cpp
+++ b/standins/backend/src/http_endpoint.cpp
@@ -53,7 +53,7 @@
     : settings_(settings),
       faults_(faults),
       ledger_(ledger),
-      board_(loop, settings.board_interval),
+      board_(loop, settings.board_interval, identity.name),
       work_(loop, settings.work, identity, faults, ledger),
       report_timer_(loop, [this] { RecordState(); }),
       server_(evhtp_new(loop, nullptr)) {
--- /dev/null
+++ b/tools/load/src/http3_flow.cpp
@@ -0,0 +1,191 @@
+#include "http3_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gaugevalve::load {
+namespace {
+
+constexpr std::uint64_t kDrawings = 1000;  // numbers asked for: 0 to 999
+constexpr std::string_view kEndpointField = "gaugevalve-endpoint";
+constexpr int kOk = 200;
+
+quic::Http3ClientOptions MakeOptions(const Http3FlowSettings& settings, const std::string& service,
+                                     const base::SocketAddress& address) {
+  quic::Http3ClientOptions options;
+  options.path.remote = address;
+  options.server_name = service;
+  options.credentials = settings.credentials;
+  return options;
+}
+
+}  // namespace
+
+// Hands the board's answer to the flow, which outlives it.
+class Http3Flow::BoardHandler final : public quic::ResponseHandler {
+ public:
+  explicit BoardHandler(Http3Flow& flow) : flow_(flow) {}
+
+  void OnHead(const quic::ResponseHead& head) override { flow_.OnBoardHead(head); }
+  void OnBody(std::span<const std::uint8_t> bytes) override { flow_.OnBoardBody(bytes); }
+  void OnEnd() override { flow_.OnBoardEnd(); }
+  void OnFailed(const quic::RequestFailure& /*failure*/) override { flow_.OnBoardEnd(); }
+
+ private:
+  Http3Flow& flow_;
+};
+
+Http3Flow::Http3Flow(event_base* loop, const base::Clock& clock, const Http3FlowSettings& settings,
+                     std::string service, const base::SocketAddress& address, std::uint64_t number,
+                     base::TimePoint ends_at, base::RandomSource& random,
+                     Http3ServiceReport& report)
+    : clock_(clock),
+      settings_(settings),
+      service_(std::move(service)),
+      number_(number),
+      ends_at_(ends_at),
+      random_(random),
+      report_(report),
+      last_sign_of_life_(clock.Now()),
+      next_request_at_(last_sign_of_life_),
+      client_(std::make_unique<quic::UdpClient>(loop, clock,
+                                                MakeOptions(settings, service_, address),
+                                                static_cast<quic::ClientEvents&>(*this))) {
+  ++report_.flows_opened;
+  client_->Connect();
+}
+
+void Http3Flow::OnTick() {
+  if (has_ended_) {
+    return;
+  }
+  const base::TimePoint now = clock_.Now();
+  if (now - last_sign_of_life_ > settings_.silence) {
+    Break(board_is_known_ ? "silent" : "never_answered");
+  } else if (request_in_progress_ && now - request_sent_at_ > settings_.silence) {
+    Break("request_never_ended");
+  } else if (board_is_known_ && !request_in_progress_ && now >= ends_at_) {
+    Finish();
+  } else if (board_is_known_ && !request_in_progress_ && !goaway_received_ &&
+             now >= next_request_at_) {
+    random_.NextUnit() < settings_.drawing_share ? SubmitDrawing() : SubmitReservation();
+  }
+}
+
+void Http3Flow::EndSoon() { ends_at_ = std::min(ends_at_, clock_.Now()); }
+
+void Http3Flow::OnConnected() { SubmitBoard(); }
+
+void Http3Flow::OnGoaway() {
+  ++report_.goaways;
+  goaway_received_ = true;
+}
+
+void Http3Flow::OnClosed(const quic::ConnectionEnd& end) {
+  using Kind = quic::ConnectionEnd::Kind;
+  switch (end.kind) {
+    case Kind::kRefused:
+      Break("connection_refused");
+      break;
+    case Kind::kStatelessReset:
+      Break("stateless_reset");
+      break;
+    case Kind::kIdle:
+      Break("connection_idle");
+      break;
+    default:
+      Break("connection_closed");
+  }
+}
+
+void Http3Flow::SubmitBoard() {
+  client_->Client().SubmitRequest(MakeHead("GET", "/board"), {},
+                                  std::make_unique<BoardHandler>(*this));
+}
+
+void Http3Flow::SubmitReservation() {
+  const std::string key =
+      service_ + "-" + std::to_string(number_) + "-" + std::to_string(++requests_);
+  quic::RequestHead head = MakeHead("POST", "/reservations");
+  head.fields.push_back({"idempotency-key", key});
+  const auto submitted = client_->Client().SubmitRequest(
+      head, {}, std::make_unique<ReservationCheck>(key, [this, key](const CheckedAnswer& answer) {
+        report_.reservation_keys[answer.outcome].push_back(key);
+        OnAnswer(report_.reservations, answer);
+      }));
+  request_in_progress_ = submitted.has_value();
+  request_sent_at_ = clock_.Now();
+}
+
+void Http3Flow::SubmitDrawing() {
+  const std::uint64_t drawing = random_.NextBelow(kDrawings);
+  const auto submitted = client_->Client().SubmitRequest(
+      MakeHead("GET", "/drawings/" + std::to_string(drawing)), {},
+      std::make_unique<DrawingCheck>(
+          drawing, [this](const CheckedAnswer& answer) { OnAnswer(report_.drawings, answer); }));
+  request_in_progress_ = submitted.has_value();
+  request_sent_at_ = clock_.Now();
+}
+
+void Http3Flow::OnAnswer(RequestCounts& counts, const CheckedAnswer& answer) {
+  const base::TimePoint now = clock_.Now();
+  ++counts.outcomes[answer.outcome];
+  counts.crossed += answer.is_crossed ? 1 : 0;
+  counts.cut_as_whole += answer.is_cut_as_whole ? 1 : 0;
+  if (answer.outcome == CallerOutcome::kAnswered) {
+    counts.latencies.Add(now - request_sent_at_);
+    ++report_.requests_by_endpoint[answer.endpoint];
+  }
+  request_in_progress_ = false;
+  next_request_at_ = now + settings_.request_interval;
+  last_sign_of_life_ = now;
+}
+
+void Http3Flow::OnBoardHead(const quic::ResponseHead& head) {
+  if (head.status != kOk) {
+    return;  // its end follows, and breaks the flow
+  }
+  board_is_known_ = true;
+  last_sign_of_life_ = clock_.Now();
+  ++report_.boards_by_endpoint[std::string(quic::FindField(head.fields, kEndpointField))];
+}
+
+void Http3Flow::OnBoardBody(std::span<const std::uint8_t> bytes) {
+  board_.Read(bytes);
+  last_sign_of_life_ = clock_.Now();
+}
+
+void Http3Flow::OnBoardEnd() { Break(board_is_known_ ? "board_ended" : "board_refused"); }
+
+void Http3Flow::Finish() {
+  has_ended_ = true;
+  ++report_.flows_finished;
+  End();
+}
+
+void Http3Flow::Break(const std::string& cause) {
+  if (has_ended_) {
+    return;
+  }
+  has_ended_ = true;
+  ++report_.flows_broken[cause];
+  End();
+}
+
+void Http3Flow::End() {
+  report_.board_events += board_.Events();
+  report_.board_gaps += board_.Gaps();
+  if (!client_->Client().IsClosed()) {
+    client_->Close();
+  }
+}
+
+quic::RequestHead Http3Flow::MakeHead(const std::string& method, const std::string& path) const {
+  quic::RequestHead head;
+  head.method = method;
+  head.authority = service_;
+  head.path = path;
+  return head;
+}
+
+}  // namespace gaugevalve::load
--- /dev/null
+++ b/tools/load/src/http3_flow.h
@@ -0,0 +1,87 @@
+// One flow of the `http3` mode: a connection that keeps the board open and sends requests.
+#pragma once
+
+#include <event2/event.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "answer_checks.h"
+#include "board_reader.h"
+#include "gaugevalve/base/clock.h"
+#include "gaugevalve/base/random_source.h"
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/quic/udp_client.h"
+#include "http3_report.h"
+
+namespace gaugevalve::load {
+
+// How an http3 flow behaves.
+struct Http3FlowSettings {
+  base::Duration request_interval{};  // from the end of a request to the next
+  base::Duration silence{};           // without a sign of life, after which the flow is broken
+  double drawing_share = 0;           // of requests that fetch a drawing; the others reserve
+  quic::ClientCredentials credentials;
+};
+
+// Opens GET /board for its whole life and meanwhile sends, one at a time, POST /reservations, each
+// with an Idempotency-Key of its own, and GET /drawings/N. Breaks when the connection or the board
+// ends without its doing, or nothing comes for `silence`. After GOAWAY it sends no further request
+// and keeps the board. Driven by OnTick(); on the loop's thread.
+class Http3Flow final : private quic::ClientEvents {
+ public:
+  // `report`, `random`, `clock` and loop must outlive the flow.
+  Http3Flow(event_base* loop, const base::Clock& clock, const Http3FlowSettings& settings,
+            std::string service, const base::SocketAddress& address, std::uint64_t number,
+            base::TimePoint ends_at, base::RandomSource& random, Http3ServiceReport& report);
+
+  // Does what is due. To be called every few milliseconds.
+  void OnTick();
+
+  // Makes the flow end with the request in progress.
+  void EndSoon();
+
+  // Tells whether the flow has ended; it may then be destroyed, not from within its callbacks.
+  bool HasEnded() const { return has_ended_; }
+
+ private:
+  class BoardHandler;
+
+  // quic::ClientEvents
+  void OnConnected() override;
+  void OnGoaway() override;
+  void OnClosed(const quic::ConnectionEnd& end) override;
+
+  void SubmitBoard();
+  void SubmitReservation();
+  void SubmitDrawing();
+  void OnAnswer(RequestCounts& counts, const CheckedAnswer& answer);
+  void OnBoardHead(const quic::ResponseHead& head);
+  void OnBoardBody(std::span<const std::uint8_t> bytes);
+  void OnBoardEnd();
+  void Finish();
+  void Break(const std::string& cause);
+  void End();
+  quic::RequestHead MakeHead(const std::string& method, const std::string& path) const;
+
+  const base::Clock& clock_;
+  Http3FlowSettings settings_;
+  std::string service_;
+  std::uint64_t number_;
+  base::TimePoint ends_at_;
+  base::RandomSource& random_;
+  Http3ServiceReport& report_;
+  base::TimePoint last_sign_of_life_;
+  base::TimePoint next_request_at_;
+  base::TimePoint request_sent_at_{};
+  bool request_in_progress_ = false;
+  bool goaway_received_ = false;
+  bool board_is_known_ = false;
+  bool has_ended_ = false;
+  std::uint64_t requests_ = 0;
+  BoardReader board_;
+  std::unique_ptr<quic::UdpClient> client_;
+};
+
+}  // namespace gaugevalve::load
--- a/tools/load/src/main.cpp
+++ b/tools/load/src/main.cpp
@@ -14,7 +14,11 @@
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/standins/command_line.h"
 #include "gaugevalve/tasks/task.h"
+#include "http3_run.h"
 
+ABSL_FLAG(
+    std::string, mode, "datagram",
+    "what the services are: datagram (UDP echo) or http3 (live board, reservations, drawings)");
 ABSL_FLAG(std::string, services, "",
           "services to load and their virtual addresses: name=IP:port,name=IP:port");
 ABSL_FLAG(std::string, expected_endpoints, "",
@@ -33,6 +37,7 @@
           "after which an unanswered request makes its flow count as broken");
 ABSL_FLAG(std::uint64_t, payload_bytes, 100, "size of a request, bytes, at most 1400");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the lifetimes; also the upper half of flow numbers");
+ABSL_FLAG(double, drawing_share, 0.2, "share of requests that fetch a drawing; mode http3 only");
 ABSL_FLAG(std::string, output, "text", "form of the report on standard output: text or json");
 
 namespace gaugevalve::load {
@@ -51,7 +56,8 @@
 }
 
 // Reads --expected_endpoints into the report's services.
-void ReadExpectedEndpoints(RunReport& report, base::Findings& findings) {
+template <class Report>
+void ReadExpectedEndpoints(Report& report, base::Findings& findings) {
   std::istringstream stream(absl::GetFlag(FLAGS_expected_endpoints));
   for (std::string part; std::getline(stream, part, ',');) {
     const std::size_t separator = std::min(part.find('='), part.size());
@@ -69,9 +75,19 @@
   }
 }
 
-DatagramRunSettings ReadSettings(RunReport& report) {
-  base::Findings findings;
-  DatagramRunSettings settings;
+// What both modes have in common.
+struct CommonSettings {
+  std::vector<standins::NamedAddress> services;
+  base::Duration duration{};
+  base::Duration flow_lifetime{};
+  base::Duration request_interval{};
+  base::Duration silence{};
+};
+
+// Reads the flags of both modes and puts the services into the report.
+template <class Report>
+CommonSettings ReadCommonSettings(Report& report, base::Findings& findings) {
+  CommonSettings settings;
   settings.services =
       standins::ReadNamedAddresses("--services", absl::GetFlag(FLAGS_services), findings);
   if (settings.services.empty() && findings.empty()) {
@@ -81,42 +97,76 @@
     report.services[service.name] = {};
   }
   ReadExpectedEndpoints(report, findings);
-  settings.flows_per_second = absl::GetFlag(FLAGS_flows_per_second);
-  settings.max_open_flows = absl::GetFlag(FLAGS_max_open_flows);
   settings.duration = ReadDuration("--duration", absl::GetFlag(FLAGS_duration), findings);
-  settings.mean_flow_lifetime =
+  settings.flow_lifetime =
       ReadDuration("--flow_lifetime", absl::GetFlag(FLAGS_flow_lifetime), findings);
-  FlowTiming& timing = settings.timing;
-  timing.request_interval =
+  settings.request_interval =
       ReadDuration("--request_interval", absl::GetFlag(FLAGS_request_interval), findings);
-  timing.retry_after = ReadDuration("--retry_after", absl::GetFlag(FLAGS_retry_after), findings);
-  const base::Duration silence = ReadDuration("--silence", absl::GetFlag(FLAGS_silence), findings);
-  settings.payload_bytes = absl::GetFlag(FLAGS_payload_bytes);
-  if (settings.payload_bytes > kMaxPayloadBytes) {
-    findings.push_back({{"--payload_bytes", 0, 0, ""}, "must be at most 1400"});
-  }
-  settings.seed = absl::GetFlag(FLAGS_seed);
-  if (settings.seed > kMaxSeed) {
+  settings.silence = ReadDuration("--silence", absl::GetFlag(FLAGS_silence), findings);
+  report.seed = absl::GetFlag(FLAGS_seed);
+  if (report.seed > kMaxSeed) {
     findings.push_back({{"--seed", 0, 0, ""}, "must be at most 2147483647"});
   }
   const std::string output = absl::GetFlag(FLAGS_output);
   if (output != "text" && output != "json") {
     findings.push_back({{"--output", 0, 0, ""}, "must be text or json"});
   }
+  return settings;
+}
+
+void ThrowIfAny(const base::Findings& findings) {
   if (!findings.empty()) {
     throw base::FindingsError(findings);
   }
+}
+
+DatagramRunSettings ReadDatagramSettings(RunReport& report) {
+  base::Findings findings;
+  const CommonSettings common = ReadCommonSettings(report, findings);
+  DatagramRunSettings settings;
+  settings.services = common.services;
+  settings.flows_per_second = absl::GetFlag(FLAGS_flows_per_second);
+  settings.max_open_flows = absl::GetFlag(FLAGS_max_open_flows);
+  settings.duration = common.duration;
+  settings.mean_flow_lifetime = common.flow_lifetime;
+  FlowTiming& timing = settings.timing;
+  timing.request_interval = common.request_interval;
+  timing.retry_after = ReadDuration("--retry_after", absl::GetFlag(FLAGS_retry_after), findings);
+  settings.payload_bytes = absl::GetFlag(FLAGS_payload_bytes);
+  if (settings.payload_bytes > kMaxPayloadBytes) {
+    findings.push_back({{"--payload_bytes", 0, 0, ""}, "must be at most 1400"});
+  }
+  settings.seed = report.seed;
+  ThrowIfAny(findings);
   timing.attempts = static_cast<std::uint32_t>(std::max<std::int64_t>(
-      1, (silence + timing.retry_after - base::Duration(1)) / timing.retry_after));
-  report.seed = settings.seed;
+      1, (common.silence + timing.retry_after - base::Duration(1)) / timing.retry_after));
   return settings;
 }
 
-int Run() {
-  RunReport report;
-  const DatagramRunSettings settings = ReadSettings(report);
+Http3RunSettings ReadHttp3Settings(Http3RunReport& report) {
+  base::Findings findings;
+  const CommonSettings common = ReadCommonSettings(report, findings);
+  Http3RunSettings settings;
+  settings.services = common.services;
+  settings.flows_per_second = absl::GetFlag(FLAGS_flows_per_second);
+  settings.max_open_flows = absl::GetFlag(FLAGS_max_open_flows);
+  settings.duration = common.duration;
+  settings.mean_flow_lifetime = common.flow_lifetime;
+  settings.flow.request_interval = common.request_interval;
+  settings.flow.silence = common.silence;
+  settings.flow.drawing_share = absl::GetFlag(FLAGS_drawing_share);
+  constexpr char kTrustAnyServer[] = "";  // the deployments under load have trial certificates
+  settings.flow.credentials = quic::MakeClientCredentials(kTrustAnyServer);
+  settings.seed = report.seed;
+  ThrowIfAny(findings);
+  return settings;
+}
+
+// Runs until the load has ended, prints the report and returns the exit status.
+template <class LoadRun, class Settings, class Report>
+int RunLoad(const Settings& settings, Report& report) {
   const tasks::LoopPointer loop = tasks::MakeLoop();
-  DatagramRun run(loop.get(), settings, report);
+  LoadRun run(loop.get(), settings, report);
   const auto end_soon = [&run] { run.EndSoon(); };
   const auto on_terminate = tasks::Watch::Signal(loop.get(), SIGTERM, end_soon);
   const auto on_interrupt = tasks::Watch::Signal(loop.get(), SIGINT, end_soon);
@@ -130,6 +180,19 @@
   return report.IsClean() ? EXIT_SUCCESS : kExitNotClean;
 }
 
+int Run() {
+  const std::string mode = absl::GetFlag(FLAGS_mode);
+  if (mode == "datagram") {
+    RunReport report;
+    return RunLoad<DatagramRun>(ReadDatagramSettings(report), report);
+  }
+  if (mode == "http3") {
+    Http3RunReport report;
+    return RunLoad<Http3Run>(ReadHttp3Settings(report), report);
+  }
+  throw base::FindingsError({{{"--mode", 0, 0, ""}, "must be datagram or http3"}});
+}
+
 }  // namespace
 }  // namespace gaugevalve::load
 
--- a/tools/load/src/run_report.cpp
+++ b/tools/load/src/run_report.cpp
@@ -3,19 +3,14 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "imbalance.h"
+
 namespace gaugevalve::load {
 namespace {
 
 constexpr double kMedian = 0.5;
 constexpr double kNinetyNinth = 0.99;
 
-double MaxOverMean(std::uint64_t largest, std::uint64_t total, std::uint64_t endpoints) {
-  if (total == 0 || endpoints == 0) {
-    return 0;
-  }
-  return static_cast<double>(largest) * static_cast<double>(endpoints) / static_cast<double>(total);
-}
-
 nlohmann::json BrokenToJson(const BrokenFlow& flow) {
   return {{"flow", flow.number},
           {"cause", std::string(ToString(flow.cause))},
@@ -87,23 +82,21 @@
 }
 
 double ServiceReport::FlowImbalance() const {
-  std::uint64_t largest = 0;
-  std::uint64_t total = 0;
+  std::vector<std::uint64_t> shares;
+  shares.reserve(endpoints.size());
   for (const auto& [name, counts] : endpoints) {
-    largest = std::max(largest, counts.flows);
-    total += counts.flows;
+    shares.push_back(counts.flows);
   }
-  return MaxOverMean(largest, total, std::max<std::uint64_t>(expected_endpoints, endpoints.size()));
+  return Imbalance(shares, expected_endpoints);
 }
 
 double ServiceReport::RequestImbalance() const {
-  std::uint64_t largest = 0;
-  std::uint64_t total = 0;
+  std::vector<std::uint64_t> shares;
+  shares.reserve(endpoints.size());
   for (const auto& [name, counts] : endpoints) {
-    largest = std::max(largest, counts.requests);
-    total += counts.requests;
+    shares.push_back(counts.requests);
   }
-  return MaxOverMean(largest, total, std::max<std::uint64_t>(expected_endpoints, endpoints.size()));
+  return Imbalance(shares, expected_endpoints);
 }
 
 bool RunReport::IsClean() const {
