--- a/libs/routing/include/gaugevalve/routing/service_planner.h
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -31,6 +31,15 @@
 // assignment with minimal movement.
 PlannerPolicies MakePlannerPolicies(const PlannerSettings& settings);
 
+// The rules that keep flows in place. All are always on in the product; proofs switch one off to
+// show that they would notice.
+struct PlannerMechanisms {
+  bool keep_previous_owner = true;   // in the chain, when a bucket moves
+  bool current_reports_only = true;  // shorten a chain
+  bool restore_holders = true;       // put agents that report flows back into the chain
+  bool stamp_on_take_over = true;    // give every bucket a new version
+};
+
 // Counts since the planner was made, for metrics.
 struct PlannerCounters {
   std::uint64_t deltas = 0;
@@ -69,6 +78,9 @@
   ServicePlanner(base::ServiceId service, std::uint64_t epoch, std::uint32_t generation,
                  PlannerSettings settings, PlannerPolicies policies);
 
+  // For proofs: must be called before anything else.
+  void SetMechanisms(const PlannerMechanisms& mechanisms) { mechanisms_ = mechanisms; }
+
   // Goes on from a former planner's table instead of from none. Call before the first SetAgents().
   // Throws std::invalid_argument when the table is another service's, has no buckets, or isn't
   // older than (epoch, generation, 1).
@@ -116,6 +128,7 @@
 
   PlannerSettings settings_;
   PlannerPolicies policies_;
+  PlannerMechanisms mechanisms_;
   std::uint64_t epoch_;
   std::uint32_t generation_;
   std::uint32_t sequence_ = 0;
--- a/libs/routing/src/service_planner.cpp
+++ b/libs/routing/src/service_planner.cpp
@@ -208,7 +208,10 @@
 bool ServicePlanner::HoldsNothing(base::NodeId node, std::size_t index,
                                   const Bucket& bucket) const {
   const AgentReport* report = ledger_.Find(node);
-  if (report == nullptr || report->table_version < bucket.version) {
+  if (report == nullptr) {
+    return false;
+  }
+  if (mechanisms_.current_reports_only && report->table_version < bucket.version) {
     return false;
   }
   return ledger_.FlowsInBucket(node, index) == 0U;
@@ -218,6 +221,9 @@
   const std::vector<base::NodeId> before = bucket.previous_owners;
   std::erase_if(bucket.previous_owners,
                 [&](base::NodeId node) { return HoldsNothing(node, index, bucket); });
+  if (!mechanisms_.restore_holders) {
+    return bucket.previous_owners != before;
+  }
   for (const AgentStatus& status : agents_) {
     const base::NodeId node = status.entry.node;
     const bool holds_flows = ledger_.FlowsInBucket(node, index).value_or(0) > 0;
@@ -245,7 +251,7 @@
   for (const BucketMove& move : moves) {
     Bucket& bucket = next.buckets[move.index.value()];
     std::erase(bucket.previous_owners, move.new_owner);
-    if (IsAlive(bucket.owner)) {
+    if (mechanisms_.keep_previous_owner && IsAlive(bucket.owner)) {
       bucket.previous_owners.insert(bucket.previous_owners.begin(), bucket.owner);
     }
     bucket.owner = move.new_owner;
@@ -336,7 +342,7 @@
   counters_.forced_moves += assignment.forced.size();
   counters_.optional_moves += assignment.optional.size();
   counters_.blocked_moves += assignment.blocked;
-  const bool stamp_all = std::exchange(took_over_, false);
+  const bool stamp_all = std::exchange(took_over_, false) && mechanisms_.stamp_on_take_over;
   return Publish(std::move(next), stamp_all);
 }
 
--- /dev/null
+++ b/proofs/routing/planner_fleet.cpp
@@ -0,0 +1,332 @@
+#include "planner_fleet.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace gaugevalve::proofs {
+namespace {
+
+using routing::Bucket;
+using routing::BucketTable;
+
+constexpr base::ServiceId kService(5);
+constexpr std::uint32_t kSlots = 7;
+
+base::NodeId NodeOf(std::size_t agent) { return base::NodeId(agent + 1); }
+std::size_t AgentOf(base::NodeId node) { return node.value() - 1; }
+
+bool Names(const Bucket& bucket, base::NodeId node) {
+  return bucket.owner == node ||
+         std::find(bucket.previous_owners.begin(), bucket.previous_owners.end(), node) !=
+             bucket.previous_owners.end();
+}
+
+routing::PlannerSettings MakeSettings() {
+  routing::PlannerSettings settings;
+  settings.bucket_count = PlannerFleet::kBuckets;
+  settings.cold_start_ramp = std::chrono::seconds(10);
+  settings.max_moves_per_step = 3;
+  settings.max_moves_per_minute = 10;
+  settings.smoothing_time = std::chrono::seconds(5);
+  return settings;
+}
+
+}  // namespace
+
+PlannerFleet::PlannerFleet(const routing::PlannerMechanisms& mechanisms, PolicyMaker make_policies)
+    : mechanisms_(mechanisms), make_policies_(make_policies), settings_(MakeSettings()) {
+  for (std::size_t agent = 0; agent < kAgents; ++agent) {
+    routing::AgentStatus status;
+    status.entry.node = NodeOf(agent);
+    status.entry.incarnation = agents_[agent].incarnation;
+    told_.push_back(status);
+    agents_[agent].entries.resize(kBuckets);
+  }
+  MakePlanner();
+  TellPlanner();
+  Step(0);
+  for (std::uint32_t agent = 0; agent < kAgents; ++agent) {
+    GiveTable(agent, 0);
+  }
+}
+
+void PlannerFleet::MakePlanner() {
+  planner_ = std::make_unique<routing::ServicePlanner>(kService, 1, generation_, settings_,
+                                                       make_policies_(settings_));
+  planner_->SetMechanisms(mechanisms_);
+}
+
+void PlannerFleet::TellPlanner() { planner_->SetAgents(told_, now_); }
+
+void PlannerFleet::Blame(const std::string& what) {
+  if (fault_.empty()) {
+    fault_ = what;
+  }
+}
+
+void PlannerFleet::OpenFlow(std::uint32_t agent, std::uint32_t bucket) {
+  Agent& opener = agents_[agent % kAgents];
+  const std::size_t index = bucket % kBuckets;
+  if (opener.entries[index].owner == NodeOf(agent % kAgents)) {
+    ++opener.flows[index];
+  }
+}
+
+void PlannerFleet::CloseFlows(std::uint32_t agent, std::uint32_t bucket) {
+  agents_[agent % kAgents].flows[bucket % kBuckets] = 0;
+}
+
+void PlannerFleet::GiveTable(std::uint32_t agent, std::uint32_t age) {
+  if (published_.empty()) {
+    return;
+  }
+  const BucketTable& table = published_[published_.size() - 1 - age % published_.size()];
+  Agent& taker = agents_[agent % kAgents];
+  if (table.version < taker.table_version) {
+    return;
+  }
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    if (table.buckets[index].version >= taker.entries[index].version) {
+      taker.entries[index] = table.buckets[index];
+    }
+  }
+  taker.table_version = table.version;
+}
+
+// A datagram brings the newest entry of one bucket, and no table.
+void PlannerFleet::GiveEntry(std::uint32_t agent, std::uint32_t bucket) {
+  const std::size_t index = bucket % kBuckets;
+  Bucket& known = agents_[agent % kAgents].entries[index];
+  for (const BucketTable& table : published_) {
+    if (table.buckets[index].version > known.version) {
+      known = table.buckets[index];
+    }
+  }
+}
+
+routing::AgentReport PlannerFleet::HonestReport(std::size_t agent, std::uint32_t busy) const {
+  const Agent& reporter = agents_[agent];
+  routing::AgentReport report;
+  report.service = kService;
+  report.node = NodeOf(agent);
+  report.incarnation = reporter.incarnation;
+  report.table_version = reporter.table_version;
+  report.flows_in_buckets.assign(reporter.flows.begin(), reporter.flows.end());
+  for (const std::uint32_t flows : reporter.flows) {
+    report.open_flows += flows;
+  }
+  report.total_slots = kSlots;
+  report.busy_slots = busy % (kSlots + 1);
+  report.age_of_service = std::chrono::hours(1);
+  return report;
+}
+
+void PlannerFleet::SendReport(std::uint32_t agent, std::uint32_t busy) {
+  reports_.push_back(HonestReport(agent % kAgents, busy));
+}
+
+void PlannerFleet::SendLie(std::uint32_t seed) {
+  routing::AgentReport lie = HonestReport(kLiar, seed);
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    lie.flows_in_buckets[index] = (seed >> (index % 16)) % 2 == 0 ? 0 : seed;
+  }
+  lie.queued_requests = seed;
+  lie.endpoint_failures = seed;
+  lie.table_version.sequence += seed % 3;
+  lie.state = seed % 5 == 0 ? routing::AgentState::kDraining : routing::AgentState::kServing;
+  reports_.push_back(lie);
+}
+
+void PlannerFleet::DeliverReport(std::uint32_t position) {
+  if (reports_.empty()) {
+    return;
+  }
+  const auto chosen = reports_.begin() + static_cast<std::ptrdiff_t>(position % reports_.size());
+  const routing::AgentReport report = *chosen;
+  reports_.erase(chosen);
+  if (planner_->TakeReport(report, now_) != routing::ReportOutcome::kTaken) {
+    return;
+  }
+  if (report.state == routing::AgentState::kDraining) {
+    draining_.insert(report.node);
+  } else {
+    draining_.erase(report.node);
+  }
+}
+
+void PlannerFleet::TellStanding(std::uint32_t agent, std::uint32_t standing) {
+  constexpr std::uint32_t kStandings = 3;
+  routing::AgentStatus& status = told_[agent % kAgents];
+  status.standing = static_cast<routing::AgentStanding>(standing % kStandings);
+  status.entry.incarnation = agents_[agent % kAgents].incarnation;
+  TellPlanner();
+}
+
+void PlannerFleet::Restart(std::uint32_t agent) {
+  Agent& restarted = agents_[agent % kAgents];
+  const base::Incarnation next(restarted.incarnation.value() + 1);
+  restarted = Agent{};
+  restarted.incarnation = next;
+  restarted.entries.resize(kBuckets);
+  told_[agent % kAgents].entry.incarnation = next;
+  draining_.erase(NodeOf(agent % kAgents));  // the planner forgets a former life's report
+  TellPlanner();
+}
+
+void PlannerFleet::TakeOver(std::uint32_t age) {
+  if (published_.empty()) {
+    return;
+  }
+  const BucketTable& table = published_[published_.size() - 1 - age % published_.size()];
+  ++generation_;
+  MakePlanner();
+  planner_->TakeOver(table);
+  draining_.clear();
+  moves_.clear();  // the bound is each planner's own
+  TellPlanner();
+}
+
+void PlannerFleet::Step(std::uint32_t milliseconds) {
+  now_ += std::chrono::milliseconds(milliseconds);
+  const BucketTable before = planner_->Table();
+  const std::optional<routing::TableDelta> delta = planner_->Step(now_);
+  if (delta) {
+    Check(before, *delta);
+    published_.push_back(planner_->Table());
+  }
+}
+
+bool PlannerFleet::IsToldAlive(base::NodeId node) const {
+  return node != base::NodeId() && told_[AgentOf(node)].standing != routing::AgentStanding::kDead;
+}
+
+bool PlannerFleet::MayOwn(base::NodeId node) const {
+  return node != base::NodeId() && !draining_.contains(node) &&
+         told_[AgentOf(node)].standing == routing::AgentStanding::kLive;
+}
+
+bool PlannerFleet::AnybodyMayOwn() const {
+  for (std::size_t agent = 0; agent < kAgents; ++agent) {
+    if (MayOwn(NodeOf(agent))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PlannerFleet::Check(const BucketTable& before, const routing::TableDelta& delta) {
+  const BucketTable& after = planner_->Table();
+  if (delta.version <= before.version) {
+    Blame("the version didn't grow");
+  }
+  BucketTable applied = before;
+  if (!applied.Apply(delta) || applied != after) {
+    Blame("the delta doesn't make the planner's table");
+  }
+  if (!AnybodyMayOwn()) {
+    Blame("the last table should have stayed");
+  }
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    CheckBucket(index, before.buckets[index], after.buckets[index]);
+  }
+  CheckMoves(before, after);
+}
+
+void PlannerFleet::CheckBucket(std::size_t index, const Bucket& before, const Bucket& after) {
+  const std::vector<base::NodeId>& chain = after.previous_owners;
+  const std::set<base::NodeId> distinct(chain.begin(), chain.end());
+  if (chain.size() > routing::kMaxPreviousOwners || distinct.size() != chain.size() ||
+      distinct.contains(after.owner)) {
+    Blame("a chain is too long or names an agent twice");
+  }
+  for (const base::NodeId node : chain) {
+    if (!IsToldAlive(node) || planner_->Table().FindAgent(node) == nullptr) {
+      Blame("a chain names a dead agent");
+    }
+  }
+  const bool chain_blocks =
+      IsToldAlive(after.owner) && chain.size() == routing::kMaxPreviousOwners &&
+      std::none_of(chain.begin(), chain.end(), [&](base::NodeId node) { return MayOwn(node); });
+  if (!MayOwn(after.owner) && !chain_blocks) {
+    Blame("a bucket's owner isn't live");
+  }
+  const bool changed = before.owner != after.owner || before.previous_owners != chain;
+  if (changed && after.version != planner_->Table().version) {
+    Blame("a changed bucket has an old version");
+  }
+  CheckDropped(index, before, after);
+}
+
+// Whoever is no longer named must hold nothing, and know that it mustn't open anything.
+void PlannerFleet::CheckDropped(std::size_t index, const Bucket& before, const Bucket& after) {
+  for (std::size_t agent = 0; agent < kAgents; ++agent) {
+    const base::NodeId node = NodeOf(agent);
+    const bool dropped = Names(before, node) && !Names(after, node);
+    if (agent == kLiar || !dropped || !IsToldAlive(node)) {
+      continue;
+    }
+    if (agents_[agent].flows[index] > 0) {
+      Blame("an agent with flows was dropped from a bucket");
+    }
+    if (agents_[agent].entries[index].owner == node) {
+      Blame("an agent that still opens flows was dropped from a bucket");
+    }
+  }
+}
+
+void PlannerFleet::CheckMoves(const BucketTable& before, const BucketTable& after) {
+  std::size_t count = 0;
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    const base::NodeId owner = before.buckets[index].owner;
+    count += owner != after.buckets[index].owner && MayOwn(owner) ? 1 : 0;
+  }
+  constexpr auto kMinute = std::chrono::minutes(1);
+  moves_.push_back({now_, count});
+  while (moves_.front().at <= now_ - kMinute) {
+    moves_.pop_front();
+  }
+  std::size_t in_a_minute = 0;
+  for (const Moves& moves : moves_) {
+    in_a_minute += moves.count;
+  }
+  // What was saved up in one minute and what comes in during the next.
+  if (count > settings_.max_moves_per_step || in_a_minute > 2 * settings_.max_moves_per_minute) {
+    Blame("more buckets moved than the bounds allow");
+  }
+}
+
+void PlannerFleet::ComeToRest() {
+  constexpr int kSteps = 240;
+  constexpr std::uint32_t kStepMilliseconds = 1000;
+  reports_.clear();
+  for (int step = 0; step < kSteps; ++step) {
+    for (std::uint32_t agent = 0; agent < kAgents; ++agent) {
+      GiveTable(agent, 0);
+      SendReport(agent, agent);
+      DeliverReport(0);
+    }
+    Step(kStepMilliseconds);
+  }
+}
+
+std::string PlannerFleet::FaultAtRest() const {
+  const BucketTable& table = planner_->Table();
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    for (std::size_t agent = 0; agent < kAgents; ++agent) {
+      const Bucket& bucket = table.buckets[index];
+      const base::NodeId node = NodeOf(agent);
+      const bool has_room = bucket.previous_owners.size() < routing::kMaxPreviousOwners;
+      const bool holds = agents_[agent].flows[index] > 0 && IsToldAlive(node);
+      if (AnybodyMayOwn() && holds && !Names(bucket, node) && has_room) {
+        return "an agent with flows isn't named at rest";
+      }
+    }
+  }
+  constexpr auto kQuiet = std::chrono::seconds(60);
+  if (!moves_.empty() && moves_.back().at > now_ - kQuiet && moves_.back().count > 0) {
+    return "buckets still move although nothing changes";
+  }
+  return {};
+}
+
+}  // namespace gaugevalve::proofs
--- /dev/null
+++ b/proofs/routing/planner_fleet.h
@@ -0,0 +1,95 @@
+// A service's agents with their true flows, around the planner under proof.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/routing/service_planner.h"
+
+namespace gaugevalve::proofs {
+
+// Plays agents, membership and successive planners, and keeps the truth that the oracle needs:
+// which agent holds how many flows in which bucket, and under which entries it would open more.
+// Messages are late and out of order as the events choose. Every event takes arbitrary numbers and
+// reduces them to its range, so shrinking works.
+class PlannerFleet {
+ public:
+  static constexpr std::size_t kAgents = 7;
+  static constexpr std::size_t kBuckets = 24;
+  static constexpr std::size_t kLiar = 0;  // the agent whose reports may be false
+
+  // `make_policies` makes the rules of each planner in turn.
+  using PolicyMaker = routing::PlannerPolicies (*)(const routing::PlannerSettings&);
+  PlannerFleet(const routing::PlannerMechanisms& mechanisms, PolicyMaker make_policies);
+
+  // Events.
+  void OpenFlow(std::uint32_t agent, std::uint32_t bucket);
+  void CloseFlows(std::uint32_t agent, std::uint32_t bucket);
+  void GiveTable(std::uint32_t agent, std::uint32_t age);
+  void GiveEntry(std::uint32_t agent, std::uint32_t bucket);
+  void SendReport(std::uint32_t agent, std::uint32_t busy);
+  void SendLie(std::uint32_t seed);
+  void DeliverReport(std::uint32_t position);
+  void TellStanding(std::uint32_t agent, std::uint32_t standing);
+  void Restart(std::uint32_t agent);
+  void TakeOver(std::uint32_t age);
+  void Step(std::uint32_t milliseconds);
+
+  // Lets everything arrive and nothing happen, until a planner must have come to rest.
+  void ComeToRest();
+
+  // Returns what is wrong since the start; empty when nothing is.
+  const std::string& Fault() const { return fault_; }
+
+  // Returns what is wrong with a fleet at rest; empty when nothing is.
+  std::string FaultAtRest() const;
+
+ private:
+  struct Agent {
+    base::Incarnation incarnation{1};
+    std::array<std::uint32_t, kBuckets> flows{};
+    std::vector<routing::Bucket> entries;  // newest seen; it opens flows where it is the owner
+    routing::TableVersion table_version;
+  };
+
+  // A non-forced move of a bucket, for the bound per minute.
+  struct Moves {
+    base::TimePoint at;
+    std::size_t count;
+  };
+
+  void MakePlanner();
+  void TellPlanner();
+  routing::AgentReport HonestReport(std::size_t agent, std::uint32_t busy) const;
+  bool MayOwn(base::NodeId node) const;
+  bool IsToldAlive(base::NodeId node) const;
+  bool AnybodyMayOwn() const;
+  void Check(const routing::BucketTable& before, const routing::TableDelta& delta);
+  void CheckBucket(std::size_t index, const routing::Bucket& before, const routing::Bucket& after);
+  void CheckMoves(const routing::BucketTable& before, const routing::BucketTable& after);
+  void CheckDropped(std::size_t index, const routing::Bucket& before, const routing::Bucket& after);
+  void Blame(const std::string& what);
+
+  routing::PlannerMechanisms mechanisms_;
+  PolicyMaker make_policies_;
+  routing::PlannerSettings settings_;
+  base::TimePoint now_{};
+  std::uint32_t generation_ = 0;
+  std::unique_ptr<routing::ServicePlanner> planner_;
+  std::array<Agent, kAgents> agents_;
+  std::vector<routing::AgentStatus> told_;  // what membership says
+  std::set<base::NodeId> draining_;         // by the last report that the planner took
+  std::deque<routing::AgentReport> reports_;
+  std::vector<routing::BucketTable> published_;
+  std::deque<Moves> moves_;
+  std::string fault_;
+};
+
+}  // namespace gaugevalve::proofs
