--- a/tools/lab/src/request_runner.cpp
+++ b/tools/lab/src/request_runner.cpp
@@ -29,7 +29,7 @@
 void RequestRunner::Run(AgentHost& agent, base::Duration service_time) {
   ++world_.results[agent.service].requests;
   if (world_.policy == Policy::kOmniscient) {
-    Settle(agent, ServingOthers(agent), service_time);
+    RunAtLeastLoaded(agent, service_time);
     return;
   }
   const bool may_hand_over = world_.policy == Policy::kGaugevalve && world_.mechanisms.hand_over &&
@@ -42,6 +42,24 @@
   }
 }
 
+// Equal endpoints are taken from a random place on, so that none is favoured.
+void RequestRunner::RunAtLeastLoaded(AgentHost& agent, base::Duration service_time) {
+  std::vector<std::size_t> serving = ServingOthers(agent);
+  if (agent.IsServing()) {
+    serving.push_back(agent.index);
+  }
+  AgentHost* best = nullptr;
+  const std::uint64_t offset =
+      serving.empty() ? 0 : world_.network_random.NextBelow(serving.size());
+  for (std::size_t position = 0; position < serving.size(); ++position) {
+    AgentHost* other = world_.agents[serving[(position + offset) % serving.size()]].get();
+    if (best == nullptr || LoadOf(*other) < LoadOf(*best)) {
+      best = other;
+    }
+  }
+  RunHere(best != nullptr ? *best : agent, service_time);
+}
+
 void RequestRunner::RunHere(AgentHost& agent, base::Duration service_time) {
   if (agent.draining) {
     ServiceResults& results = world_.results[agent.service];
--- a/tools/lab/src/request_runner.h
+++ b/tools/lab/src/request_runner.h
@@ -19,6 +19,7 @@
   void Run(AgentHost& agent, base::Duration service_time);
 
  private:
+  void RunAtLeastLoaded(AgentHost& agent, base::Duration service_time);
   void RunHere(AgentHost& agent, base::Duration service_time);
   void HandOver(AgentHost& agent, base::Duration service_time);
   void Settle(AgentHost& agent, const std::vector<std::size_t>& asked, base::Duration service_time);
