--- a/libs/routing/include/gaugevalve/routing/service_planner.h
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -34,10 +34,10 @@
 // The rules that keep flows in place. All are always on in the product; proofs switch one off to
 // show that they would notice.
 struct PlannerMechanisms {
-  bool keep_previous_owner = true;   // in the chain, when a bucket moves
-  bool current_reports_only = true;  // shorten a chain
-  bool restore_holders = true;       // put agents that report flows back into the chain
-  bool stamp_on_take_over = true;    // give every bucket a new version
+  bool keep_previous_owner = true;      // in the chain, when a bucket moves
+  bool current_reports_only = true;     // shorten a chain
+  bool restore_holders = true;          // put agents that report flows back into the chain
+  bool start_over_on_take_over = true;  // new versions and full chains for every bucket
 };
 
 // Counts since the planner was made, for metrics.
@@ -60,11 +60,11 @@
 //   most kMaxPreviousOwners members; a bucket with a full chain only goes back to one of them.
 // - An alive agent that reports flows in a bucket that doesn't name it is put (back) in the chain:
 //   so an agent wrongly taken for dead gets its flows back.
-// - After a take-over nothing is decided until every live agent has reported, or a time limit. Then
-//   every bucket gets a new version, so that a report made before doesn't count as acknowledgement.
-//   Where a report shows that the former planner had published more than the table taken over,
-//   anyone may own anything: every bucket's chain is filled with the other agents, who leave it
-//   with their next report of no flow.
+// - After a take-over nothing is decided until every live agent has reported, or a time limit. The
+//   former planner may have published more than the table taken over, so anyone may own anything:
+//   every bucket then gets a new version, and its chain is filled with the other agents. They leave
+//   it with their next report of no flow. Reports from before shorten no chain. In a service of
+//   more than kMaxPreviousOwners + 1 agents those with the most flows in the bucket are taken.
 // - Moves that aren't forced by a dead or leaving owner are bounded per step and per minute.
 //
 // Memory: one table, one report for each agent. Not thread-safe; time mustn't go backwards.
--- a/libs/routing/src/service_planner.cpp
+++ b/libs/routing/src/service_planner.cpp
@@ -141,7 +141,6 @@
   ReportOutcome outcome = Check(report);
   if (outcome == ReportOutcome::kTaken) {
     outcome = ledger_.Take(report, now);
-    newest_reported_ = std::max(newest_reported_, report.table_version);
   }
   if (outcome != ReportOutcome::kTaken) {
     ++counters_.reports_refused;
@@ -327,8 +326,8 @@
   }
   BucketTable next = table_;
   DropDeadFromChains(next);
-  const bool missed_deltas = took_over_ && newest_reported_ > table_.version;
-  if (missed_deltas) {
+  const bool starts_over = std::exchange(took_over_, false) && mechanisms_.start_over_on_take_over;
+  if (starts_over) {
     FillChains(next);
   } else {
     UpdateChains(next);
@@ -342,8 +341,7 @@
   counters_.forced_moves += assignment.forced.size();
   counters_.optional_moves += assignment.optional.size();
   counters_.blocked_moves += assignment.blocked;
-  const bool stamp_all = std::exchange(took_over_, false) && mechanisms_.stamp_on_take_over;
-  return Publish(std::move(next), stamp_all);
+  return Publish(std::move(next), starts_over);
 }
 
 }  // namespace gaugevalve::routing
--- a/proofs/routing/routing_proof.cpp
+++ b/proofs/routing/routing_proof.cpp
@@ -195,11 +195,12 @@
   KeepsItsRules(mechanisms, routing::MakePlannerPolicies);
 });
 
-const RegisteredProof mutant_stamp("without_stamps_on_take_over", ProofKind::kMutantIsCaught, [] {
-  PlannerMechanisms mechanisms;
-  mechanisms.stamp_on_take_over = false;
-  KeepsItsRules(mechanisms, routing::MakePlannerPolicies);
-});
+const RegisteredProof mutant_stamp("without_starting_over_on_take_over", ProofKind::kMutantIsCaught,
+                                   [] {
+                                     PlannerMechanisms mechanisms;
+                                     mechanisms.start_over_on_take_over = false;
+                                     KeepsItsRules(mechanisms, routing::MakePlannerPolicies);
+                                   });
 
 const RegisteredProof mutant_careless("careless_of_chains", ProofKind::kMutantIsCaught, [] {
   KeepsItsRules(PlannerMechanisms(), WithAssignment<CarelessAssignment>);
