--- a/libs/membership/include/gaugevalve/membership/membership_options.h
+++ b/libs/membership/include/gaugevalve/membership/membership_options.h
@@ -17,7 +17,7 @@
 
 struct MembershipOptions {
   // Control addresses to join by; the node's own is skipped. With no other the node starts a group.
-  std::vector<base::SocketAddress> seeds;
+  std::vector<base::SocketAddress> seeds = {};
 
   // Failure detection. A target is asked directly, then through relays, then suspected.
   base::Duration probe_interval = std::chrono::milliseconds(400);
@@ -58,7 +58,7 @@
   // which others can declare it dead, so that a node which may have been is told of its pause.
   base::Duration pause_threshold = std::chrono::seconds(1);
 
-  InjectedFaults faults;
+  InjectedFaults faults = {};
 };
 
 }  // namespace gaugevalve::membership
--- a/libs/membership/src/failure_detector.cpp
+++ b/libs/membership/src/failure_detector.cpp
@@ -173,18 +173,22 @@
     }
   }
   for (const Probe& probe : failed) {
-    Fail(probe);
+    Fail(probe, now);
   }
 }
 
-void FailureDetector::Fail(const Probe& probe) {
+void FailureDetector::Fail(const Probe& probe, base::TimePoint now) {
   ++counters_.probes_failed;
   if (!probe.relay_is_well) {
     health_.NoteBadSign();
   }
   const Member* member = table_.Find(probe.target);
-  if (member != nullptr && IsLive(member->state)) {
-    listener_(*member);
+  if (member == nullptr || !IsLive(member->state)) {
+    return;
+  }
+  listener_(*member);
+  for (const base::NodeId target : rings_.NewTargets(table_, judge_)) {
+    StartProbe(*table_.Find(target), now);
   }
 }
 
--- a/libs/membership/src/failure_detector.h
+++ b/libs/membership/src/failure_detector.h
@@ -78,7 +78,7 @@
   bool IsProbing(base::NodeId node) const;
   void AskRelays(std::uint32_t sequence, const Probe& probe);
   void ContinueProbes(base::TimePoint now);
-  void Fail(const Probe& probe);
+  void Fail(const Probe& probe, base::TimePoint now);
   void GiveUpRelays(base::TimePoint now);
 
   base::NodeId self_;
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -438,7 +438,7 @@
         exchange_.OnStatePage(sender, message.state_page(), now_);
         return;
       case proto::MembershipMessage::kDigestOffer:
-        exchange_.OnDigestOffer(sender, message.digest_offer());
+        exchange_.OnDigestOffer(sender, message.digest_offer(), now_);
         return;
       case proto::MembershipMessage::kBucketSummary:
         exchange_.OnBucketSummary(sender, message.bucket_summary());
--- a/libs/membership/src/probe_rings.cpp
+++ b/libs/membership/src/probe_rings.cpp
@@ -44,6 +44,21 @@
   return std::nullopt;
 }
 
+std::vector<base::NodeId> ProbeRings::NewTargets(const MemberTable& table,
+                                                 const ProximityJudge& judge) {
+  std::vector<base::NodeId> targets;
+  for (Ring& ring : rings_) {
+    if (!ring.is_stale) {
+      continue;
+    }
+    Rebuild(ring, table, judge);
+    if (!ring.targets.empty()) {
+      targets.push_back(ring.targets.back().node);
+    }
+  }
+  return targets;
+}
+
 bool ProbeRings::Watches(base::NodeId node) const {
   return std::any_of(rings_.begin(), rings_.end(), [node](const Ring& ring) {
     return std::any_of(ring.targets.begin(), ring.targets.end(),
--- a/libs/membership/src/probe_rings.h
+++ b/libs/membership/src/probe_rings.h
@@ -27,6 +27,10 @@
   // Returns whom to probe next; nothing when there is nobody.
   std::optional<base::NodeId> Next(const MemberTable& table, const ProximityJudge& judge);
 
+  // Brings the rings up to date and returns the farthest targets of those that had changed: after a
+  // failure, whom to probe at once to get past the dead.
+  std::vector<base::NodeId> NewTargets(const MemberTable& table, const ProximityJudge& judge);
+
   // Returns whether the node is one of this node's targets (as of the last Next()).
   bool Watches(base::NodeId node) const;
 
--- a/libs/membership/src/state_exchange.cpp
+++ b/libs/membership/src/state_exchange.cpp
@@ -6,6 +6,9 @@
 namespace gaugevalve::membership {
 namespace {
 
+// Comparisons of digests answered; each costs up to two messages of a few kilobytes.
+constexpr double kComparisonsPerSecond = 1;
+constexpr double kComparisonBurst = 2;
 constexpr base::Duration kRequestAgain = std::chrono::seconds(1);
 
 std::vector<base::SocketAddress> OtherSeeds(const MembershipOptions& options,
@@ -30,6 +33,7 @@
       counters_(counters),
       sink_(std::move(sink)),
       pages_(options.pages_per_second, options.pages_per_second),
+      comparisons_(kComparisonsPerSecond, kComparisonBurst),
       quick_offer_interval_(options.quick_offer_interval) {}
 
 void StateExchange::Start(base::TimePoint now) {
@@ -108,9 +112,9 @@
 }
 
 void StateExchange::OnDigestOffer(const transport::SenderIdentity& sender,
-                                  const proto::DigestOffer& offer) {
+                                  const proto::DigestOffer& offer, base::TimePoint now) {
   const std::vector<std::size_t> buckets = DifferingBuckets(offer);
-  if (buckets.empty()) {
+  if (buckets.empty() || !comparisons_.TryTake(1, now)) {
     return;
   }
   proto::MembershipMessage message;
--- a/libs/membership/src/state_exchange.h
+++ b/libs/membership/src/state_exchange.h
@@ -41,7 +41,8 @@
   // the views don't become the same. A zero digest is of a ping that doesn't carry one.
   void OnViewDigest(const transport::SenderIdentity& sender, std::uint32_t digest, bool has_no_news,
                     base::TimePoint now);
-  void OnDigestOffer(const transport::SenderIdentity& sender, const proto::DigestOffer& offer);
+  void OnDigestOffer(const transport::SenderIdentity& sender, const proto::DigestOffer& offer,
+                     base::TimePoint now);
   void OnBucketSummary(const transport::SenderIdentity& sender,
                        const proto::BucketSummary& summary);
   void OnRecordRequest(const transport::SenderIdentity& sender,
@@ -56,7 +57,7 @@
   base::TimePoint NextWakeUp() const;
 
  private:
-  static constexpr std::size_t kMaximumBucketsCompared = 16;   // in one exchange
+  static constexpr std::size_t kMaximumBucketsCompared = 8;    // in one exchange
   static constexpr std::size_t kMaximumRecordsRequested = 64;  // in one message
   static constexpr std::size_t kMaximumRequestsNoted = 1024;
   static constexpr unsigned kMaximumBackOff = 8;  // join timeouts between two tries
@@ -82,6 +83,7 @@
   MembershipCounters& counters_;
   RecordSink sink_;
   transport::TokenBucket pages_;
+  transport::TokenBucket comparisons_;
   std::vector<base::SocketAddress> seeds_;  // without this node's own address
 
   bool is_joined_ = false;
