--- a/libs/settings/src/yaml_reader.cpp
+++ b/libs/settings/src/yaml_reader.cpp
@@ -14,7 +14,7 @@
 std::optional<YAML::Node> YamlReader::Load(const std::string& text) {
   try {
     return YAML::Load(text);
-  } catch (const YAML::ParserException& error) {
+  } catch (const YAML::Exception& error) {
     Add({file_name_, static_cast<std::size_t>(error.mark.line) + 1,
          static_cast<std::size_t>(error.mark.column) + 1, ""},
         "not YAML: " + error.msg);
--- a/libs/settings/tests/root_document_test.cpp
+++ b/libs/settings/tests/root_document_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(AssemblesTheTreeFromItsParts);
   CPPUNIT_TEST(RefusesMissingAndForeignParts);
   CPPUNIT_TEST(AnEditMovesOnlyItsSubtree);
+  CPPUNIT_TEST(RootGrowsByAFewBytesAService);
   CPPUNIT_TEST(MalformedDocumentsAreFindings);
   CPPUNIT_TEST(HistoryTellsWhatChanged);
   CPPUNIT_TEST(CapabilitiesReadBack);
@@ -64,6 +65,13 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second.Find("orders")->changed_in.value());
   }
 
+  // The root moves with every edit, so its size for a service is part of the control traffic.
+  void RootGrowsByAFewBytesAService() {
+    constexpr std::size_t kMostBytesAService = 68;  // with names of 12 characters
+    const std::size_t growth = RootSizeWith(300) - RootSizeWith(100);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(growth), growth <= 200 * kMostBytesAService);
+  }
+
   void MalformedDocumentsAreFindings() {
     CPPUNIT_ASSERT_EQUAL(std::string("store: settings root: is not a JSON object\n"
                                      "store: settings root: format_version: is missing\n"),
@@ -102,6 +110,16 @@
     const Capabilities capabilities{7};
     CPPUNIT_ASSERT(capabilities == ParseCapabilities(FormatCapabilities(capabilities)));
   }
+
+ private:
+  static std::size_t RootSizeWith(int services) {
+    SettingsTree tree;
+    for (int number = 1000; number < 1000 + services; ++number) {
+      const std::string name = "service-" + std::to_string(number);
+      tree.root.children[name] = Branch{Level::kService, name, {}, {}, {}};
+    }
+    return FormatRootDocument(MakeRootDocument(nullptr, tree, SampleEdit())).size();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RootDocumentTest);
--- a/tools/gaugevalvectl/src/node_commands.cpp
+++ b/tools/gaugevalvectl/src/node_commands.cpp
@@ -166,21 +166,26 @@
   const std::string path = "/explain?service=" + EncodeParameter(arguments.at(0)) +
                            "&source=" + EncodeParameter(arguments.at(1));
   const AdminFetcher fetcher(context.options.timeout);
-  bool was_answered = false;
+  bool was_explained = false;
+  bool was_refused = false;
   for (const AdminAnswer& answer : fetcher.Fetch(context.options.nodes, path)) {
     const std::string node = answer.address.ToString();
     if (answer.status == kHttpOk) {
-      was_answered = true;
+      was_explained = true;
       const nlohmann::ordered_json json =
           nlohmann::ordered_json::parse(answer.body, nullptr, false);
       context.Print(node + ": " + answer.body + "\n", {{"asked", node}, {"answer", json}});
       continue;
     }
+    was_refused = was_refused || answer.status != 0;
     const std::string words =
         answer.status == 0 ? answer.words : std::to_string(answer.status) + " " + answer.body;
     context.err << node << ": " << words << "\n";
   }
-  return was_answered ? ExitCode::kOk : ExitCode::kNodeUnreachable;
+  if (was_explained) {
+    return ExitCode::kOk;
+  }
+  return was_refused ? ExitCode::kFindings : ExitCode::kNodeUnreachable;
 }
 
 }  // namespace gaugevalve::ctl
--- a/tools/gaugevalvectl/tests/node_commands_test.cpp
+++ b/tools/gaugevalvectl/tests/node_commands_test.cpp
@@ -121,6 +121,9 @@
     CPPUNIT_ASSERT(result.out.find(R"({"service":"orders","source":"192.0.2.1:7"})") !=
                    std::string::npos);
     options_.nodes = {second_->BoundAddress()};
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::kFindings),
+                         static_cast<int>(Run({"explain", "orders", "x"}).exit_code));
+    loop_.Run([this] { second_.reset(); });
     CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::kNodeUnreachable),
                          static_cast<int>(Run({"explain", "orders", "x"}).exit_code));
   }
