--- a/libs/quic/include/gaugevalve/quic/http3_server.h
+++ b/libs/quic/include/gaugevalve/quic/http3_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/connection_id/connection_id.h"
@@ -85,16 +86,24 @@
   // Issues IDs under other keys from now on.
   void SetCodec(std::shared_ptr<const connection_id::Codec> codec);
 
-  // Starts to leave: callers are told to make new requests elsewhere (GOAWAY), later requests are
-  // reset as not run, new connections are refused; requests in progress go on.
+  // Starts to leave: callers are told to make new requests elsewhere (GOAWAY), also those that
+  // connect from now on; later requests are reset as not run, requests in progress go on. A
+  // connection without requests is closed a while after its callers could know.
   void Drain(base::TimePoint now);
 
+  // Refuses new connections from now on.
+  void RefuseConnections();
+
   // Closes every connection at once.
   void CloseAll(base::TimePoint now);
 
   // Number of connections, those that are closing included.
   std::size_t ConnectionCount() const;
 
+  // Returns the IDs that callers chose for connections whose handshake isn't done: these IDs, and
+  // no others, don't name this agent.
+  std::vector<connection_id::ConnectionId> HandshakingIds() const;
+
   // Number of requests whose handlers are alive.
   std::size_t RequestCount() const;
 
--- a/libs/quic/src/connection.cpp
+++ b/libs/quic/src/connection.cpp
@@ -241,9 +241,9 @@
     });
   }
 
-  static int HttpShutdown(nghttp3_conn*, std::int64_t, void* user_data) {
+  static int HttpShutdown(nghttp3_conn*, std::int64_t id, void* user_data) {
     return GuardHttp([&] {
-      Of(user_data).OnGoaway();
+      Of(user_data).OnGoaway(id);
       return 0;
     });
   }
--- a/libs/quic/src/connection.h
+++ b/libs/quic/src/connection.h
@@ -93,6 +93,13 @@
   ngtcp2_transport_params CommonParameters() const;
   void AddStream(std::unique_ptr<Stream> stream);
   Stream* FindStream(std::int64_t id);
+  // Calls `action` on each stream from `first` on.
+  template <class Action>
+  void ForEachStreamFrom(std::int64_t first, Action action) {
+    for (auto next = streams_.lower_bound(first); next != streams_.end(); ++next) {
+      action(*next->second);
+    }
+  }
   void Send(const Path& path, std::span<const std::uint8_t> payload) {
     sink_.SendDatagram(path, payload);
   }
@@ -106,7 +113,8 @@
   virtual bool NewConnectionId(ngtcp2_cid& id, std::uint8_t* token, std::size_t length) = 0;
   virtual void OnConnectionIdRetired(const ngtcp2_cid& id) = 0;
   virtual void OnHandshakeDone() = 0;
-  virtual void OnGoaway() = 0;
+  // The peer takes no streams from `first_refused` on.
+  virtual void OnGoaway(std::int64_t first_refused) = 0;
   // The connection has ended; its streams were told before.
   virtual void OnEnded(const ConnectionEnd& end) = 0;
   virtual void OnFlushWanted() = 0;
--- a/libs/quic/src/http3_client.cpp
+++ b/libs/quic/src/http3_client.cpp
@@ -139,7 +139,10 @@
     events_.OnConnected();
   }
 
-  void OnGoaway() override {
+  void OnGoaway(std::int64_t first_refused) override {
+    // What the server will not take is not run (RFC 9114, section 5.2).
+    constexpr auto kRejected = static_cast<std::uint64_t>(Http3Error::kRequestRejected);
+    ForEachStreamFrom(first_refused, [](Stream& stream) { stream.OnPeerReset(kRejected); });
     if (!std::exchange(is_leaving_, true)) {
       events_.OnGoaway();
     }
--- a/libs/quic/src/http3_server.cpp
+++ b/libs/quic/src/http3_server.cpp
@@ -152,8 +152,20 @@
     Flush(now);
   }
 
+  void RefuseConnections() { refuses_connections_ = true; }
+
+  std::vector<connection_id::ConnectionId> HandshakingIds() const {
+    std::vector<connection_id::ConnectionId> ids;
+    for (const auto& [address, connection] : connections_) {
+      if (connection->IsOpen() && !connection->IsHandshakeDone()) {
+        ids.push_back(connection->ClientChosenId());
+      }
+    }
+    return ids;
+  }
+
   void CloseAll(base::TimePoint now) {
-    is_draining_ = true;
+    RefuseConnections();
     for (const auto& [address, connection] : connections_) {
       connection->Close(Http3Error::kNoError, now);
       UpdateTimer(*connection, now);
@@ -187,7 +199,7 @@
       }
       first.has_retry_token = true;
     }
-    if (is_draining_ || connections_.size() >= options_.max_connections) {
+    if (refuses_connections_ || connections_.size() >= options_.max_connections) {
       return Refuse(path, first.header, NGTCP2_CONNECTION_REFUSED);
     }
     if (!first.has_retry_token && handshakes_ >= options_.retry_from_handshakes) {
@@ -284,6 +296,9 @@
 
   // Brings everything about a connection up to date after a call; may destroy it.
   void Settle(ServerConnection& connection, base::TimePoint now) {
+    if (is_draining_ && connection.IsHandshakeDone()) {
+      connection.StartDrain(now);
+    }
     connection.Flush(now);
     if (!connection.IsFinished()) {
       UpdateTimer(connection, now);
@@ -318,6 +333,7 @@
   std::vector<ServerConnection*> to_flush_;
   std::size_t handshakes_ = 0;
   bool is_draining_ = false;
+  bool refuses_connections_ = false;
   base::TimePoint reset_period_start_{};
   std::size_t resets_in_period_ = 0;
   absl::flat_hash_map<ServerConnection*, std::unique_ptr<ServerConnection>> connections_;
@@ -362,6 +378,12 @@
 
 void Http3Server::Drain(base::TimePoint now) { core_->Drain(now); }
 
+void Http3Server::RefuseConnections() { core_->RefuseConnections(); }
+
+std::vector<connection_id::ConnectionId> Http3Server::HandshakingIds() const {
+  return core_->HandshakingIds();
+}
+
 void Http3Server::CloseAll(base::TimePoint now) { core_->CloseAll(now); }
 
 std::size_t Http3Server::ConnectionCount() const { return core_->ConnectionCount(); }
--- a/libs/quic/src/server_connection.cpp
+++ b/libs/quic/src/server_connection.cpp
@@ -14,6 +14,9 @@
 // How long a peer may take to hear of a drain before its new requests are refused, in round trips.
 constexpr int kDrainNoticeInRoundTrips = 2;
 
+// How long a drained connection stays after that, so that callers learn of their last requests.
+constexpr std::chrono::seconds kDrainedLinger{1};
+
 }  // namespace
 
 ServerConnection::ServerConnection(const Http3ServerOptions& options, ServerConnectionOwner& owner,
@@ -23,7 +26,8 @@
                   options.max_header_section, options.idle_timeout},
                  sink),
       options_(options),
-      owner_(owner) {
+      owner_(owner),
+      client_chosen_id_(FromNative(first.header.dcid)) {
   TlsSession session = TlsSession::ForServer(std::move(credentials), TlsReference());
   ngtcp2_callbacks callbacks = CommonCallbacks();
   callbacks.recv_client_initial = ngtcp2_crypto_recv_client_initial_cb;
@@ -53,7 +57,7 @@
   Adopt(transport, std::move(session));
   Register(id);
   // The caller goes by the ID it chose until it has heard from the server.
-  Register(FromNative(first.header.dcid));
+  Register(client_chosen_id_);
 }
 
 ServerConnection::~ServerConnection() {
@@ -120,7 +124,7 @@
 }
 
 void ServerConnection::StartDrain(base::TimePoint now) {
-  if (!IsOpen() || Http() == nullptr || last_goaway_at_ != base::TimePoint::max()) {
+  if (!IsOpen() || Http() == nullptr || drain_stage_ != DrainStage::kNone) {
     return;
   }
   nghttp3_conn_submit_shutdown_notice(Http());
@@ -128,21 +132,28 @@
   ngtcp2_conn_get_conn_stat(Transport(), &statistics);
   const auto round_trip =
       std::chrono::duration_cast<base::Duration>(std::chrono::nanoseconds(statistics.smoothed_rtt));
-  last_goaway_at_ = now + kDrainNoticeInRoundTrips * round_trip;
+  drain_stage_ = DrainStage::kNoticeSent;
+  next_drain_step_ = now + kDrainNoticeInRoundTrips * round_trip;
   OnFlushWanted();
 }
 
 void ServerConnection::ContinueDrain(base::TimePoint now) {
-  if (now < last_goaway_at_ || !IsOpen()) {
+  if (!IsOpen() || now < next_drain_step_) {
     return;
   }
-  nghttp3_conn_shutdown(Http());
-  last_goaway_at_ = base::TimePoint::max();
-  OnFlushWanted();
+  if (drain_stage_ == DrainStage::kNoticeSent) {
+    nghttp3_conn_shutdown(Http());
+    drain_stage_ = DrainStage::kRefusing;
+    next_drain_step_ = now + kDrainedLinger;
+    OnFlushWanted();
+  } else if (StreamCount() == 0) {
+    Close(Http3Error::kNoError, now);
+  }
 }
 
 base::TimePoint ServerConnection::NextDue() const {
-  return IsOpen() ? std::min(NextExpiry(), last_goaway_at_) : NextExpiry();
+  const bool waits_for_requests = drain_stage_ == DrainStage::kRefusing && StreamCount() > 0;
+  return IsOpen() && !waits_for_requests ? std::min(NextExpiry(), next_drain_step_) : NextExpiry();
 }
 
 }  // namespace gaugevalve::quic
--- a/libs/quic/src/server_connection.h
+++ b/libs/quic/src/server_connection.h
@@ -44,9 +44,13 @@
 
   std::unique_ptr<RequestHandler> MakeHandler(const RequestHead& head, ResponseWriter& writer);
 
-  // Tells the peer to make no more requests, and when it has had time to hear it, refuses them.
+  // The ID the caller chose for its first packet.
+  const connection_id::ConnectionId& ClientChosenId() const { return client_chosen_id_; }
+
+  // Tells the peer to make no more requests; when it has had time to hear it, refuses them; and
+  // when there are none left for a while, closes. Idempotent.
   void StartDrain(base::TimePoint now);
-  // Does what is due besides the transport's own timers.
+  // Does what is due of that.
   void ContinueDrain(base::TimePoint now);
   // When HandleExpiry() or ContinueDrain() is next due.
   base::TimePoint NextDue() const;
@@ -63,17 +67,21 @@
   bool NewConnectionId(ngtcp2_cid& id, std::uint8_t* token, std::size_t length) override;
   void OnConnectionIdRetired(const ngtcp2_cid& id) override;
   void OnHandshakeDone() override;
-  void OnGoaway() override {}
+  void OnGoaway(std::int64_t) override {}
   void OnEnded(const ConnectionEnd& end) override;
   void OnFlushWanted() override { owner_.WantFlush(*this); }
 
+  enum class DrainStage : std::uint8_t { kNone, kNoticeSent, kRefusing };
+
   void Register(const connection_id::ConnectionId& id);
 
   Http3ServerOptions options_;
   ServerConnectionOwner& owner_;
   std::vector<connection_id::ConnectionId> ids_;
   bool is_handshake_counted_ = true;
-  base::TimePoint last_goaway_at_ = base::TimePoint::max();
+  connection_id::ConnectionId client_chosen_id_;
+  DrainStage drain_stage_ = DrainStage::kNone;
+  base::TimePoint next_drain_step_ = base::TimePoint::max();
 };
 
 }  // namespace gaugevalve::quic
--- a/libs/quic/tests/http3_test.cpp
+++ b/libs/quic/tests/http3_test.cpp
@@ -325,18 +325,27 @@
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
     world.Server().Drain(world.Network().Now());
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return caller.Events().goaways > 0; }));
+    Caller in_between(world, 3);
+    CPPUNIT_ASSERT(in_between.Connect());
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return in_between.Events().goaways > 0; }));
+    world.Server().RefuseConnections();
     CPPUNIT_ASSERT(!caller.Client().SubmitRequest({"GET", "https", "stock.example", "/new", {}}, {},
                                                   Record(std::make_shared<Answer>())));
     Caller late(world, 2);
     CPPUNIT_ASSERT(!late.Connect());
     CPPUNIT_ASSERT(late.Events().closed->kind == ConnectionEnd::Kind::kRefused);
     world.Network().RunFor(std::chrono::minutes(2));
+    CPPUNIT_ASSERT(in_between.Events().closed->kind == ConnectionEnd::Kind::kClosedByPeer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Server().ConnectionCount());
     ResponseWriter& writer = *world.Application().At(0).writer;
     writer.SendHead({200, {}});
     writer.WriteBody(BytesOf("still here"));
     writer.Finish();
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->IsOver(); }));
     CPPUNIT_ASSERT(board->is_whole && board->body == "still here");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return caller.Events().closed.has_value(); }));
+    world.Network().RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Server().ConnectionCount());
   }
 
   // A request that crosses the last GOAWAY on its way gets "not run", and is not run.
