--- a/libs/connection_id/include/gaugevalve/connection_id/key_set.h
+++ b/libs/connection_id/include/gaugevalve/connection_id/key_set.h
@@ -31,11 +31,13 @@
  public:
   KeySet() = default;
 
-  // Reads "0:00112233445566778899aabbccddeeff,1:..." - slot and key in hexadecimal. The first one
-  // is in use for new IDs. Every fault is appended to `findings` with the given place; the result
-  // is usable only if none was.
-  static KeySet Parse(std::string_view text, const base::SourcePlace& place,
-                      base::Findings& findings);
+  // Reads a key file: a line "SLOT:KEY" for each key, with KEY in hexadecimal; the first one is in
+  // use for new IDs. Empty lines and those that begin with '#' are passed over. Every fault is
+  // appended to `findings` with its line; the result is usable only if none was.
+  static KeySet Parse(std::string_view text, const std::string& file, base::Findings& findings);
+
+  // The same from the file of this name.
+  static KeySet Load(const std::string& file, base::Findings& findings);
 
   // Puts `key` into a slot below kKeySlots. The first key added is the one in use.
   // Throws std::out_of_range for another slot and std::invalid_argument for a slot that is taken.
@@ -50,6 +52,8 @@
   friend bool operator==(const KeySet&, const KeySet&) = default;
 
  private:
+  void ParseLine(std::string_view line, const base::SourcePlace& place, base::Findings& findings);
+
   std::array<std::optional<Key>, kKeySlots> keys_;
   std::optional<std::size_t> active_slot_;
 };
--- a/libs/connection_id/tests/key_set_test.cpp
+++ b/libs/connection_id/tests/key_set_test.cpp
@@ -16,7 +16,8 @@
   void TheFirstKeyIsInUse() {
     base::Findings findings;
     const KeySet keys = KeySet::Parse(
-        "4:00112233445566778899aabbccddeeff,2:ffeeddccbbaa99887766554433221100", {}, findings);
+        "# in use\n4:00112233445566778899aabbccddeeff\r\n\n2:ffeeddccbbaa99887766554433221100\n",
+        "keys", findings);
     CPPUNIT_ASSERT(findings.empty());
     CPPUNIT_ASSERT(keys.ActiveSlot() == std::size_t{4});
     CPPUNIT_ASSERT_EQUAL(std::uint8_t{0xff}, keys.Find(4)->back());
@@ -26,21 +27,23 @@
 
   void EveryFaultIsReportedAndNoKeyQuoted() {
     base::Findings findings;
-    const base::SourcePlace place{"node.yaml", 3, 5, "connection_id_keys"};
     KeySet::Parse(
-        "7:00112233445566778899aabbccddeeff,1:abc,nonsense,"
-        "2:00112233445566778899aabbccddeeff,2:00112233445566778899aabbccddeeff",
-        place, findings);
+        "7:00112233445566778899aabbccddeeff\n1:abc\nnonsense\n"
+        "2:00112233445566778899aabbccddeeff\n2:00112233445566778899aabbccddeeff",
+        "keys", findings);
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, findings.size());
     const std::string text = base::FormatFindings(findings);
     CPPUNIT_ASSERT(text.find("0011") == std::string::npos);
-    CPPUNIT_ASSERT(text.find("node.yaml:3:5") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("must be SLOT:KEY"), findings.at(2).message);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, findings.at(2).place.line);
   }
 
   void AnEmptyTextIsAFault() {
     base::Findings findings;
-    KeySet::Parse("", {}, findings);
+    KeySet::Parse("# nothing\n", "keys", findings);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings.size());
+    KeySet::Load("no/such/file", findings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, findings.size());
   }
 };
 
