--- a/libs/quic/src/http3_server.cpp
+++ b/libs/quic/src/http3_server.cpp
@@ -61,16 +61,17 @@
     if (std::exchange(connection.is_flush_wanted, true)) {
       return;
     }
-    if (to_flush_.empty()) {
+    to_flush_.push_back(&connection);
+    if (!is_in_call_) {
       sink_.RequestFlush();
     }
-    to_flush_.push_back(&connection);
   }
 
   bool HasConnection(const connection_id::ConnectionId& id) const { return by_id_.contains(id); }
 
   DatagramOutcome HandleDatagram(const Path& path, std::span<const std::uint8_t> datagram,
                                  base::TimePoint now) {
+    const CallGuard guard(*this);
     if (datagram.empty()) {
       return DatagramOutcome::kMalformed;  // ngtcp2 asserts that there is something to decode
     }
@@ -90,7 +91,8 @@
     }
     ServerConnection& connection = *found->second;
     connection.HandleDatagram(path, datagram, now);
-    Settle(connection, now);
+    WantFlush(connection);
+    Flush(now);
     return DatagramOutcome::kHandled;
   }
 
@@ -121,11 +123,19 @@
       }
       due.push_back(connection);
     }
-    // Settle() destroys no other connection than its own.
+    const CallGuard guard(*this);
     for (ServerConnection* connection : due) {
       connection->HandleExpiry(now);
       connection->ContinueDrain(now);
-      Settle(*connection, now);
+      WantFlush(*connection);
+    }
+    Flush(now);
+    for (ServerConnection* connection : due) {
+      if (connection->IsFinished()) {
+        timers_.erase({connection->timer, connection});
+        std::erase(to_flush_, connection);
+        connections_.erase(connection);
+      }
     }
   }
 
@@ -134,11 +144,18 @@
   }
 
   void Flush(base::TimePoint now) {
+    const CallGuard guard(*this);
     for (ServerConnection* connection : std::exchange(to_flush_, {})) {
       connection->is_flush_wanted = false;
+      if (is_draining_ && connection->IsHandshakeDone()) {
+        connection->StartDrain(now);
+      }
       connection->Flush(now);
       UpdateTimer(*connection, now);
     }
+    if (!to_flush_.empty()) {
+      sink_.RequestFlush();  // what handlers wrote while they were told of room
+    }
   }
 
   void SetCredentials(CertificateCredentials credentials) { credentials_ = std::move(credentials); }
@@ -146,8 +163,7 @@
   void Drain(base::TimePoint now) {
     is_draining_ = true;
     for (const auto& [address, connection] : connections_) {
-      connection->StartDrain(now);
-      UpdateTimer(*connection, now);
+      WantFlush(*connection);
     }
     Flush(now);
   }
@@ -168,7 +184,7 @@
     RefuseConnections();
     for (const auto& [address, connection] : connections_) {
       connection->Close(Http3Error::kNoError, now);
-      UpdateTimer(*connection, now);
+      WantFlush(*connection);
     }
     Flush(now);
   }
@@ -184,6 +200,19 @@
   }
 
  private:
+  // Marks that a public call runs: it flushes by itself in the end.
+  class CallGuard {
+   public:
+    explicit CallGuard(Core& core) : core_(core), before_(std::exchange(core.is_in_call_, true)) {}
+    ~CallGuard() { core_.is_in_call_ = before_; }
+    CallGuard(const CallGuard&) = delete;
+    CallGuard& operator=(const CallGuard&) = delete;
+
+   private:
+    Core& core_;
+    bool before_;
+  };
+
   DatagramOutcome HandleFirst(const Path& path, std::span<const std::uint8_t> datagram,
                               base::TimePoint now) {
     FirstPacket first{};
@@ -223,7 +252,8 @@
     ServerConnection& connection = *made;
     connections_.emplace(&connection, std::move(made));
     connection.HandleDatagram(path, datagram, now);
-    Settle(connection, now);
+    WantFlush(connection);
+    Flush(now);
   }
 
   bool VerifyRetryToken(const Path& path, FirstPacket& first, base::TimePoint now) const {
@@ -294,21 +324,6 @@
     return ++resets_in_period_ <= kMaxResetsPerSecond;
   }
 
-  // Brings everything about a connection up to date after a call; may destroy it.
-  void Settle(ServerConnection& connection, base::TimePoint now) {
-    if (is_draining_ && connection.IsHandshakeDone()) {
-      connection.StartDrain(now);
-    }
-    connection.Flush(now);
-    if (!connection.IsFinished()) {
-      UpdateTimer(connection, now);
-      return;
-    }
-    timers_.erase({connection.timer, &connection});
-    std::erase(to_flush_, &connection);
-    connections_.erase(&connection);
-  }
-
   // A finished connection is destroyed by the timer, so that no caller holds a dangling reference.
   void UpdateTimer(ServerConnection& connection, base::TimePoint now) {
     const base::TimePoint due = connection.IsFinished() ? now : connection.NextDue();
@@ -332,6 +347,7 @@
   std::set<std::pair<base::TimePoint, ServerConnection*>> timers_;
   std::vector<ServerConnection*> to_flush_;
   std::size_t handshakes_ = 0;
+  bool is_in_call_ = false;
   bool is_draining_ = false;
   bool refuses_connections_ = false;
   base::TimePoint reset_period_start_{};
