--- a/libs/tasks/include/gaugevalve/tasks/mailbox.h
+++ b/libs/tasks/include/gaugevalve/tasks/mailbox.h
@@ -53,8 +53,8 @@
     if (cell.sequence.load(std::memory_order_acquire) != head_ + 1) {
       return std::nullopt;
     }
-    std::optional<Message> message = std::move(cell.message);
-    cell.message.reset();
+    std::optional<Message> message;
+    message.swap(cell.message);
     cell.sequence.store(head_ + cells_.size(), std::memory_order_release);
     ++head_;
     return message;
