--- a/libs/settings/include/gaugevalve/settings/node_settings.h
+++ b/libs/settings/include/gaugevalve/settings/node_settings.h
@@ -72,6 +72,7 @@
   std::vector<base::SocketAddress> seed_peers;        // control addresses asked first
   std::vector<base::SocketAddress> store_endpoints;   // etcd v3 JSON over HTTP
   std::optional<base::SocketAddress> egress_address;  // fabric's way out; agents need it
+  std::string connection_id_key_file;                 // see connection_id::KeySet; may be empty
   std::optional<AgentSettings> agent;                 // present exactly for agents
   std::optional<StaticSettings> static_settings;
 
--- a/libs/settings/src/node_keys.cpp
+++ b/libs/settings/src/node_keys.cpp
@@ -9,7 +9,7 @@
 constexpr KeyNeed kOptional = KeyNeed::kOptional;
 constexpr KeyNeed kForAgents = KeyNeed::kRequiredForAgents;
 
-constexpr std::array<NodeKey, 12> kNodeKeys{{
+constexpr std::array<NodeKey, 13> kNodeKeys{{
     {"name", kRequired, "Name of the node, unique in the deployment."},
     {"role", kRequired, "balancer or agent."},
     {"region", kRequired, "Region the machine is in."},
@@ -20,6 +20,8 @@
     {"seed_peers", kOptional, "List of control addresses to ask first when joining."},
     {"store_endpoints", kOptional, "List of IP:port of the store's etcd v3 JSON gateways."},
     {"egress_address", kForAgents, "IP:port of the fabric's way out, where answers are sent."},
+    {"connection_id_key_file", kOptional,
+     "File with the keys of connection IDs, the same on every node; http3 needs it."},
     {"agent", kForAgents, "The endpoint beside the agent; see below."},
     {"static", kOptional, "Services and agents for a run without a store; see below."},
 }};
--- a/libs/settings/src/node_settings.cpp
+++ b/libs/settings/src/node_settings.cpp
@@ -255,6 +255,7 @@
   settings.seed_peers = section.Addresses("seed_peers");
   settings.store_endpoints = section.Addresses("store_endpoints");
   settings.egress_address = section.OptionalAddress("egress_address");
+  settings.connection_id_key_file = section.OptionalText("connection_id_key_file");
   if (const YamlEntry* agent = section.Find("agent")) {
     settings.agent = ReadAgent(reader, *agent);
   }
--- a/libs/settings/tests/node_settings_test.cpp
+++ b/libs/settings/tests/node_settings_test.cpp
@@ -17,6 +17,7 @@
 seed_peers: [127.0.0.1:7101, 127.0.0.1:7102]
 store_endpoints: [127.0.0.1:2379]
 egress_address: 127.0.0.1:7200
+connection_id_key_file: keys
 agent:
   service: orders
   endpoint: orders-1
@@ -44,6 +45,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:7000"), settings.data_address.ToString());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings.seed_peers.size());
     CPPUNIT_ASSERT_EQUAL(std::string("orders-1"), settings.agent->endpoint);
+    CPPUNIT_ASSERT_EQUAL(std::string("keys"), settings.connection_id_key_file);
     CPPUNIT_ASSERT(!settings.agent->http_address);
     CPPUNIT_ASSERT_EQUAL(64U, settings.static_settings->services.at(0).bucket_count);
     CPPUNIT_ASSERT_EQUAL(std::string("agent-1"), settings.static_settings->agents.at(0).node);
