--- a/libs/quic/include/gaugevalve/quic/http3_server.h
+++ b/libs/quic/include/gaugevalve/quic/http3_server.h
@@ -36,7 +36,7 @@
   kOpened,             // opened a connection
   kRetrySent,          // the caller has to prove its address
   kVersionNegotiated,  // the caller was told which versions are spoken
-  kRefused,            // told "connection refused": no room, or draining
+  kRefused,            // told that no connection is made: no room, leaving, or a failure here
   kUnknown,            // belongs to no connection here and can't open one
   kMalformed,          // not QUIC, or no acceptable first packet
 };
--- a/libs/quic/src/http3_server.cpp
+++ b/libs/quic/src/http3_server.cpp
@@ -20,10 +20,12 @@
 constexpr std::chrono::seconds kRetryTokenLifetime{10};
 constexpr std::size_t kMaxResetsPerSecond = 200;
 
-// A stateless reset looks like a short packet: one octet and 37 bytes of which 16 are the token,
-// and is shorter than what it answers, so that two resetting ends stop (RFC 9000, section 10.3.3).
-constexpr std::size_t kMinResetTrigger = 41;
-constexpr std::size_t kResetRandomLength = 24;
+// A stateless reset is random bytes and the token. It is shorter than what it answers, so that two
+// ends that reset each other stop (RFC 9000, section 10.3.3); 41 bytes look like any short packet,
+// fewer still do their work: a keep-alive packet has 37.
+constexpr std::size_t kMaxResetLength = 41;
+constexpr std::size_t kMinResetLength =
+    NGTCP2_MIN_STATELESS_RESET_RANDLEN + NGTCP2_STATELESS_RESET_TOKENLEN;
 
 }  // namespace
 
@@ -98,7 +100,8 @@
 
   bool SendStatelessReset(const Path& path, std::span<const std::uint8_t> datagram,
                           base::TimePoint now) {
-    if (datagram.size() < kMinResetTrigger || (datagram[0] & 0x80) != 0 || !TakeResetPermit(now)) {
+    const bool is_long = !datagram.empty() && (datagram[0] & 0x80) != 0;
+    if (datagram.size() <= kMinResetLength || is_long || !TakeResetPermit(now)) {
       return false;
     }
     const auto id = connection_id::ConnectionId::FromBytes(
@@ -107,11 +110,13 @@
     if (!token) {
       return false;
     }
-    std::array<std::uint8_t, kResetRandomLength> random{};
+    const std::size_t length = std::min(datagram.size() - 1, kMaxResetLength);
+    std::array<std::uint8_t, kMaxResetLength> random{};
     FillRandom(random);
-    std::array<std::uint8_t, kMinResetTrigger> buffer{};
-    const ngtcp2_ssize written = ngtcp2_pkt_write_stateless_reset(
-        buffer.data(), buffer.size() - 1, token->data(), random.data(), random.size() - 1);
+    std::array<std::uint8_t, kMaxResetLength> buffer{};
+    const ngtcp2_ssize written =
+        ngtcp2_pkt_write_stateless_reset(buffer.data(), length, token->data(), random.data(),
+                                         length - NGTCP2_STATELESS_RESET_TOKENLEN);
     return SendIfWritten(path, buffer, written);
   }
 
@@ -234,26 +239,26 @@
     if (!first.has_retry_token && handshakes_ >= options_.retry_from_handshakes) {
       return SendRetry(path, first.header, now);
     }
-    Open(path, first, datagram, now);
-    return DatagramOutcome::kOpened;
+    return Open(path, first, datagram, now);
   }
 
-  void Open(const Path& path, const FirstPacket& first, std::span<const std::uint8_t> datagram,
-            base::TimePoint now) {
+  DatagramOutcome Open(const Path& path, const FirstPacket& first,
+                       std::span<const std::uint8_t> datagram, base::TimePoint now) {
     ++handshakes_;
     std::unique_ptr<ServerConnection> made;
     try {
       made = std::make_unique<ServerConnection>(options_, *this, credentials_, sink_, path, first,
                                                 now);
-    } catch (...) {
+    } catch (const std::exception&) {  // TLS or the IDs give out: other connections go on
       --handshakes_;
-      throw;
+      return Refuse(path, first.header, NGTCP2_INTERNAL_ERROR);
     }
     ServerConnection& connection = *made;
     connections_.emplace(&connection, std::move(made));
     connection.HandleDatagram(path, datagram, now);
     WantFlush(connection);
     Flush(now);
+    return DatagramOutcome::kOpened;
   }
 
   bool VerifyRetryToken(const Path& path, FirstPacket& first, base::TimePoint now) const {
--- a/libs/quic/tests/http3_test.cpp
+++ b/libs/quic/tests/http3_test.cpp
@@ -142,6 +142,7 @@
   CPPUNIT_TEST(AChangeOfAddressCutsNothing);
   CPPUNIT_TEST(EveryIdTheClientUsesNamesTheAgent);
   CPPUNIT_TEST(ALostConnectionIsResetAtOnce);
+  CPPUNIT_TEST(ACallerThatWaitsLearnsOfALostConnectionByItsKeepAlive);
   CPPUNIT_TEST(TooManyConnectionsAreRefused);
   CPPUNIT_TEST(RetryProvesTheCallersAddress);
   CPPUNIT_TEST(ReloadedCredentialsServeNewConnectionsAndCutNone);
@@ -428,6 +429,20 @@
     CPPUNIT_ASSERT(caller.Events().closed->kind == ConnectionEnd::Kind::kStatelessReset);
   }
 
+  // A held event stream sends nothing but keep-alive packets, which are the smallest there are.
+  void ACallerThatWaitsLearnsOfALostConnectionByItsKeepAlive() {
+    World world;
+    Caller caller(world, 1);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto board = caller.Ask("GET", "/board");
+    world.Network().RunFor(std::chrono::seconds(2));
+    world.Restart();
+    world.Network().resets_unknown = true;
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->IsOver(); },
+                                            Http3ClientOptions{}.idle_timeout / 2));
+    CPPUNIT_ASSERT(caller.Events().closed->kind == ConnectionEnd::Kind::kStatelessReset);
+  }
+
   void TooManyConnectionsAreRefused() {
     Http3ServerOptions options;
     options.max_connections = 2;
