--- a/daemons/balancer/src/main.cpp
+++ b/daemons/balancer/src/main.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <utility>
 
 #include "balancer_worker.h"
 #include "gaugevalve/base/clock.h"
+#include "gaugevalve/connection_id/codec.h"
+#include "gaugevalve/connection_id/key_set.h"
 #include "gaugevalve/daemon/command_line.h"
 #include "gaugevalve/daemon/control_task.h"
 #include "gaugevalve/daemon/drop_log.h"
@@ -13,6 +16,7 @@
 #include "gaugevalve/daemon/incarnation.h"
 #include "gaugevalve/daemon/shutdown_signals.h"
 #include "gaugevalve/daemon/static_view.h"
+#include "gaugevalve/forwarding/codec_router.h"
 #include "gaugevalve/tasks/task.h"
 #include "gaugevalve/tasks/timer.h"
 #include "gaugevalve/telemetry/admin_server.h"
@@ -34,13 +38,30 @@
 // A balancer that drains ends once nothing has come for this long: the fabric has let go of it.
 constexpr base::Duration kQuietTime = std::chrono::seconds(1);
 
+// Returns the router for the keys that the settings name, or null when they name none. Throws
+// base::FindingsError for a key file that can't be used.
+std::unique_ptr<const forwarding::ConnectionIdRouter> MakeRouter(
+    const settings::NodeSettings& node) {
+  if (node.connection_id_key_file.empty()) {
+    return nullptr;
+  }
+  base::Findings findings;
+  const auto keys = connection_id::KeySet::Load(node.connection_id_key_file, findings);
+  if (!findings.empty()) {
+    throw base::FindingsError(std::move(findings));
+  }
+  return std::make_unique<forwarding::CodecRouter>(
+      std::make_shared<const connection_id::Codec>(keys));
+}
+
 // What a running balancer consists of, on the main thread's loop.
 class Balancer {
  public:
   explicit Balancer(const daemon::CommandLine& command_line)
       : command_line_(command_line),
         registry_(std::make_shared<prometheus::Registry>()),
-        worker_(command_line.settings.data_address, flow::SourceLimiterSettings(), nullptr,
+        router_(MakeRouter(command_line.settings)),
+        worker_(command_line.settings.data_address, flow::SourceLimiterSettings(), router_.get(),
                 *registry_),
         admin_(loop_.get(), command_line.settings.admin_address, registry_),
         malformed_log_(*registry_, "gaugevalve_balancer_datagrams_malformed_total"),
@@ -123,6 +144,7 @@
   base::SystemClock clock_;
   tasks::LoopPointer loop_ = tasks::MakeLoop();
   std::shared_ptr<prometheus::Registry> registry_;
+  std::unique_ptr<const forwarding::ConnectionIdRouter> router_;  // null without keys
   balancer::BalancerWorker worker_;
   telemetry::AdminServer admin_;
   std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
