--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -19,3 +19,14 @@
 pkg_check_modules(gnutls REQUIRED IMPORTED_TARGET gnutls)
 pkg_check_modules(ngtcp2 REQUIRED IMPORTED_TARGET libngtcp2 libngtcp2_crypto_gnutls)
 pkg_check_modules(nghttp3 REQUIRED IMPORTED_TARGET libnghttp3)
+
+# http-parser ships neither a CMake package nor a pkg-config file.
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
+find_path(HTTP_PARSER_INCLUDE_DIRECTORY http_parser.h REQUIRED)
+if(NOT TARGET http_parser::http_parser)
+  add_library(http_parser::http_parser UNKNOWN IMPORTED)
+  set_target_properties(
+    http_parser::http_parser
+    PROPERTIES IMPORTED_LOCATION ${HTTP_PARSER_LIBRARY}
+               INTERFACE_INCLUDE_DIRECTORIES ${HTTP_PARSER_INCLUDE_DIRECTORY})
+endif()
--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -46,11 +46,15 @@
 }
 
 void AgentWorker::OnMessage(const AgentMessage& message) {
-  const auto* const view = std::get_if<ViewPointer>(&message);
-  if (view == nullptr) {
+  if (std::holds_alternative<StartDraining>(message)) {
     module_->StartDraining(clock_.Now());
     return;
   }
+  if (const auto* const credentials = std::get_if<quic::CertificateCredentials>(&message)) {
+    module_->SetCredentials(*credentials);
+    return;
+  }
+  const auto* const view = std::get_if<ViewPointer>(&message);
   for (const control::ServiceView& service : (*view)->services) {
     if (service.id == settings_.service && service.table != nullptr) {
       module_->SetView(service, (*view)->confirmed_at);
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -11,6 +11,7 @@
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/control/node_view.h"
 #include "gaugevalve/daemon/reason_counters.h"
+#include "gaugevalve/quic/credentials.h"
 #include "gaugevalve/routing/agent_report.h"
 #include "gaugevalve/tasks/inbox.h"
 #include "gaugevalve/tasks/task.h"
@@ -26,8 +27,8 @@
 // Asks the data task to drain.
 struct StartDraining {};
 
-// What other tasks send to the data task.
-using AgentMessage = std::variant<ViewPointer, StartDraining>;
+// What other tasks send to the data task: a newer view, a request to drain, a newer certificate.
+using AgentMessage = std::variant<ViewPointer, StartDraining, quic::CertificateCredentials>;
 
 // What the data task says of itself, a few times a second.
 struct AgentStatus {
--- /dev/null
+++ b/daemons/agent/src/endpoint_client.h
@@ -0,0 +1,126 @@
+// HTTP/1.1 requests to the endpoint beside the agent, over loopback, streamed both ways.
+#pragma once
+
+#include <event2/event.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/quic/http.h"
+#include "gaugevalve/tasks/timer.h"
+
+namespace gaugevalve::agent {
+
+class EndpointConnection;
+
+// Why an exchange got no whole answer.
+struct ExchangeFailure {
+  enum class Kind : std::uint8_t {
+    kNotSent,          // no connection: not a byte of the request left the agent
+    kBroken,           // the connection ended before the answer's head: the outcome is unknown
+    kCutAnswer,        // the connection ended within the answer
+    kMalformedAnswer,  // what came is no answer in HTTP/1.1
+  };
+
+  Kind kind = Kind::kBroken;
+  std::string reason;  // for logs
+};
+
+// Returns the kind's name in logs and metrics, in snake_case.
+std::string_view ToString(ExchangeFailure::Kind kind);
+
+// Takes what comes of one exchange. Exactly one of OnAnswerEnd() and OnExchangeFailed() is called,
+// last, unless the exchange is destroyed first, which each method may do.
+class EndpointEvents {
+ public:
+  virtual ~EndpointEvents() = default;
+
+  virtual void OnAnswerHead(const quic::ResponseHead& head) = 0;
+  // The bytes are valid during the call only.
+  virtual void OnAnswerBody(std::span<const std::uint8_t> bytes) = 0;
+  // The answer is whole.
+  virtual void OnAnswerEnd() = 0;
+  virtual void OnExchangeFailed(const ExchangeFailure& failure) = 0;
+  // There is room again after WriteBody() returned false.
+  virtual void OnRequestWritable() = 0;
+};
+
+// One request at the endpoint. Destroying it before its answer is whole cancels it: its connection
+// is closed, so a late answer reaches nobody. Otherwise the connection may serve another exchange.
+class EndpointExchange {
+ public:
+  explicit EndpointExchange(EndpointConnection& connection) : connection_(&connection) {}
+  ~EndpointExchange();
+  EndpointExchange(const EndpointExchange&) = delete;
+  EndpointExchange& operator=(const EndpointExchange&) = delete;
+
+  // Writes a part of the request's body. Returns false when much of it still waits to be sent: wait
+  // for OnRequestWritable().
+  bool WriteBody(std::span<const std::uint8_t> bytes);
+
+  // The request is whole. Nothing is sent before the first WriteBody() or this.
+  void FinishBody();
+
+  // Stops and restarts the reading of the answer, so that the endpoint has to wait. A few parts
+  // that were read already may still come.
+  void PauseReading();
+  void ResumeReading();
+
+ private:
+  friend class EndpointConnection;
+  void Detach() { connection_ = nullptr; }
+
+  EndpointConnection* connection_;  // null once it is over
+};
+
+// Limits of an EndpointClient.
+struct EndpointClientOptions {
+  std::size_t max_connections = 2000;         // in use at once; more requests are not sent
+  std::size_t max_idle_connections = 32;      // kept for the next requests
+  std::size_t write_high_water = 256 * 1024;  // bytes of a request's body that wait to be sent
+  base::Duration connect_timeout = std::chrono::seconds(2);
+  // Shorter than servers wait, so that a request seldom meets a connection that is being closed.
+  base::Duration idle_timeout = std::chrono::seconds(2);
+};
+
+// Connections to one endpoint, each with one exchange at a time. Never sends a request twice. On
+// one libevent loop and its thread; callbacks come from the loop, never from within a call.
+class EndpointClient {
+ public:
+  // `loop` must outlive the client, and the client its exchanges.
+  EndpointClient(event_base* loop, const base::SocketAddress& endpoint,
+                 const EndpointClientOptions& options);
+  ~EndpointClient();
+  EndpointClient(const EndpointClient&) = delete;
+  EndpointClient& operator=(const EndpointClient&) = delete;
+
+  // Starts an exchange on an idle or a new connection. `events` must outlive it. Returns null when
+  // max_connections are in use or no socket can be had: nothing was sent. The head must pass
+  // IsWritable().
+  std::unique_ptr<EndpointExchange> Start(const quic::RequestHead& head, EndpointEvents& events);
+
+  std::size_t ConnectionCount() const { return connections_.size(); }
+  std::size_t IdleCount() const;
+
+ private:
+  friend class EndpointConnection;
+
+  // A connection is over, or has become idle. It is destroyed later, from the loop.
+  void OnConnectionOver();
+  bool MayKeepIdle() const { return IdleCount() <= options_.max_idle_connections; }
+  void Sweep();
+
+  event_base* loop_;
+  base::SocketAddress endpoint_;
+  EndpointClientOptions options_;
+  std::vector<std::unique_ptr<EndpointConnection>> connections_;
+  tasks::Timer sweep_timer_;
+};
+
+}  // namespace gaugevalve::agent
--- /dev/null
+++ b/daemons/agent/src/http3_service.h
@@ -0,0 +1,111 @@
+// The module for `http3` services: ends QUIC and HTTP/3 and gives the requests to a handler.
+#pragma once
+
+#include <event2/event.h>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "agent_output.h"
+#include "departed_agents.h"
+#include "gaugevalve/base/clock.h"
+#include "gaugevalve/connection_id/codec.h"
+#include "gaugevalve/connection_id/invariant_header.h"
+#include "gaugevalve/daemon/reason_counters.h"
+#include "gaugevalve/flow/bucket_ownership.h"
+#include "gaugevalve/quic/http3_server.h"
+#include "gaugevalve/quic/request_handler.h"
+#include "gaugevalve/tasks/timer.h"
+#include "gaugevalve/tasks/udp_batch.h"
+#include "http3_drop.h"
+#include "prometheus/gauge.h"
+#include "prometheus/registry.h"
+#include "service_module.h"
+
+namespace gaugevalve::agent {
+
+// What an Http3Service is made of.
+struct Http3ServiceSettings {
+  flow::AgentIdentity identity;
+  flow::OwnershipSettings ownership;
+  quic::Http3ServerOptions server;
+  std::shared_ptr<const connection_id::Codec> codec;
+  quic::CertificateCredentials credentials;
+};
+
+// Which agent serves a datagram:
+// 1. one that has a connection by its ID;
+// 2. else the agent that issued the ID, if the table lists it: the datagram is passed to it, once;
+// 3. else, for a first packet, the agent that the bucket rules of libs/flow name, keyed by the ID;
+// 4. else nobody: its connection is gone. The caller is told so (stateless reset) only if the agent
+//    that issued the ID was seen to leave some time ago, or is this one; a table that lags must not
+//    cut a connection of an agent it doesn't know yet, nor one that was silent for a moment.
+//
+// Runs in the data task's thread.
+class Http3Service final : public ServiceModule, private quic::DatagramSink {
+ public:
+  // `loop` and `output` must outlive this. `factory` makes the handlers of requests; it may hold
+  // what they need.
+  Http3Service(event_base* loop, AgentOutput& output, const Http3ServiceSettings& settings,
+               std::unique_ptr<quic::RequestHandlerFactory> factory,
+               prometheus::Registry& registry);
+
+  void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) override;
+  void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
+                      base::TimePoint now) override;
+  void HandleTick(base::TimePoint) override {}
+  void StartDraining(base::TimePoint now) override;
+  void FillReport(routing::AgentReport& report) const override;
+  bool IsNamed() const override { return ownership_.IsNamed(); }
+  void PublishCounters() override;
+  void SetCredentials(const quic::CertificateCredentials& credentials) override {
+    server_.SetCredentials(credentials);
+  }
+
+ private:
+  // quic::DatagramSink
+  void SendDatagram(const quic::Path& path, std::span<const std::uint8_t> payload) override;
+  void RequestFlush() override { flush_timer_.StartOnce(base::Duration{0}); }
+
+  void Serve(const wire::ProxyDatagram& datagram, base::TimePoint now);
+  void HandleOfOwnIssue(const connection_id::InvariantHeader& packet,
+                        const wire::ProxyDatagram& datagram, base::TimePoint now);
+  void PassToIssuer(const routing::AgentEntry& issuer, const wire::ProxyDatagram& datagram,
+                    wire::ForwardingHeader& header);
+  void HandleFirst(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
+                   base::TimePoint now);
+  void HandleOrphan(const connection_id::InvariantHeader& packet,
+                    const std::optional<connection_id::Origin>& origin,
+                    const wire::ProxyDatagram& datagram, base::TimePoint now);
+  void Reset(const wire::ProxyDatagram& datagram, base::TimePoint now);
+  void FinishOwnActivity();
+  void UpdateTimer();
+
+  static constexpr std::size_t kAnswerSlots = 64;
+
+  base::SystemClock clock_;
+  AgentOutput* output_;
+  flow::BucketOwnership ownership_;
+  std::shared_ptr<const connection_id::Codec> codec_;
+  std::shared_ptr<const routing::BucketTable> table_;
+  DepartedAgents departed_;
+  // Answers wait here until the output has sent them.
+  std::vector<std::array<std::uint8_t, tasks::kMaxDatagramSize>> answers_;
+  std::size_t used_answers_ = 0;
+  tasks::Timer expiry_timer_;
+  tasks::Timer flush_timer_;
+  std::unique_ptr<quic::RequestHandlerFactory> factory_;
+  quic::Http3Server server_;
+  daemon::ReasonCounters dropped_;
+  daemon::ReasonCounters dropped_quic_;
+  daemon::PublishedCounter opened_;
+  daemon::PublishedCounter refused_;
+  daemon::PublishedCounter retries_;
+  daemon::PublishedCounter resets_;
+  prometheus::Gauge* connections_;
+  prometheus::Gauge* requests_;
+};
+
+}  // namespace gaugevalve::agent
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <chrono>
+#include <csignal>
 #include <memory>
 #include <utility>
 
@@ -19,10 +20,14 @@
 #include "gaugevalve/tasks/inbox.h"
 #include "gaugevalve/tasks/task.h"
 #include "gaugevalve/tasks/timer.h"
+#include "gaugevalve/tasks/watch.h"
 #include "gaugevalve/telemetry/admin_server.h"
 #include "gaugevalve/telemetry/event.h"
 #include "gaugevalve/telemetry/logging.h"
+#include "http3_service.h"
+#include "http3_setup.h"
 #include "prometheus/registry.h"
+#include "request_proxy.h"
 
 namespace {
 
@@ -30,6 +35,7 @@
 
 constexpr char kPurpose[] =
     "gaugevalve-agent --settings FILE: runs beside one endpoint, owns its flows and relays them.\n"
+    "SIGHUP reads the certificate files again.\n"
     "Exit codes: 0 ended as asked, 1 failure, 2 findings, 3 ended by a second signal, 4 the drain "
     "took longer than --drain_timeout.";
 
@@ -68,7 +74,8 @@
         drop_timer_(loop_.get(), [this] { WriteDropLogs(); }),
         drain_timer_(loop_.get(), [this] { PollDrain(); }),
         signals_(
-            loop_.get(), [this] { StartDrain(); }, [this] { End(daemon::kForcedStop); }) {}
+            loop_.get(), [this] { StartDrain(); }, [this] { End(daemon::kForcedStop); }),
+        reload_watch_(tasks::Watch::Signal(loop_.get(), SIGHUP, [this] { ReloadCertificate(); })) {}
 
   // Runs until the process is to end; returns its exit code.
   int Run() {
@@ -90,11 +97,34 @@
   using AgentStatus = agent::AgentStatus;
 
   std::unique_ptr<agent::ServiceModule> MakeModule(event_base* loop, agent::AgentOutput& output) {
+    if (agent::ServesHttp3(node_)) {
+      return MakeHttp3Module(loop, output);
+    }
     return std::make_unique<agent::DatagramService>(loop, output, *node_.agent->datagram_address,
                                                     identity_, flow::FlowCoreSettings(),
                                                     *registry_);
   }
 
+  std::unique_ptr<agent::ServiceModule> MakeHttp3Module(event_base* loop,
+                                                        agent::AgentOutput& output) {
+    agent::Http3Files files = agent::LoadHttp3Files(node_);
+    return std::make_unique<agent::Http3Service>(
+        loop, output,
+        agent::Http3ServiceSettings{identity_, {}, {}, files.codec, files.credentials},
+        std::make_unique<agent::RequestProxy>(loop, *node_.agent->http_address,
+                                              agent::EndpointClientOptions()),
+        *registry_);
+  }
+
+  void ReloadCertificate() {
+    if (!agent::ServesHttp3(node_)) {
+      return;
+    }
+    if (auto credentials = agent::ReloadCertificate(node_)) {
+      worker_.Send(std::move(credentials));
+    }
+  }
+
   // With static settings there is one view for ever; otherwise the control task sends newer ones.
   void PublishFirstView() {
     if (node_.static_settings) {
@@ -176,6 +206,7 @@
   tasks::Timer drop_timer_;
   tasks::Timer drain_timer_;
   daemon::ShutdownSignals signals_;
+  tasks::Watch reload_watch_;
   base::TimePoint drain_started_{};
   int exit_code_ = daemon::kSuccess;
 };
@@ -184,6 +215,9 @@
   const daemon::CommandLine command_line =
       daemon::ParseCommandLine(argc, argv, settings::NodeRole::kAgent, kPurpose);
   if (command_line.check_only) {
+    if (agent::ServesHttp3(command_line.settings)) {
+      agent::LoadHttp3Files(command_line.settings);
+    }
     return daemon::kSuccess;
   }
   RaiseDescriptorLimit();
--- a/daemons/agent/src/service_module.h
+++ b/daemons/agent/src/service_module.h
@@ -3,6 +3,7 @@
 
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/control/node_view.h"
+#include "gaugevalve/quic/credentials.h"
 #include "gaugevalve/routing/agent_report.h"
 #include "gaugevalve/wire/forwarding_header.h"
 #include "gaugevalve/wire/proxy_datagram.h"
@@ -29,6 +30,11 @@
   // Keeps what is open and takes nothing that another agent can take. Idempotent.
   virtual void StartDraining(base::TimePoint now) = 0;
 
+  // Uses this certificate for connections from now on; nothing to services that have none.
+  virtual void SetCredentials(const quic::CertificateCredentials& credentials) {
+    static_cast<void>(credentials);
+  }
+
   // Fills in what the module knows for the planner, the agent's identity included.
   virtual void FillReport(routing::AgentReport& report) const = 0;
 
--- /dev/null
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -0,0 +1,312 @@
+// Agents of an http3 service between a fabric and an endpoint, all on loopback.
+#include "http3_service.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "agent_worker.h"
+#include "gaugevalve/quic/udp_client.h"
+#include "gaugevalve/tasks/task.h"
+#include "request_proxy.h"
+#include "scripted_endpoint.h"
+#include "test_fabric.h"
+
+namespace gaugevalve::agent {
+namespace {
+
+using testing::RunUntil;
+using testing::ScriptedEndpoint;
+using testing::TestFabric;
+
+constexpr base::ServiceId kService(3);
+constexpr std::size_t kBuckets = 16;
+
+base::SocketAddress Loopback() { return base::SocketAddress::Ipv4(0x7f000001, 0); }
+
+std::shared_ptr<const connection_id::Codec> MakeCodec() {
+  connection_id::KeySet keys;
+  keys.Add(0, connection_id::Key{4, 3, 2, 1});
+  return std::make_shared<const connection_id::Codec>(keys);
+}
+
+quic::CertificateCredentials MakeCredentials(const quic::CertificatePair& pair) {
+  base::Findings findings;
+  return quic::MakeServerCredentials(pair, "test", std::chrono::system_clock::now(), findings);
+}
+
+quic::CertificatePair MakePair() {
+  return quic::MakeSelfSignedCertificate("127.0.0.1", std::chrono::system_clock::now(),
+                                         std::chrono::hours(1));
+}
+
+// One life of an agent, with its worker's thread.
+class TestAgent {
+ public:
+  TestAgent(std::uint64_t node, std::uint64_t life, const base::SocketAddress& data_address,
+            const base::SocketAddress& egress, const base::SocketAddress& endpoint,
+            const quic::CertificatePair& pair)
+      : identity_{base::NodeId(node), base::Incarnation(life * 1'000'000), kService},
+        worker_(
+            {data_address, egress, kService},
+            [&](event_base* loop, AgentOutput& output) {
+              return std::make_unique<Http3Service>(
+                  loop, output,
+                  Http3ServiceSettings{identity_, {}, {}, MakeCodec(), MakeCredentials(pair)},
+                  std::make_unique<RequestProxy>(loop, endpoint, EndpointClientOptions()),
+                  registry_);
+            },
+            [](const AgentStatus&) {}, registry_) {
+    worker_.Start();
+  }
+  ~TestAgent() { worker_.Stop(); }
+  TestAgent(const TestAgent&) = delete;
+  TestAgent& operator=(const TestAgent&) = delete;
+
+  AgentWorker& Worker() { return worker_; }
+  routing::AgentEntry Entry() const {
+    return {identity_.node, identity_.incarnation, worker_.DataAddress(), ""};
+  }
+
+ private:
+  flow::AgentIdentity identity_;
+  prometheus::Registry registry_;
+  AgentWorker worker_;
+};
+
+struct Answer {
+  quic::ResponseHead head;
+  std::string body;
+  bool is_whole = false;
+  std::optional<quic::RequestFailure> failure;
+  bool IsOver() const { return is_whole || failure.has_value(); }
+};
+
+class AnswerRecorder final : public quic::ResponseHandler {
+ public:
+  explicit AnswerRecorder(std::shared_ptr<Answer> answer) : answer_(std::move(answer)) {}
+  void OnHead(const quic::ResponseHead& head) override { answer_->head = head; }
+  void OnBody(std::span<const std::uint8_t> bytes) override {
+    answer_->body.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+  }
+  void OnEnd() override { answer_->is_whole = true; }
+  void OnFailed(const quic::RequestFailure& failure) override { answer_->failure = failure; }
+
+ private:
+  std::shared_ptr<Answer> answer_;
+};
+
+struct Events final : quic::ClientEvents {
+  void OnConnected() override { is_connected = true; }
+  void OnGoaway() override { is_leaving = true; }
+  void OnClosed(const quic::ConnectionEnd& connection_end) override { end = connection_end; }
+
+  bool is_connected = false;
+  bool is_leaving = false;
+  std::optional<quic::ConnectionEnd> end;
+};
+
+class Http3ServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(Http3ServiceTest);
+  CPPUNIT_TEST(ARequestReachesTheEndpointAndItsAnswerTheCaller);
+  CPPUNIT_TEST(LargeBodiesPassBothWays);
+  CPPUNIT_TEST(PacketsOfAnotherAgentsConnectionReachIt);
+  CPPUNIT_TEST(ACutAnswerIsResetAndAnUnsentRequestRefused);
+  CPPUNIT_TEST(AnEventStreamSurvivesADrainAndAChangeOfAddress);
+  CPPUNIT_TEST(ARestartedAgentTellsItsCallers);
+  CPPUNIT_TEST(ANewCertificateCutsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  tasks::LoopPointer loop_;
+  base::SystemClock clock_;
+  quic::CertificatePair pair_;
+  std::unique_ptr<ScriptedEndpoint> endpoint_;
+  std::unique_ptr<TestFabric> fabric_;
+  std::vector<std::unique_ptr<TestAgent>> agents_;
+  Events events_;
+  std::unique_ptr<quic::UdpClient> caller_;
+
+  std::unique_ptr<TestAgent> MakeAgent(std::uint64_t node, std::uint64_t life,
+                                       const base::SocketAddress& data_address) {
+    return std::make_unique<TestAgent>(node, life, data_address, fabric_->EgressAddress(),
+                                       endpoint_->Address(), pair_);
+  }
+
+  // Tells all agents and the balancer that every bucket is the first agent's.
+  void PublishView() {
+    auto table = std::make_shared<routing::BucketTable>();
+    table->service = kService;
+    table->version = {1, 0, 1};
+    for (const auto& agent : agents_) {
+      table->agents.push_back(agent->Entry());
+    }
+    table->buckets.assign(kBuckets, {table->version, table->agents[0].node, {}});
+    auto view = std::make_shared<control::NodeView>();
+    view->confirmed_at = base::TimePoint::max();
+    view->services.push_back(
+        {kService, "stock", control::ServiceKind::kHttp3, fabric_->CallerAddress(), table});
+    fabric_->SetView(view);
+    for (const auto& agent : agents_) {
+      CPPUNIT_ASSERT(agent->Worker().Send(ViewPointer(view)));
+    }
+  }
+
+  std::unique_ptr<quic::UdpClient> MakeCaller(Events& events, const std::string& trust_anchors) {
+    auto caller = std::make_unique<quic::UdpClient>(
+        loop_.get(), clock_,
+        quic::Http3ClientOptions{{{}, fabric_->CallerAddress()},
+                                 "127.0.0.1",
+                                 quic::MakeClientCredentials(trust_anchors)},
+        events);
+    caller->Connect();
+    RunUntil(loop_.get(), [&] { return events.is_connected || events.end; });
+    return caller;
+  }
+
+  std::shared_ptr<Answer> Ask(const std::string& method, const std::string& body = "") {
+    auto answer = std::make_shared<Answer>();
+    CPPUNIT_ASSERT(caller_->Client().SubmitRequest(
+        {method, "https", "stock.example", "/board", {}},
+        {reinterpret_cast<const std::uint8_t*>(body.data()), body.size()},
+        std::make_unique<AnswerRecorder>(answer)));
+    return answer;
+  }
+
+  // Waits until the endpoint has had `count` connections and the last ends with `end`.
+  void WaitForRequest(std::size_t count, const std::string& end = "\r\n\r\n") {
+    RunUntil(loop_.get(), [&] {
+      return endpoint_->Count() == count && endpoint_->Received(count - 1).ends_with(end);
+    });
+  }
+
+  void WaitForAnswer(const Answer& answer) {
+    RunUntil(loop_.get(), [&] { return answer.IsOver(); });
+  }
+
+ public:
+  void setUp() override {  // NOLINT(readability-identifier-naming)
+    loop_ = tasks::MakeLoop();
+    pair_ = MakePair();
+    endpoint_ = std::make_unique<ScriptedEndpoint>(loop_.get());
+    fabric_ = std::make_unique<TestFabric>(loop_.get(), MakeCodec());
+    agents_.push_back(MakeAgent(1, 1, Loopback()));
+    agents_.push_back(MakeAgent(2, 1, Loopback()));
+    PublishView();
+    events_ = {};
+    caller_ = MakeCaller(events_, pair_.certificate);
+    CPPUNIT_ASSERT(events_.is_connected);
+  }
+  void tearDown() override {  // NOLINT(readability-identifier-naming)
+    caller_.reset();
+    agents_.clear();
+    fabric_.reset();
+    endpoint_.reset();
+    loop_.reset();
+  }
+
+  void ARequestReachesTheEndpointAndItsAnswerTheCaller() {
+    const auto answer = Ask("POST", "reserve");
+    WaitForRequest(1, "reserve\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(
+        endpoint_->Received(0).starts_with("POST /board HTTP/1.1\r\nhost: stock.example\r\n"));
+    endpoint_->Send(0, "HTTP/1.1 201 Created\r\nContent-Length: 4\r\nX-A: b\r\n\r\ndone");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_whole);
+    CPPUNIT_ASSERT_EQUAL(201, answer->head.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->body);
+  }
+
+  void LargeBodiesPassBothWays() {
+    constexpr std::size_t kSize = 3'000'000;
+    const auto answer = Ask("POST", std::string(kSize, 'u'));
+    WaitForRequest(1, "0\r\n\r\n");
+    CPPUNIT_ASSERT(endpoint_->Received(0).size() > kSize);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kSize) + "\r\n\r\n" +
+                           std::string(kSize, 'd'));
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_whole);
+    CPPUNIT_ASSERT(answer->body == std::string(kSize, 'd'));
+  }
+
+  // A balancer with another table may send a connection's packets to any agent.
+  void PacketsOfAnotherAgentsConnectionReachIt() {
+    fabric_->misroute_to = agents_[1]->Entry();
+    const auto answer = Ask("GET");
+    WaitForRequest(1);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_whole);
+  }
+
+  void ACutAnswerIsResetAndAnUnsentRequestRefused() {
+    const auto cut = Ask("GET");
+    WaitForRequest(1);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    RunUntil(loop_.get(), [&] { return cut->body == "half"; });
+    endpoint_->Close(0);
+    WaitForAnswer(*cut);
+    CPPUNIT_ASSERT(cut->failure->kind == quic::RequestFailure::Kind::kReset);
+    CPPUNIT_ASSERT(!cut->failure->WasNotRun());
+    const auto broken = Ask("POST", "once");
+    WaitForRequest(2);
+    endpoint_->Close(1);
+    WaitForAnswer(*broken);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                         std::string(quic::FindField(broken->head.fields, "gaugevalve-outcome")));
+    endpoint_->Refuse();
+    const auto refused = Ask("POST", "once");
+    WaitForAnswer(*refused);
+    CPPUNIT_ASSERT_EQUAL(503, refused->head.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"),
+                         std::string(quic::FindField(refused->head.fields, "gaugevalve-outcome")));
+  }
+
+  void AnEventStreamSurvivesADrainAndAChangeOfAddress() {
+    const auto board = Ask("GET");
+    WaitForRequest(1);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n1\n\r\n");
+    RunUntil(loop_.get(), [&] { return board->body == "1\n"; });
+    CPPUNIT_ASSERT(agents_[0]->Worker().Send(StartDraining()));
+    RunUntil(loop_.get(), [&] { return events_.is_leaving; });
+    CPPUNIT_ASSERT(caller_->Rebind());
+    endpoint_->Send(0, "2\r\n2\n\r\n");
+    RunUntil(loop_.get(), [&] { return board->body == "1\n2\n"; });
+    endpoint_->Send(0, "0\r\n\r\n");
+    WaitForAnswer(*board);
+    CPPUNIT_ASSERT(board->is_whole);
+  }
+
+  void ARestartedAgentTellsItsCallers() {
+    const auto board = Ask("GET");
+    WaitForRequest(1);
+    const base::SocketAddress data_address = agents_[0]->Entry().data_address;
+    agents_[0].reset();
+    agents_[0] = MakeAgent(1, 2, data_address);
+    PublishView();
+    Ask("GET");  // any packet will do
+    WaitForAnswer(*board);
+    CPPUNIT_ASSERT(board->failure->kind == quic::RequestFailure::Kind::kConnectionLost);
+    CPPUNIT_ASSERT_MESSAGE(events_.end->reason,
+                           events_.end->kind == quic::ConnectionEnd::Kind::kStatelessReset);
+  }
+
+  void ANewCertificateCutsNothing() {
+    const quic::CertificatePair newer = MakePair();
+    CPPUNIT_ASSERT(agents_[0]->Worker().Send(MakeCredentials(newer)));
+    // The data task takes the message when it gets to it; callers before that see the old one.
+    Events events;
+    std::unique_ptr<quic::UdpClient> later;
+    while (!events.is_connected) {
+      events = {};
+      later = MakeCaller(events, newer.certificate);
+    }
+    const auto answer = Ask("GET");
+    WaitForRequest(1);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_whole);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(Http3ServiceTest);
+
+}  // namespace
+}  // namespace gaugevalve::agent
