--- a/daemons/agent/tests/endpoint_client_test.cpp
+++ b/daemons/agent/tests/endpoint_client_test.cpp
@@ -80,7 +80,8 @@
 
   // Starts a request and waits until the endpoint has it on connection `index`.
   void Ask(Recorder& recorder, std::size_t index, const std::string& method = "GET") {
-    recorder.exchange = client_->Start({method, "https", "stock.example", "/board", {}}, recorder);
+    recorder.exchange =
+        client_->Start({method, "https", "service.example", "/events", {}}, recorder);
     CPPUNIT_ASSERT(recorder.exchange != nullptr);
     recorder.exchange->FinishBody();
     WaitForEnd(index, "\r\n\r\n");
--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -142,7 +142,7 @@
     auto view = std::make_shared<control::NodeView>();
     view->confirmed_at = base::TimePoint::max();
     view->services.push_back(
-        {kService, "stock", control::ServiceKind::kHttp3, fabric_->CallerAddress(), table});
+        {kService, "orders", control::ServiceKind::kHttp3, fabric_->CallerAddress(), table});
     fabric_->SetView(view);
     for (const auto& agent : agents_) {
       CPPUNIT_ASSERT(agent->Worker().Send(ViewPointer(view)));
@@ -164,7 +164,7 @@
   std::shared_ptr<Answer> Ask(const std::string& method, const std::string& body = "") {
     auto answer = std::make_shared<Answer>();
     CPPUNIT_ASSERT(caller_->Client().SubmitRequest(
-        {method, "https", "stock.example", "/board", {}},
+        {method, "https", "service.example", "/events", {}},
         {reinterpret_cast<const std::uint8_t*>(body.data()), body.size()},
         std::make_unique<AnswerRecorder>(answer)));
     return answer;
@@ -203,10 +203,10 @@
   }
 
   void ARequestReachesTheEndpointAndItsAnswerTheCaller() {
-    const auto answer = Ask("POST", "reserve");
-    WaitForRequest(1, "reserve\r\n0\r\n\r\n");
+    const auto answer = Ask("POST", "order");
+    WaitForRequest(1, "order\r\n0\r\n\r\n");
     CPPUNIT_ASSERT(
-        endpoint_->Received(0).starts_with("POST /board HTTP/1.1\r\nhost: stock.example\r\n"));
+        endpoint_->Received(0).starts_with("POST /events HTTP/1.1\r\nhost: service.example\r\n"));
     endpoint_->Send(0, "HTTP/1.1 201 Created\r\nContent-Length: 4\r\nX-A: b\r\n\r\ndone");
     WaitForAnswer(*answer);
     CPPUNIT_ASSERT(answer->is_whole);
@@ -260,30 +260,30 @@
   }
 
   void AnEventStreamSurvivesADrainAndAChangeOfAddress() {
-    const auto board = Ask("GET");
+    const auto events_answer = Ask("GET");
     WaitForRequest(1);
     endpoint_->Send(0, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n1\n\r\n");
-    RunUntil(loop_.get(), [&] { return board->body == "1\n"; });
+    RunUntil(loop_.get(), [&] { return events_answer->body == "1\n"; });
     CPPUNIT_ASSERT(agents_[0]->Worker().Send(StartDraining()));
     RunUntil(loop_.get(), [&] { return events_.is_leaving; });
     CPPUNIT_ASSERT(caller_->Rebind());
     endpoint_->Send(0, "2\r\n2\n\r\n");
-    RunUntil(loop_.get(), [&] { return board->body == "1\n2\n"; });
+    RunUntil(loop_.get(), [&] { return events_answer->body == "1\n2\n"; });
     endpoint_->Send(0, "0\r\n\r\n");
-    WaitForAnswer(*board);
-    CPPUNIT_ASSERT(board->is_whole);
+    WaitForAnswer(*events_answer);
+    CPPUNIT_ASSERT(events_answer->is_whole);
   }
 
   void ARestartedAgentTellsItsCallers() {
-    const auto board = Ask("GET");
+    const auto events_answer = Ask("GET");
     WaitForRequest(1);
     const base::SocketAddress data_address = agents_[0]->Entry().data_address;
     agents_[0].reset();
     agents_[0] = MakeAgent(1, 2, data_address);
     PublishView();
     Ask("GET");  // any packet will do
-    WaitForAnswer(*board);
-    CPPUNIT_ASSERT(board->failure->kind == quic::RequestFailure::Kind::kConnectionLost);
+    WaitForAnswer(*events_answer);
+    CPPUNIT_ASSERT(events_answer->failure->kind == quic::RequestFailure::Kind::kConnectionLost);
     CPPUNIT_ASSERT_MESSAGE(events_.end->reason,
                            events_.end->kind == quic::ConnectionEnd::Kind::kStatelessReset);
   }
--- a/libs/quic/tests/http3_test.cpp
+++ b/libs/quic/tests/http3_test.cpp
@@ -24,9 +24,9 @@
 // Test certificates, made once: each needs a new key.
 const CertificatePair& TestPair(bool second = false) {
   static const CertificatePair pairs[] = {
-      MakeSelfSignedCertificate("stock.example", std::chrono::system_clock::now(),
+      MakeSelfSignedCertificate("service.example", std::chrono::system_clock::now(),
                                 std::chrono::hours(1)),
-      MakeSelfSignedCertificate("stock.example", std::chrono::system_clock::now(),
+      MakeSelfSignedCertificate("service.example", std::chrono::system_clock::now(),
                                 std::chrono::hours(1))};
   return pairs[second ? 1 : 0];
 }
@@ -84,7 +84,7 @@
          std::size_t stream_window = 1024 * 1024)
       : world_(world),
         client_({{ClientAddress(port), ServerAddress()},
-                 "stock.example",
+                 "service.example",
                  MakeClientCredentials(trust_anchors),
                  stream_window},
                 world.Network().GetSink(), events_) {
@@ -100,7 +100,7 @@
   std::shared_ptr<Answer> Ask(const std::string& method, const std::string& path,
                               std::string_view body = {}) {
     auto answer = std::make_shared<Answer>();
-    last_request_ = client_.SubmitRequest({method, "https", "stock.example", path, {}},
+    last_request_ = client_.SubmitRequest({method, "https", "service.example", path, {}},
                                           BytesOf(body), Record(answer));
     CPPUNIT_ASSERT(last_request_.has_value());
     return answer;
@@ -156,13 +156,13 @@
     World world;
     Caller caller(world, 1, TestPair().certificate);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto answer = caller.AskAndWait("POST", "/echo", "reserve 12");
+    const auto answer = caller.AskAndWait("POST", "/echo", "order 12");
     CPPUNIT_ASSERT(answer->is_whole);
     CPPUNIT_ASSERT_EQUAL(200, answer->head.status);
-    CPPUNIT_ASSERT_EQUAL(std::string("reserve 12"), answer->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("order 12"), answer->body);
     const ServedRequest& served = world.Application().At(0);
     CPPUNIT_ASSERT_EQUAL(std::string("POST"), served.head.method);
-    CPPUNIT_ASSERT_EQUAL(std::string("stock.example"), served.head.authority);
+    CPPUNIT_ASSERT_EQUAL(std::string("service.example"), served.head.authority);
     CPPUNIT_ASSERT(served.path == (Path{ServerAddress(), ClientAddress(1)}));
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return served.is_destroyed; }));
     CPPUNIT_ASSERT(!served.cancelled);
@@ -174,10 +174,10 @@
     CPPUNIT_ASSERT(caller.Connect());
     const std::string sent = Pattern(kMegabyte, 3);
     const auto echoed = caller.Ask("POST", "/echo", sent);
-    const auto sheet = caller.Ask("GET", "/sheet/3000000");
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return echoed->IsOver() && sheet->IsOver(); }));
+    const auto object = caller.Ask("GET", "/object/3000000");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return echoed->IsOver() && object->IsOver(); }));
     CPPUNIT_ASSERT(echoed->is_whole && echoed->body == sent);
-    CPPUNIT_ASSERT(sheet->is_whole && sheet->body == Pattern(3 * kMegabyte, 3 * kMegabyte));
+    CPPUNIT_ASSERT(object->is_whole && object->body == Pattern(3 * kMegabyte, 3 * kMegabyte));
   }
 
   void ManyConnectionsGetTheirOwnAnswers() {
@@ -208,17 +208,17 @@
     World world;
     Caller caller(world, 1, "", kWindow);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto sheet = caller.Ask("GET", "/sheet/2000000");
+    const auto object = caller.Ask("GET", "/object/2000000");
     const RequestId request = caller.LastRequest();
     caller.Client().PauseReading(request, true);
     world.Network().RunFor(std::chrono::seconds(5));
     const std::size_t written = 2 * kMegabyte - world.Application().At(0).unsent;
-    CPPUNIT_ASSERT(sheet->body.size() <= kWindow);
+    CPPUNIT_ASSERT(object->body.size() <= kWindow);
     CPPUNIT_ASSERT(written <= kWindow + Http3ServerOptions{}.send_high_water + 10'000);
     CPPUNIT_ASSERT_EQUAL(std::string("x"), caller.AskAndWait("POST", "/echo", "x")->body);
     caller.Client().PauseReading(request, false);
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return sheet->IsOver(); }));
-    CPPUNIT_ASSERT(sheet->is_whole);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return object->IsOver(); }));
+    CPPUNIT_ASSERT(object->is_whole);
   }
 
   void ASlowApplicationHoldsTheRequestBack() {
@@ -240,22 +240,22 @@
     World world;
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto board = caller.Ask("GET", "/board");
+    const auto events_answer = caller.Ask("GET", "/events");
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
     ResponseWriter& writer = *world.Application().At(0).writer;
     writer.SendHead({200, {{"content-type", "text/event-stream"}}});
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->head.status == 200; }));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return events_answer->head.status == 200; }));
     for (int event = 1; event <= 3; ++event) {
       const std::string text = "data: " + std::to_string(event) + "\n\n";
-      const std::size_t before = board->body.size();
+      const std::size_t before = events_answer->body.size();
       writer.WriteBody(BytesOf(text));
-      CPPUNIT_ASSERT(
-          world.Network().RunUntil([&] { return board->body.size() == before + text.size(); }));
+      CPPUNIT_ASSERT(world.Network().RunUntil(
+          [&] { return events_answer->body.size() == before + text.size(); }));
       world.Network().RunFor(std::chrono::minutes(5));
     }
-    CPPUNIT_ASSERT(!board->IsOver() && !caller.Events().closed);
+    CPPUNIT_ASSERT(!events_answer->IsOver() && !caller.Events().closed);
     writer.Finish();
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->is_whole; }));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return events_answer->is_whole; }));
   }
 
   void AnIdleConnectionEnds() {
@@ -271,7 +271,7 @@
     World world;
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto answer = caller.Ask("GET", "/board");
+    const auto answer = caller.Ask("GET", "/events");
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
     caller.Client().Cancel(caller.LastRequest());
     ServedRequest& served = world.Application().At(0);
@@ -286,7 +286,7 @@
     World world;
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto rejected = caller.Ask("POST", "/reserve", "1");
+    const auto rejected = caller.Ask("POST", "/order", "1");
     const auto cut = caller.Ask("GET", "/half");
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 2; }));
     world.Application().At(0).writer->Reset(Http3Error::kRequestRejected);
@@ -322,7 +322,7 @@
     World world;
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto board = caller.Ask("GET", "/board");
+    const auto events_answer = caller.Ask("GET", "/events");
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
     world.Server().Drain(world.Network().Now());
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return caller.Events().goaways > 0; }));
@@ -330,8 +330,8 @@
     CPPUNIT_ASSERT(in_between.Connect());
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return in_between.Events().goaways > 0; }));
     world.Server().RefuseConnections();
-    CPPUNIT_ASSERT(!caller.Client().SubmitRequest({"GET", "https", "stock.example", "/new", {}}, {},
-                                                  Record(std::make_shared<Answer>())));
+    CPPUNIT_ASSERT(!caller.Client().SubmitRequest({"GET", "https", "service.example", "/new", {}},
+                                                  {}, Record(std::make_shared<Answer>())));
     Caller late(world, 2);
     CPPUNIT_ASSERT(!late.Connect());
     CPPUNIT_ASSERT(late.Events().closed->kind == ConnectionEnd::Kind::kRefused);
@@ -342,8 +342,8 @@
     writer.SendHead({200, {}});
     writer.WriteBody(BytesOf("still here"));
     writer.Finish();
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->IsOver(); }));
-    CPPUNIT_ASSERT(board->is_whole && board->body == "still here");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return events_answer->IsOver(); }));
+    CPPUNIT_ASSERT(events_answer->is_whole && events_answer->body == "still here");
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return caller.Events().closed.has_value(); }));
     world.Network().RunFor(std::chrono::seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Server().ConnectionCount());
@@ -361,7 +361,7 @@
     };
     world.Server().Drain(world.Network().Now());
     world.Network().RunFor(std::chrono::milliseconds(100));
-    const auto answer = caller.Ask("POST", "/reserve", "2");
+    const auto answer = caller.Ask("POST", "/order", "2");
     world.Network().RunFor(std::chrono::milliseconds(100));
     is_deaf = false;
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->IsOver(); }));
@@ -373,14 +373,14 @@
     World world({0.01, 0.05});
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto sheet = caller.Ask("GET", "/sheet/2000000");
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return sheet->body.size() > kMegabyte; }));
+    const auto object = caller.Ask("GET", "/object/2000000");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return object->body.size() > kMegabyte; }));
     world.Network().RemoveClient(ClientAddress(1));
     world.Network().AddClient(ClientAddress(2), caller.Client());
     CPPUNIT_ASSERT(
         caller.Client().Migrate({ClientAddress(2), ServerAddress()}, world.Network().Now()));
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return sheet->IsOver(); }));
-    CPPUNIT_ASSERT(sheet->is_whole && sheet->body == Pattern(2 * kMegabyte, 2 * kMegabyte));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return object->IsOver(); }));
+    CPPUNIT_ASSERT(object->is_whole && object->body == Pattern(2 * kMegabyte, 2 * kMegabyte));
     CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "w")->is_whole);
     CPPUNIT_ASSERT(world.Application().At(1).path.remote == ClientAddress(2));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Server().ConnectionCount());
@@ -421,7 +421,7 @@
     CPPUNIT_ASSERT(caller.AskAndWait("POST", "/echo", "u")->is_whole);
     world.Restart();
     world.Network().resets_unknown = true;
-    const auto answer = caller.Ask("GET", "/board");
+    const auto answer = caller.Ask("GET", "/events");
     CPPUNIT_ASSERT(
         world.Network().RunUntil([&] { return answer->IsOver(); }, std::chrono::seconds(5)));
     CPPUNIT_ASSERT(answer->failure->kind == RequestFailure::Kind::kConnectionLost);
@@ -434,11 +434,11 @@
     World world;
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    const auto board = caller.Ask("GET", "/board");
+    const auto events_answer = caller.Ask("GET", "/events");
     world.Network().RunFor(std::chrono::seconds(2));
     world.Restart();
     world.Network().resets_unknown = true;
-    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return board->IsOver(); },
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return events_answer->IsOver(); },
                                             Http3ClientOptions{}.idle_timeout / 2));
     CPPUNIT_ASSERT(caller.Events().closed->kind == ConnectionEnd::Kind::kStatelessReset);
   }
@@ -498,7 +498,7 @@
     auto answer = std::make_shared<Answer>();
     const std::string value = Pattern(40'000, 5);
     CPPUNIT_ASSERT(caller.Client().SubmitRequest(
-        {"GET", "https", "stock.example", "/", {{"x-long", value}}}, {}, Record(answer)));
+        {"GET", "https", "service.example", "/", {{"x-long", value}}}, {}, Record(answer)));
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->IsOver(); }));
     CPPUNIT_ASSERT(answer->failure->error == Http3Error::kExcessiveLoad);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Application().size());
@@ -524,7 +524,7 @@
     World world;
     Caller caller(world, 1);
     CPPUNIT_ASSERT(caller.Connect());
-    caller.Ask("GET", "/board");
+    caller.Ask("GET", "/events");
     CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
     world.Restart();
     CPPUNIT_ASSERT(world.Application().At(0).cancelled.has_value());
--- a/libs/quic/tests/test_application.cpp
+++ b/libs/quic/tests/test_application.cpp
@@ -87,10 +87,10 @@
 std::unique_ptr<RequestHandler> TestApplication::OnRequest(const RequestHead& head,
                                                            const Path& path,
                                                            ResponseWriter& writer) {
-  constexpr std::string_view kSheet = "/sheet/";
+  constexpr std::string_view kObject = "/object/";
   std::string content;
-  if (head.path.starts_with(kSheet)) {
-    const std::size_t size = std::stoul(head.path.substr(kSheet.size()));
+  if (head.path.starts_with(kObject)) {
+    const std::size_t size = std::stoul(head.path.substr(kObject.size()));
     content = Pattern(size, size);
   }
   auto request = std::make_shared<ServedRequest>();
--- a/libs/quic/tests/test_application.h
+++ b/libs/quic/tests/test_application.h
@@ -29,11 +29,11 @@
   bool is_destroyed = false;
   std::optional<Http3Error> cancelled;
   ResponseWriter* writer = nullptr;  // valid until cancelled or destroyed
-  std::size_t unsent = 0;            // bytes of a "/sheet" answer still to write
+  std::size_t unsent = 0;            // bytes of a "/object" answer still to write
   std::size_t largest_burst = 0;     // bytes written before the queue was first full
 };
 
-// Serves: "/echo" answers with the request's body when it is whole; "/sheet/N" with N bytes of
+// Serves: "/echo" answers with the request's body when it is whole; "/object/N" with N bytes of
 // Pattern() as fast as the queue takes them; "/slow" consumes nothing; all else waits for the test.
 class TestApplication final : public RequestHandlerFactory {
  public:
--- a/libs/quic/tests/udp_client_test.cpp
+++ b/libs/quic/tests/udp_client_test.cpp
@@ -119,7 +119,7 @@
     run_until([&] { return first->IsOver(); });
     CPPUNIT_ASSERT_EQUAL(std::string("hello"), first->body);
     CPPUNIT_ASSERT(client.Rebind());
-    const auto second = Ask(client, "/sheet/1000000");
+    const auto second = Ask(client, "/object/1000000");
     run_until([&] { return second->IsOver(); });
     CPPUNIT_ASSERT(second->is_whole);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1'000'000}, second->body.size());
