--- a/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
@@ -111,7 +111,8 @@
   // `random` must outlive the core.
   DisseminationCore(const DisseminationOptions& options, base::RandomSource& random);
 
-  // Takes a record of this node's own making into the store and spreads it.
+  // Takes a record of this node's own making into the store and spreads it with the next Tick(),
+  // together with what else is published by then.
   PutResult Publish(const RecordKey& key, const RecordVersion& version, std::string value,
                     base::TimePoint now, Actions& actions);
 
--- a/libs/dissemination/include/gaugevalve/dissemination/record_store.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/record_store.h
@@ -18,7 +18,7 @@
   std::size_t max_records = 8192;
   std::size_t max_value_bytes = std::size_t{256} << 10U;  // of one record, uncompressed
   std::size_t max_total_bytes = std::size_t{12} << 20U;   // values and patches together
-  std::size_t max_patches = 4;                            // kept per record
+  std::size_t max_patches = 32;                           // kept per record
 };
 
 // Deliberate faults, by which the proofs show that they would notice. Never set in production.
@@ -76,6 +76,7 @@
 
   static Position PositionOf(const RecordKey& key) { return {DigestTree::LeafOf(key), key}; }
   bool IsNewer(const RecordStamp& offered, const RecordStamp& held) const;
+  void DropOldPatches(std::size_t value_bytes, std::vector<Patch>& patches) const;
   bool Fits(const Record* held, const std::string& value) const;
   void Replace(Record record);
 
--- a/libs/dissemination/src/dissemination_core.cpp
+++ b/libs/dissemination/src/dissemination_core.cpp
@@ -43,7 +43,6 @@
     actions.changed.push_back(key);
     OfferToScope(key);
     Offer(key, base::NodeId(), true);
-    Flush(pushes_, now, actions);
   }
   return result;
 }
--- a/libs/dissemination/src/record_store.cpp
+++ b/libs/dissemination/src/record_store.cpp
@@ -49,14 +49,25 @@
   if (!Fits(held, value)) {
     return PutResult::kFull;
   }
-  if (patches.size() > limits_.max_patches) {
-    patches.erase(patches.begin(),
-                  patches.end() - static_cast<std::ptrdiff_t>(limits_.max_patches));
-  }
+  DropOldPatches(value.size(), patches);
   Replace({key, stamp, std::make_shared<const std::string>(std::move(value)), std::move(patches)});
   return PutResult::kStored;
 }
 
+// Keeps the newest patches, as long as a chain of them is shorter than the record itself.
+void RecordStore::DropOldPatches(std::size_t value_bytes, std::vector<Patch>& patches) const {
+  std::size_t kept = 0;
+  std::size_t bytes = 0;
+  while (kept < patches.size() && kept < limits_.max_patches) {
+    bytes += patches[patches.size() - 1 - kept].data.size();
+    if (bytes * 2 > value_bytes) {
+      break;
+    }
+    ++kept;
+  }
+  patches.erase(patches.begin(), patches.end() - static_cast<std::ptrdiff_t>(kept));
+}
+
 bool RecordStore::Fits(const Record* held, const std::string& value) const {
   const std::size_t released = held == nullptr ? 0 : SizeOf(*held);
   const bool has_room = held != nullptr || records_.size() < limits_.max_records;
