--- a/libs/store/include/gaugevalve/store/request.h
+++ b/libs/store/include/gaugevalve/store/request.h
@@ -19,6 +19,8 @@
   base::Revision revision{};  // 0: the newest
   bool serializable = false;  // true: any replica may answer, perhaps with an older state
   bool count_only = false;
+  bool keys_only = false;             // leaves the values out
+  base::Revision min_mod_revision{};  // above 0: leaves out keys not written since; counts all
 
   friend bool operator==(const RangeRequest&, const RangeRequest&) = default;
 };
--- a/libs/store/include/gaugevalve/store/watch_session.h
+++ b/libs/store/include/gaugevalve/store/watch_session.h
@@ -22,9 +22,12 @@
   std::string range_end;  // empty: only `key`
   BackoffSettings backoff;
   base::Duration open_timeout = std::chrono::seconds(5);
-  // How often an open stream is checked against a read, as a stream may silently stop delivering.
-  // Each check costs one request; its time is drawn from [half, whole] of this.
+  // How often an open stream is checked by a read, as a stream may silently stop delivering. Each
+  // check costs one request, which brings only the keys that the stream has not delivered; its time
+  // is drawn from [half, whole] of this.
   base::Duration audit_period = std::chrono::seconds(60);
+  // How long a change may be seen by a check before the stream brings it.
+  base::Duration audit_grace = std::chrono::seconds(2);
 };
 
 // Run this read and report its end with OnReadResult().
@@ -103,7 +106,9 @@
   void BackOff(NextStep next_step, base::TimePoint now);
   void ScheduleAudit(base::TimePoint now);
   void DeliverChanges(const WatchFrame& frame);
-  void OnAuditResult(const RangeResponse& response);
+  void Audit();
+  void OnAuditResult(const RangeResponse& response, base::TimePoint now);
+  bool IsBehind(const RangeResponse& response) const;
 
   WatchSessionSettings settings_;
   base::RandomSource random_;
@@ -112,6 +117,8 @@
   NextStep next_step_ = NextStep::kRead;
   bool audit_running_ = false;
   base::Revision delivered_;
+  std::int64_t key_count_ = 0;               // keys in the range as delivered
+  std::optional<base::Revision> suspected_;  // what was delivered when a check found more
   base::TimePoint due_{};  // meaning depends on the state: time-out, end of back-off or next audit
   std::vector<WatchAction> actions_;
 };
--- a/libs/store/src/request_encoder.cpp
+++ b/libs/store/src/request_encoder.cpp
@@ -32,6 +32,12 @@
   if (range.count_only) {
     json["count_only"] = true;
   }
+  if (range.keys_only) {
+    json["keys_only"] = true;
+  }
+  if (range.min_mod_revision != base::Revision{}) {
+    json["min_mod_revision"] = Number(range.min_mod_revision);
+  }
   return json;
 }
 
--- a/libs/store/src/watch_session.cpp
+++ b/libs/store/src/watch_session.cpp
@@ -4,6 +4,18 @@
 #include <utility>
 
 namespace gaugevalve::store {
+namespace {
+
+// Returns by how much an event changes the number of keys.
+std::int64_t KeyCountChange(const WatchEvent& event) {
+  if (event.kind == WatchEventKind::kDelete) {
+    return -1;
+  }
+  const bool is_new = event.key_value.version == 1;
+  return is_new ? 1 : 0;
+}
+
+}  // namespace
 
 WatchSession::WatchSession(WatchSessionSettings settings, std::uint64_t seed)
     : settings_(std::move(settings)), random_(seed), backoff_(settings_.backoff) {}
@@ -19,6 +31,7 @@
     const auto& response = result.Get<RangeResponse>();
     if (response.revision >= delivered_) {  // a lagging replica's older answer is left out
       delivered_ = response.revision;
+      key_count_ = static_cast<std::int64_t>(response.key_values.size());
       actions_.emplace_back(WatchSnapshot{response.revision, response.key_values});
     }
     Open();
@@ -27,9 +40,10 @@
   if (!std::exchange(audit_running_, false) || state_ != State::kStreaming) {
     return;
   }
-  ScheduleAudit(now);
   if (result.IsOk()) {
-    OnAuditResult(result.Get<RangeResponse>());
+    OnAuditResult(result.Get<RangeResponse>(), now);
+  } else {
+    ScheduleAudit(now);
   }
 }
 
@@ -82,8 +96,7 @@
       return;
     case State::kStreaming:
       if (!std::exchange(audit_running_, true)) {
-        actions_.emplace_back(
-            ReadForWatch{{.key = settings_.key, .range_end = settings_.range_end}});
+        Audit();
       }
       return;
   }
@@ -129,6 +142,7 @@
   for (const WatchEvent& event : frame.events) {
     if (event.key_value.mod_revision > delivered_) {
       changes.events.push_back(event);
+      key_count_ += KeyCountChange(event);
       changes.revision = std::max(changes.revision, event.key_value.mod_revision);
     }
   }
@@ -142,20 +156,37 @@
   }
 }
 
-void WatchSession::OnAuditResult(const RangeResponse& response) {
-  if (response.revision <= delivered_) {
+void WatchSession::Audit() {
+  RangeRequest request{.key = settings_.key, .range_end = settings_.range_end};
+  request.keys_only = true;
+  request.min_mod_revision = base::Revision{delivered_.value() + 1};
+  actions_.emplace_back(ReadForWatch{request});
+}
+
+void WatchSession::OnAuditResult(const RangeResponse& response, base::TimePoint now) {
+  if (!IsBehind(response)) {
+    suspected_.reset();
+    ScheduleAudit(now);
     return;
   }
-  const bool stream_is_behind = std::ranges::any_of(
+  if (suspected_ != delivered_) {
+    suspected_ = delivered_;  // the change may be on its way: look again soon
+    due_ = now + settings_.audit_grace;
+    return;
+  }
+  suspected_.reset();
+  actions_.emplace_back(CloseWatchStream{});
+  Read();
+}
+
+bool WatchSession::IsBehind(const RangeResponse& response) const {
+  if (response.revision < delivered_) {
+    return false;  // a lagging replica's answer shows nothing
+  }
+  const bool has_newer_key = std::ranges::any_of(
       response.key_values,
       [this](const KeyValue& key_value) { return key_value.mod_revision > delivered_; });
-  // Delivered also when no key is newer, because a deletion leaves no key behind to show it.
-  delivered_ = response.revision;
-  actions_.emplace_back(WatchSnapshot{response.revision, response.key_values});
-  if (stream_is_behind) {
-    actions_.emplace_back(CloseWatchStream{});
-    Open();
-  }
+  return has_newer_key || response.count != key_count_;  // a deletion leaves no key to see
 }
 
 }  // namespace gaugevalve::store
--- a/libs/store/tests/store_client_test.cpp
+++ b/libs/store/tests/store_client_test.cpp
@@ -196,6 +196,7 @@
     settings.range_end = PrefixEnd("w/");
     settings.backoff = QuickBackoff();
     settings.audit_period = audit_period;
+    settings.audit_grace = std::chrono::milliseconds(50);
     return client_->StartWatch(settings, observer);
   }
 
--- a/standins/store/src/gateway_codec.cpp
+++ b/standins/store/src/gateway_codec.cpp
@@ -74,7 +74,9 @@
           .limit = Integer(json, "limit"),
           .revision = ReadRevision(json, "revision"),
           .serializable = Flag(json, "serializable"),
-          .count_only = Flag(json, "count_only")};
+          .count_only = Flag(json, "count_only"),
+          .keys_only = Flag(json, "keys_only"),
+          .min_mod_revision = ReadRevision(json, "min_mod_revision")};
 }
 
 store::PutRequest ReadPut(const Json& json) {
--- a/standins/store/tests/mvcc_store_test.cpp
+++ b/standins/store/tests/mvcc_store_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(MvccStoreTest);
   CPPUNIT_TEST(CountsRevisionsAndVersions);
   CPPUNIT_TEST(ReadsOlderRevisionsUntilTheyAreCompacted);
+  CPPUNIT_TEST(ShowsOnlyWhatWasWrittenSince);
   CPPUNIT_TEST(TransactionIsOneRevision);
   CPPUNIT_TEST(RefusedTransactionChangesNothing);
   CPPUNIT_TEST(LeaseTakesItsKeysWithIt);
@@ -43,6 +44,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.ChangesSince(base::Revision{3}).size());
   }
 
+  void ShowsOnlyWhatWasWrittenSince() {
+    Put("a", "1");
+    Put("b", "1");
+    store::RangeRequest request{.key = "a", .range_end = "z"};
+    request.keys_only = true;
+    request.min_mod_revision = base::Revision{3};
+    const auto response = std::get<store::RangeResponse>(Apply(request));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, response.count);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, response.key_values.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), response.key_values[0].key);
+    CPPUNIT_ASSERT_EQUAL(std::string(), response.key_values[0].value);
+  }
+
   void TransactionIsOneRevision() {
     store::TxnRequest txn;
     txn.success.emplace_back(store::PutRequest{"a", "1", {}});
