--- a/tools/lab/src/main.cpp
+++ b/tools/lab/src/main.cpp
@@ -1,9 +1,10 @@
 // gaugevalve-lab: runs scenarios in simulated time with the product's own decision cores.
 //
-//   gaugevalve-lab run SCENARIO        one run of the product
-//   gaugevalve-lab compare SCENARIO    the product, the baselines and the bound on the same
-//   arrivals gaugevalve-lab ablate SCENARIO     the product, with each mechanism switched off in
-//   turn gaugevalve-lab movement            how much a change of the agents moves, by policy
+//   run SCENARIO      one run of the product
+//   compare SCENARIO  the product, the baselines and the bound, on the same arrivals
+//   ablate SCENARIO   the product, with each mechanism switched off in turn
+//   movement          how much a change of the agents moves, by policy
+//   capacity          what one planner costs, by the size of its service
 //
 // Tables go to the standard output; files to --output. Progress and processor time go to the
 // standard error, so that a seed gives the same output and files byte for byte.
@@ -24,6 +25,7 @@
 #include "absl/flags/usage.h"
 #include "experiment.h"
 #include "gaugevalve/routing/movement.h"
+#include "planner_cost.h"
 #include "report_writer.h"
 #include "scenario_reader.h"
 
@@ -36,7 +38,8 @@
 
 constexpr int kUsageError = 2;
 constexpr std::string_view kUsage =
-    "gaugevalve-lab [flags] run|compare|ablate SCENARIO.yaml, or gaugevalve-lab movement";
+    "gaugevalve-lab [flags] run|compare|ablate SCENARIO.yaml, or gaugevalve-lab "
+    "movement|capacity";
 
 double ProcessorSeconds() {
   return static_cast<double>(std::clock()) / static_cast<double>(CLOCKS_PER_SEC);
@@ -100,12 +103,30 @@
   }
 }
 
+void PrintCapacity() {
+  std::cout << "| agents | buckets | report, us | quiet step, us | step of a leave, us |"
+               " table, bytes | report, bytes | delta of a leave, bytes |\n"
+               "|---|---|---|---|---|---|---|---|\n"
+            << std::fixed << std::setprecision(1);
+  for (const PlannerSize size : {PlannerSize{3, 256}, {7, 256}, {20, 256}, {3, 64}, {3, 1024}}) {
+    const PlannerCost cost = MeasurePlanner(size);
+    std::cout << "| " << size.agents << " | " << size.buckets << " | " << cost.report_microseconds
+              << " | " << cost.quiet_step_microseconds << " | " << cost.leave_step_microseconds
+              << " | " << cost.table_bytes << " | " << cost.report_bytes << " | "
+              << cost.delta_bytes << " |\n";
+  }
+}
+
 int Main(const std::vector<char*>& arguments) {
   const std::string_view command = arguments.size() > 1 ? arguments[1] : "";
   if (command == "movement" && arguments.size() == 2) {
     PrintMovement();
     return EXIT_SUCCESS;
   }
+  if (command == "capacity" && arguments.size() == 2) {
+    PrintCapacity();
+    return EXIT_SUCCESS;
+  }
   const bool known = command == "run" || command == "compare" || command == "ablate";
   if (!known || arguments.size() != 3) {
     std::cerr << kUsage << "\n";
