--- a/libs/quic/src/connection.h
+++ b/libs/quic/src/connection.h
@@ -32,8 +32,8 @@
 inline constexpr std::size_t kMaxSentDatagram = NGTCP2_MAX_UDP_PAYLOAD_SIZE;
 
 // Largest datagram that is taken, announced to the peer: 1500 bytes of an Ethernet frame less IPv6
-// and UDP headers (48) and what the balancers add (up to 102).
-inline constexpr std::uint64_t kMaxReceivedDatagram = 1350;
+// and UDP headers (48) and what a balancer puts ahead, without previous owners (150).
+inline constexpr std::uint64_t kMaxReceivedDatagram = 1300;
 
 // Drives an ngtcp2 connection and the nghttp3 connection upon it. Heirs create them, and the
 // streams.
