--- a/libs/settings/include/gaugevalve/settings/effective_settings.h
+++ b/libs/settings/include/gaugevalve/settings/effective_settings.h
@@ -51,6 +51,9 @@
   // Returns the origin in words: "built-in default", "from the root" or "from zone east".
   std::string DescribeOrigin(FieldId id) const;
 
+  // Returns the name of the branch of this level that the endpoint lies in; empty for the root.
+  std::string NameAt(Level level) const;
+
   // Returns the value of an inherited field. Throws std::invalid_argument for another field.
   FieldValue ValueOf(FieldId id) const;
 
--- a/libs/settings/src/effective_settings.cpp
+++ b/libs/settings/src/effective_settings.cpp
@@ -68,20 +68,27 @@
   if (origin.is_default) {
     return "built-in default";
   }
-  const std::string prefix = "from " + std::string(LevelName(origin.level)) + " ";
-  switch (origin.level) {
+  if (origin.level == Level::kRoot) {
+    return "from the root";
+  }
+  const std::string level(LevelName(origin.level));
+  return "from " + level + " " + NameAt(origin.level);
+}
+
+std::string EndpointSettings::NameAt(Level level) const {
+  switch (level) {
     case Level::kRoot:
-      return "from the root";
+      return "";
     case Level::kService:
-      return prefix + service;
+      return service;
     case Level::kRegion:
-      return prefix + region;
+      return region;
     case Level::kZone:
-      return prefix + zone;
+      return zone;
     case Level::kEndpoint:
-      return prefix + name;
+      return name;
   }
-  return prefix;
+  return "";
 }
 
 FieldValue EndpointSettings::ValueOf(FieldId id) const {
