--- /dev/null
+++ b/proofs/real_processes/http3_scenario.py
@@ -0,0 +1,67 @@
+"""Scenarios of HTTP/3 services: boards, reservations and drawings, with both sides' ledgers."""
+
+import collections
+from typing import Any
+
+from scenario import Row, ScenarioTest
+
+_SEED_SHIFT = 32  # flow numbers have the load tool's seed in their upper half
+
+
+class Http3ScenarioTest(ScenarioTest):
+    """Base of the scenarios whose services are HTTP/3."""
+
+    flows_per_second = 15
+
+    def end_load(self, check_ledgers: bool = True) -> dict[str, Any]:
+        """Ends the load run and returns its report, having noted it in the table."""
+        self._load.end()
+        report = self._load.report()
+        services = report["services"].values()
+        doubled, false_refusals, lost, unexplained = self._compare_reservations(report)
+        ScenarioTest.rows.append(Row(
+            scenario=self._testMethodName.removeprefix("test_"), deployment=self.spec.name,
+            flows=sum(service["flows_opened"] for service in services),
+            requests=sum(service[kind]["answered"] for service in services
+                         for kind in ("reservations", "drawings")),
+            sent_again=0,
+            broken=sum(service["flows_broken"] for service in services),
+            crossed=sum(service[kind]["crossed"] + service[kind]["cut_as_whole"]
+                        for service in services for kind in ("reservations", "drawings")),
+            moved=0, foreign=len(unexplained)))
+        self.assertEqual([], doubled, "reservations that ran twice")
+        self.assertEqual([], false_refusals, "reservations called 'not run' that ran")
+        self.assertEqual([], lost, "reservations that were answered and did not run")
+        self.assertEqual([], unexplained, "reservations in a ledger that no caller of it sent")
+        return report
+
+    def assert_nothing_broke(self) -> None:
+        """Ends the load and checks boards, answers and both sides' ledgers."""
+        report = self.end_load()
+        for name, service in report["services"].items():
+            self.assertEqual({}, service["broken_by_cause"], f"broken flows of {name}")
+            self.assertEqual(0, service["board_gaps"], f"board events of {name} that are missing")
+            for kind in ("reservations", "drawings"):
+                self.assertEqual(0, service[kind]["crossed"], f"crossed {kind} of {name}")
+                self.assertEqual(0, service[kind]["cut_as_whole"], f"cut {kind} of {name}")
+                self.assertGreater(service[kind]["answered"], 0, f"answered {kind} of {name}")
+
+    def _compare_reservations(self, report: dict[str, Any]) -> tuple[list[str], ...]:
+        """Returns keys that ran twice, ran though refused, were answered without running, and
+        ran at a service whose callers never sent them."""
+        executions: dict[str, collections.Counter] = collections.defaultdict(collections.Counter)
+        for ledger in self.deployment.ledgers().values():
+            self.assertEqual(0, ledger["http"]["unrecorded"], "the ledger is complete")
+            for key, count in ledger["http"]["reservations"].items():
+                if int(key.split("-")[1]) >> _SEED_SHIFT == ScenarioTest._seed:
+                    executions[ledger["service"]][key] += count
+        doubled, false_refusals, lost, unexplained = [], [], [], []
+        for name, service in report["services"].items():
+            keys = service["reservation_keys"]
+            ran = executions[name]
+            doubled += [key for key, count in ran.items() if count > 1]
+            false_refusals += [key for key in keys["not_run"] if ran[key] > 0]
+            lost += [key for key in keys["answered"] if ran[key] == 0]
+            sent = {key for outcome in keys.values() for key in outcome}
+            unexplained += [key for key, count in ran.items() if count > 0 and key not in sent]
+        return doubled, false_refusals, lost, unexplained
--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -4,7 +4,7 @@
 import subprocess
 from typing import Any, Sequence
 
-from . import admin, nodes, polling, processes
+from . import admin, nodes, polling, ports, processes
 from .processes import ManagedProcess
 from .specs import DeploymentSpec, ServiceSpec
 
@@ -32,6 +32,8 @@
         try:
             self.store.start()
             self.store.wait_healthy()
+            if self.spec.has_http3():
+                self._write_secrets()
             self.control("tree", "apply", str(nodes.write_tree(self.layout, self._directory)))
             for process in self.processes():
                 if process is not self.store:
@@ -114,6 +116,12 @@
                 for endpoint in self.layout.endpoints
                 if self.backends[endpoint.name].is_running()}
 
+    def _write_secrets(self) -> None:
+        nodes.write_connection_id_keys(self._directory)
+        self.control("certificate", "self-signed", ports.LOOPBACK,
+                     str(nodes.certificate_file(self._directory)),
+                     str(nodes.key_file(self._directory)))
+
     def _program(self, name: str) -> str:
         return str(self._programs / name)
 
@@ -136,7 +144,7 @@
     def _make_backend(self, endpoint: nodes.Endpoint) -> ManagedProcess:
         command = [self._program("standin-backend"), f"--name={endpoint.name}",
                    f"--service={endpoint.service.name}", f"--datagram={endpoint.datagram_address}",
-                   f"--admin={endpoint.admin_address}"]
+                   f"--http={endpoint.http_address}", f"--admin={endpoint.admin_address}"]
         return ManagedProcess(f"backend-{endpoint.name}", command, self._directory,
                               endpoint.admin_address)
 
--- a/scripts/local/load.py
+++ b/scripts/local/load.py
@@ -41,6 +41,7 @@
              f"--duration={settings.seconds}s", f"--flows_per_second={settings.flows_per_second}",
              f"--flow_lifetime={settings.flow_lifetime_seconds}s",
              f"--request_interval={settings.request_interval_milliseconds}ms",
+             f"--mode={'http3' if layout.spec.has_http3() else 'datagram'}",
              f"--silence={settings.silence_seconds}s", f"--seed={settings.seed}", f"--output={settings.output}"])
 
     def is_running(self) -> bool:
--- a/scripts/local/nodes.py
+++ b/scripts/local/nodes.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 import pathlib
+import secrets
 
 import yaml
 
 from .ports import PortAllocator
 from .specs import DeploymentSpec, ServiceSpec
 
+_CONNECTION_ID_KEY_BYTES = 16
+
 
 @dataclasses.dataclass(frozen=True)
 class Node:
@@ -76,21 +79,41 @@
     )
 
 
+def certificate_file(directory: pathlib.Path) -> pathlib.Path:
+    """Returns where the deployment's certificate is; see Deployment."""
+    return directory / "certificate.pem"
+
+
+def key_file(directory: pathlib.Path) -> pathlib.Path:
+    """Returns where the certificate's key is."""
+    return directory / "key.pem"
+
+
+def write_connection_id_keys(directory: pathlib.Path) -> pathlib.Path:
+    """Writes a new key for connection IDs, shared by all nodes, and returns its file's path."""
+    path = _connection_id_key_file(directory)
+    path.write_text(f"0:{secrets.token_hex(_CONNECTION_ID_KEY_BYTES)}\n", encoding="ascii")
+    return path
+
+
 def write_balancer_settings(layout: Layout, balancer: Node, directory: pathlib.Path) -> pathlib.Path:
     """Writes a balancer's settings file and returns its path."""
-    return _write(_common_settings(layout, balancer, "balancer"), balancer.name, directory)
+    settings = _common_settings(layout, balancer, "balancer", directory)
+    return _write(settings, balancer.name, directory)
 
 
 def write_agent_settings(layout: Layout, endpoint: Endpoint,
                          directory: pathlib.Path) -> pathlib.Path:
     """Writes the settings file of the agent beside `endpoint` and returns its path."""
-    settings = _common_settings(layout, endpoint.agent, "agent")
+    settings = _common_settings(layout, endpoint.agent, "agent", directory)
     settings["egress_address"] = layout.egress_address
-    settings["agent"] = {
-        "service": endpoint.service.name,
-        "endpoint": endpoint.name,
-        "datagram_address": endpoint.datagram_address,
-    }
+    settings["agent"] = {"service": endpoint.service.name, "endpoint": endpoint.name}
+    if endpoint.service.kind == "http3":
+        settings["agent"]["http_address"] = endpoint.http_address
+        settings["agent"]["certificate_file"] = str(certificate_file(directory))
+        settings["agent"]["key_file"] = str(key_file(directory))
+    else:
+        settings["agent"]["datagram_address"] = endpoint.datagram_address
     return _write(settings, endpoint.agent.name, directory)
 
 
@@ -116,8 +139,12 @@
     }
 
 
-def _common_settings(layout: Layout, node: Node, role: str) -> dict:
-    return {
+def _connection_id_key_file(directory: pathlib.Path) -> pathlib.Path:
+    return directory / "connection-id-keys"
+
+
+def _common_settings(layout: Layout, node: Node, role: str, directory: pathlib.Path) -> dict:
+    settings = {
         "name": node.name,
         "role": role,
         "region": layout.spec.region,
@@ -128,6 +155,9 @@
         "seed_peers": [balancer.control_address for balancer in layout.balancers],
         "store_endpoints": [layout.store_address],
     }
+    if layout.spec.has_http3():
+        settings["connection_id_key_file"] = str(_connection_id_key_file(directory))
+    return settings
 
 
 def _write(settings: dict, name: str, directory: pathlib.Path) -> pathlib.Path:
--- a/scripts/local/specs.py
+++ b/scripts/local/specs.py
@@ -23,6 +23,10 @@
     services: tuple[ServiceSpec, ...]
     balancers: int = 2
 
+    def has_http3(self) -> bool:
+        """Tells whether any service is HTTP/3."""
+        return any(service.kind == "http3" for service in self.services)
+
 
 PARTS_PLATFORM = DeploymentSpec(
     name="parts",
@@ -38,4 +42,11 @@
     services=(ServiceSpec("bookings", 7), ServiceSpec("manifest", 4)),
 )
 
+
+def with_kind(spec: DeploymentSpec, kind: str) -> DeploymentSpec:
+    """Returns the deployment with all its services of this kind: "datagram" or "http3"."""
+    services = tuple(dataclasses.replace(service, kind=kind) for service in spec.services)
+    return dataclasses.replace(spec, services=services)
+
+
 BY_NAME = {spec.name: spec for spec in (PARTS_PLATFORM, PORT)}
--- a/tools/load/src/answer_checks.cpp
+++ b/tools/load/src/answer_checks.cpp
@@ -40,6 +40,7 @@
 
 void AnswerCheck::OnBody(std::span<const std::uint8_t> bytes) {
   received_ += bytes.size();
+  progress_();
   if (IsSuccess()) {
     CheckBody(bytes);
   }
--- a/tools/load/src/answer_checks.h
+++ b/tools/load/src/answer_checks.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "gaugevalve/quic/response_handler.h"
 #include "http3_report.h"
@@ -27,6 +28,9 @@
   // `done` is called once, when the request has ended, and must not destroy the client.
   explicit AnswerCheck(Done done);
 
+  // Makes `progress` be called whenever a part of the answer arrives.
+  void SetProgress(std::function<void()> progress) { progress_ = std::move(progress); }
+
   void OnHead(const quic::ResponseHead& head) override;
   void OnBody(std::span<const std::uint8_t> bytes) override;
   void OnEnd() override;
@@ -43,6 +47,7 @@
   bool IsSuccess() const;
 
   Done done_;
+  std::function<void()> progress_ = [] {};
   int status_ = 0;
   std::string outcome_field_;
   std::string endpoint_;
--- a/tools/load/src/http3_flow.cpp
+++ b/tools/load/src/http3_flow.cpp
@@ -62,8 +62,8 @@
   const base::TimePoint now = clock_.Now();
   if (now - last_sign_of_life_ > settings_.silence) {
     Break(board_is_known_ ? "silent" : "never_answered");
-  } else if (request_in_progress_ && now - request_sent_at_ > settings_.silence) {
-    Break("request_never_ended");
+  } else if (request_in_progress_ && now - request_progress_at_ > settings_.silence) {
+    Break("request_stalled");
   } else if (board_is_known_ && !request_in_progress_ && now >= ends_at_) {
     Finish();
   } else if (board_is_known_ && !request_in_progress_ && !goaway_received_ &&
@@ -108,23 +108,25 @@
       service_ + "-" + std::to_string(number_) + "-" + std::to_string(++requests_);
   quic::RequestHead head = MakeHead("POST", "/reservations");
   head.fields.push_back({"idempotency-key", key});
-  const auto submitted = client_->Client().SubmitRequest(
-      head, {}, std::make_unique<ReservationCheck>(key, [this, key](const CheckedAnswer& answer) {
-        report_.reservation_keys[answer.outcome].push_back(key);
-        OnAnswer(report_.reservations, answer);
-      }));
-  request_in_progress_ = submitted.has_value();
-  request_sent_at_ = clock_.Now();
+  const auto on_end = [this, key](const CheckedAnswer& answer) {
+    report_.reservation_keys[answer.outcome].push_back(key);
+    OnAnswer(report_.reservations, answer);
+  };
+  Submit(head, std::make_unique<ReservationCheck>(key, on_end));
 }
 
 void Http3Flow::SubmitDrawing() {
   const std::uint64_t drawing = random_.NextBelow(kDrawings);
-  const auto submitted = client_->Client().SubmitRequest(
-      MakeHead("GET", "/drawings/" + std::to_string(drawing)), {},
-      std::make_unique<DrawingCheck>(
-          drawing, [this](const CheckedAnswer& answer) { OnAnswer(report_.drawings, answer); }));
-  request_in_progress_ = submitted.has_value();
+  const auto on_end = [this](const CheckedAnswer& answer) { OnAnswer(report_.drawings, answer); };
+  Submit(MakeHead("GET", "/drawings/" + std::to_string(drawing)),
+         std::make_unique<DrawingCheck>(drawing, on_end));
+}
+
+void Http3Flow::Submit(const quic::RequestHead& head, std::unique_ptr<AnswerCheck> check) {
+  check->SetProgress([this] { request_progress_at_ = clock_.Now(); });
   request_sent_at_ = clock_.Now();
+  request_progress_at_ = request_sent_at_;
+  request_in_progress_ = client_->Client().SubmitRequest(head, {}, std::move(check)).has_value();
 }
 
 void Http3Flow::OnAnswer(RequestCounts& counts, const CheckedAnswer& answer) {
--- a/tools/load/src/http3_flow.h
+++ b/tools/load/src/http3_flow.h
@@ -56,6 +56,7 @@
   void SubmitBoard();
   void SubmitReservation();
   void SubmitDrawing();
+  void Submit(const quic::RequestHead& head, std::unique_ptr<AnswerCheck> check);
   void OnAnswer(RequestCounts& counts, const CheckedAnswer& answer);
   void OnBoardHead(const quic::ResponseHead& head);
   void OnBoardBody(std::span<const std::uint8_t> bytes);
@@ -75,6 +76,7 @@
   base::TimePoint last_sign_of_life_;
   base::TimePoint next_request_at_;
   base::TimePoint request_sent_at_{};
+  base::TimePoint request_progress_at_{};
   bool request_in_progress_ = false;
   bool goaway_received_ = false;
   bool board_is_known_ = false;
