--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -54,12 +54,20 @@
     module_->SetCredentials(*credentials);
     return;
   }
-  const auto* const view = std::get_if<ViewPointer>(&message);
-  for (const control::ServiceView& service : (*view)->services) {
+  TakeView(*std::get<ViewPointer>(message));
+}
+
+void AgentWorker::TakeView(const control::NodeView& view) {
+  for (const control::ServiceView& service : view.services) {
     if (service.id == settings_.service && service.table != nullptr) {
-      module_->SetView(service, (*view)->confirmed_at);
+      module_->SetView(service, view.confirmed_at);
     }
   }
+  const settings::EndpointSettings* const endpoint =
+      view.own_service == nullptr ? nullptr : view.own_service->FindEndpoint(settings_.endpoint);
+  if (endpoint != nullptr) {
+    module_->SetEndpoint(*endpoint);
+  }
 }
 
 void AgentWorker::OnReadable() {
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
 
 #include "agent_output.h"
@@ -41,6 +42,7 @@
   base::SocketAddress data_address;
   base::SocketAddress egress_address;
   base::ServiceId service;
+  std::string endpoint = {};  // name in the settings tree; empty: no settings of its own
 };
 
 // Receives datagrams from balancers and other agents, decodes them and gives them to the service's
@@ -71,6 +73,7 @@
   base::SocketAddress DataAddress() const { return socket_.LocalAddress(); }
 
  private:
+  void TakeView(const control::NodeView& view);
   void OnMessage(const AgentMessage& message);
   void OnReadable();
   void OnTick();
--- a/daemons/agent/src/datagram_service.cpp
+++ b/daemons/agent/src/datagram_service.cpp
@@ -1,5 +1,6 @@
 #include "datagram_service.h"
 
+#include <algorithm>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -61,6 +62,11 @@
   core_.UpdateTable(*service.table, confirmed_at);
 }
 
+void DatagramService::SetEndpoint(const settings::EndpointSettings& endpoint) {
+  core_.SetLimits({{endpoint.connections, endpoint.idle_timeout}, endpoint.new_flows_per_source});
+  sockets_.resize(std::max<std::size_t>(sockets_.size(), endpoint.connections));
+}
+
 void DatagramService::HandleDatagram(const wire::ProxyDatagram& datagram,
                                      wire::ForwardingHeader& header, base::TimePoint now) {
   const wire::FlowKey key{datagram.source, datagram.destination};
@@ -75,7 +81,7 @@
 }
 
 void DatagramService::HandleTick(base::TimePoint now) {
-  for (const flow::FlowId flow : core_.CloseIdle(now)) {
+  for (const flow::FlowId flow : core_.Tick(now)) {
     sockets_[flow.value()].reset();
   }
 }
--- a/daemons/agent/src/datagram_service.h
+++ b/daemons/agent/src/datagram_service.h
@@ -42,6 +42,7 @@
                   prometheus::Registry& registry);
 
   void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) override;
+  void SetEndpoint(const settings::EndpointSettings& endpoint) override;
   void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
                       base::TimePoint now) override;
   void HandleTick(base::TimePoint now) override;
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -63,7 +63,7 @@
         statuses_(loop_.get(), kStatusInboxCapacity,
                   [this](AgentStatus status) { TakeStatus(std::move(status)); }),
         worker_(
-            {node_.data_address, *node_.egress_address, identity_.service},
+            {node_.data_address, *node_.egress_address, identity_.service, node_.agent->endpoint},
             [this](event_base* loop, agent::AgentOutput& output) {
               return MakeModule(loop, output);
             },
--- a/daemons/agent/src/service_module.h
+++ b/daemons/agent/src/service_module.h
@@ -5,6 +5,7 @@
 #include "gaugevalve/control/node_view.h"
 #include "gaugevalve/quic/credentials.h"
 #include "gaugevalve/routing/agent_report.h"
+#include "gaugevalve/settings/effective_settings.h"
 #include "gaugevalve/wire/forwarding_header.h"
 #include "gaugevalve/wire/proxy_datagram.h"
 
@@ -20,6 +21,10 @@
   // Takes a newer view of the agent's service, current at `confirmed_at`. The table isn't null.
   virtual void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) = 0;
 
+  // Goes by these settings of the agent's endpoint from now on. A module that has no use for them
+  // leaves this out.
+  virtual void SetEndpoint(const settings::EndpointSettings& /*endpoint*/) {}
+
   // Handles a datagram that a balancer or another agent has sent. The header may be changed.
   virtual void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
                               base::TimePoint now) = 0;
--- a/daemons/agent/tests/agent_worker_test.cpp
+++ b/daemons/agent/tests/agent_worker_test.cpp
@@ -51,7 +51,7 @@
  public:
   void setUp() override {
     worker_ = std::make_unique<AgentWorker>(
-        AgentWorkerSettings{Loopback(), fabric_.LocalAddress(), kService},
+        AgentWorkerSettings{Loopback(), fabric_.LocalAddress(), kService, "endpoint-1"},
         [this](event_base* loop, AgentOutput& output) {
           return std::make_unique<DatagramService>(loop, output, endpoint_.LocalAddress(),
                                                    identity_, flow::FlowCoreSettings(), registry_);
--- a/libs/flow/include/gaugevalve/flow/bucket_ownership.h
+++ b/libs/flow/include/gaugevalve/flow/bucket_ownership.h
@@ -32,7 +32,11 @@
 struct OwnershipSettings {
   // Time since NodeView::confirmed_at after which the agent opens no flow. Must be below the time
   // after which a silent agent is taken for dead, which is when others may open its flows.
-  base::Duration freshness_limit = std::chrono::seconds(5);
+  base::Duration freshness_limit = std::chrono::milliseconds(2500);
+  // A gap between two calls of NoteTime() by which the agent knows that it was frozen, when others
+  // may have taken it for dead sooner than that. It then opens no flow until its table is confirmed
+  // anew.
+  base::Duration pause_threshold = std::chrono::seconds(1);
   // Time from the start of a drain in which the planner moves the agent's buckets away and the
   // agent still opens flows that nobody else may open.
   base::Duration drain_grace = std::chrono::seconds(2);
@@ -77,6 +81,13 @@
   // known ones are ignored, and so is a table of another service or size.
   void UpdateTable(const routing::BucketTable& table, base::TimePoint confirmed_at);
 
+  // Notes that the agent runs. Once called it must be called again several times within each pause
+  // threshold; without it the agent can't know of pauses.
+  void NoteTime(base::TimePoint now);
+
+  // Notes a pause when the last NoteTime() was too long ago. Call it before ruling.
+  void CheckPause(base::TimePoint now);
+
   // From now on the agent opens nothing that another could open. Idempotent.
   void StartDraining(base::TimePoint now);
 
@@ -126,7 +137,9 @@
   OwnershipSettings settings_;
   std::vector<wire::BucketEntry> entries_;  // index = bucket
   routing::TableVersion table_version_;
-  base::TimePoint confirmed_at_{};
+  base::TimePoint confirmed_at_ = base::TimePoint::min();
+  base::TimePoint noted_at_ = base::TimePoint::max();    // of the last NoteTime()
+  base::TimePoint resumed_at_ = base::TimePoint::min();  // end of the last pause
   bool is_listed_ = false;          // the newest table knows this life of the agent
   bool others_are_listed_ = false;  // the newest table knows other agents
   std::optional<base::TimePoint> draining_since_;
--- a/libs/flow/include/gaugevalve/flow/flow_core.h
+++ b/libs/flow/include/gaugevalve/flow/flow_core.h
@@ -27,6 +27,12 @@
   SourceLimiterSettings source_limit;
 };
 
+// What the settings tree may change while the agent runs.
+struct FlowLimits {
+  FlowTableSettings table;
+  std::uint32_t new_flows_per_source = 0;  // a second; 0 is "no limit"
+};
+
 // Give the payload to the endpoint as part of this flow.
 struct Relay {
   FlowId flow;
@@ -50,6 +56,9 @@
   // Takes a newer table of the agent's service; see BucketOwnership::UpdateTable().
   void UpdateTable(const routing::BucketTable& table, base::TimePoint confirmed_at);
 
+  // Goes by these limits from now on; open flows stay open.
+  void SetLimits(const FlowLimits& limits);
+
   // Decides about a datagram; the header is changed where it is to be passed on.
   FlowAction Decide(const wire::FlowKey& key, wire::ForwardingHeader& header, base::TimePoint now);
 
@@ -59,6 +68,10 @@
   // Closes idle flows and returns them.
   std::vector<FlowId> CloseIdle(base::TimePoint now) { return table_.CloseIdle(now); }
 
+  // Closes idle flows as well, and notes that the agent runs: by the gap between two calls it knows
+  // that it was frozen. Once called, call it a few times a second.
+  std::vector<FlowId> Tick(base::TimePoint now);
+
   // Closes an open flow, say when its socket fails.
   void Close(FlowId flow) { table_.Close(flow); }
 
--- a/libs/flow/include/gaugevalve/flow/flow_table.h
+++ b/libs/flow/include/gaugevalve/flow/flow_table.h
@@ -25,11 +25,15 @@
 };
 
 // Holds at most `capacity` flows; when full it refuses and keeps what it has, since an open flow is
-// worth more than a new one. All memory is taken at the start. Pure and not thread-safe.
+// worth more than a new one. Memory is taken for the largest capacity so far. Pure and not
+// thread-safe.
 class FlowTable {
  public:
   explicit FlowTable(const FlowTableSettings& settings);
 
+  // Goes by other limits from now on. With more flows open than the new capacity all stay open.
+  void SetLimits(const FlowTableSettings& settings);
+
   // Returns the open flow with this key.
   std::optional<FlowId> Find(const wire::FlowKey& key) const;
 
--- a/libs/flow/include/gaugevalve/flow/source_limiter.h
+++ b/libs/flow/include/gaugevalve/flow/source_limiter.h
@@ -27,6 +27,9 @@
  public:
   explicit SourceLimiter(const SourceLimiterSettings& settings);
 
+  // Goes by another rate from now on; 0 turns the limiter off.
+  void SetRate(std::uint32_t rate);
+
   // Charges one new flow to the source. Returns false, and charges nothing, when it is over its
   // limit at `now`.
   bool Allow(const base::SocketAddress& source, base::TimePoint now);
@@ -36,7 +39,7 @@
 
   base::Duration interval_{0};  // between new flows at the rate
   base::Duration tolerance_{0};
-  std::uint64_t seed_;
+  SourceLimiterSettings settings_;
   // The time at which each cell has paid for all that was charged to it.
   std::array<std::vector<base::TimePoint>, kRows> rows_;
 };
--- a/libs/flow/src/bucket_ownership.cpp
+++ b/libs/flow/src/bucket_ownership.cpp
@@ -30,6 +30,18 @@
   others_are_listed_ = table.agents.size() > (self != nullptr ? 1U : 0U);
 }
 
+void BucketOwnership::NoteTime(base::TimePoint now) {
+  CheckPause(now);
+  noted_at_ = now;
+}
+
+void BucketOwnership::CheckPause(base::TimePoint now) {
+  if (noted_at_ < now - settings_.pause_threshold) {
+    resumed_at_ = now;
+    noted_at_ = now;
+  }
+}
+
 void BucketOwnership::StartDraining(base::TimePoint now) {
   draining_since_ = draining_since_.value_or(now);
 }
@@ -147,7 +159,8 @@
 
 std::optional<DropReason> BucketOwnership::ReasonNotToOpen(const wire::BucketEntry& entry,
                                                            base::TimePoint now) const {
-  if (now - confirmed_at_ > settings_.freshness_limit) {
+  const bool is_confirmed = confirmed_at_ >= now - settings_.freshness_limit;
+  if (!is_confirmed || confirmed_at_ < resumed_at_) {
     return DropReason::kStaleTable;
   }
   if (!is_listed_) {
--- a/libs/flow/src/flow_core.cpp
+++ b/libs/flow/src/flow_core.cpp
@@ -11,8 +11,14 @@
   ownership_.UpdateTable(table, confirmed_at);
 }
 
+void FlowCore::SetLimits(const FlowLimits& limits) {
+  table_.SetLimits(limits.table);
+  source_limiter_.SetRate(limits.new_flows_per_source);
+}
+
 FlowAction FlowCore::Decide(const wire::FlowKey& key, wire::ForwardingHeader& header,
                             base::TimePoint now) {
+  ownership_.CheckPause(now);
   if (const std::optional<DropReason> reason = ownership_.Settle(header, key.Hash())) {
     return *reason;
   }
@@ -36,6 +42,11 @@
   return ruling.reason;
 }
 
+std::vector<FlowId> FlowCore::Tick(base::TimePoint now) {
+  ownership_.NoteTime(now);
+  return table_.CloseIdle(now);
+}
+
 FlowAction FlowCore::Open(const wire::FlowKey& key, base::BucketIndex bucket, base::TimePoint now) {
   if (!source_limiter_.Allow(key.source, now)) {
     return DropReason::kSourceLimit;
--- a/libs/flow/src/flow_table.cpp
+++ b/libs/flow/src/flow_table.cpp
@@ -2,10 +2,17 @@
 
 namespace gaugevalve::flow {
 
-FlowTable::FlowTable(const FlowTableSettings& settings)
-    : settings_(settings), entries_(settings.capacity) {
+FlowTable::FlowTable(const FlowTableSettings& settings) { SetLimits(settings); }
+
+void FlowTable::SetLimits(const FlowTableSettings& settings) {
+  settings_ = settings;
+  const std::size_t before = entries_.size();
+  if (settings.capacity <= before) {
+    return;
+  }
+  entries_.resize(settings.capacity);
   free_.reserve(settings.capacity);
-  for (std::size_t index = settings.capacity; index > 0; --index) {
+  for (std::size_t index = settings.capacity; index > before; --index) {
     free_.push_back(static_cast<std::uint32_t>(index - 1));
   }
   by_key_.reserve(settings.capacity);
@@ -18,7 +25,7 @@
 
 std::optional<FlowId> FlowTable::Open(const wire::FlowKey& key, base::BucketIndex bucket,
                                       const routing::TableVersion& confirmed, base::TimePoint now) {
-  if (free_.empty()) {
+  if (by_key_.size() >= settings_.capacity) {
     return std::nullopt;
   }
   const std::uint32_t index = free_.back();
--- a/libs/flow/src/source_limiter.cpp
+++ b/libs/flow/src/source_limiter.cpp
@@ -11,22 +11,30 @@
 
 }  // namespace
 
-SourceLimiter::SourceLimiter(const SourceLimiterSettings& settings) : seed_(settings.seed) {
-  if (settings.rate == 0) {
+SourceLimiter::SourceLimiter(const SourceLimiterSettings& settings) : settings_(settings) {
+  SetRate(settings.rate);
+}
+
+void SourceLimiter::SetRate(std::uint32_t rate) {
+  settings_.rate = rate;
+  if (rate == 0) {
+    return;
+  }
+  interval_ = base::Duration(std::chrono::seconds(1)) / rate;
+  tolerance_ = interval_ * settings_.burst;
+  if (!rows_[0].empty()) {
     return;
   }
-  interval_ = base::Duration(std::chrono::seconds(1)) / settings.rate;
-  tolerance_ = interval_ * settings.burst;
   for (std::vector<base::TimePoint>& row : rows_) {
-    row.assign(std::max<std::size_t>(settings.cells, 1), base::TimePoint::min());
+    row.assign(std::max<std::size_t>(settings_.cells, 1), base::TimePoint::min());
   }
 }
 
 bool SourceLimiter::Allow(const base::SocketAddress& source, base::TimePoint now) {
-  if (rows_[0].empty()) {
+  if (settings_.rate == 0) {
     return true;
   }
-  const std::uint64_t hash = base::HashBytes(source.address, seed_);
+  const std::uint64_t hash = base::HashBytes(source.address, settings_.seed);
   base::TimePoint& first = rows_[0][(hash >> kHalfHashBits) % rows_[0].size()];
   base::TimePoint& second = rows_[1][static_cast<std::uint32_t>(hash) % rows_[1].size()];
   const base::TimePoint paid_until = std::max(std::min(first, second), now);
--- a/libs/flow/tests/bucket_ownership_test.cpp
+++ b/libs/flow/tests/bucket_ownership_test.cpp
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(ClaimThatLapsedIsAskedForAnew);
   CPPUNIT_TEST(ForeignDatagramsAreDropped);
   CPPUNIT_TEST(StaleAgentServesButOpensNothing);
+  CPPUNIT_TEST(AgentThatWasFrozenOpensNothingUntilConfirmed);
   CPPUNIT_TEST(FormerLifeInTheTableOpensNothing);
   CPPUNIT_TEST(DrainingAgentOpensNothingAfterTheGrace);
   CPPUNIT_TEST(HopsAreBounded);
@@ -203,13 +204,27 @@
     const auto table = MakeTable(1, 1, {});
     Agent agent(1, table);
     auto header = FromBalancer(table);
-    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(2)));
     CPPUNIT_ASSERT_EQUAL(std::string("stale_table"), agent.Decide(header, 0, seconds(6)));
     CPPUNIT_ASSERT_EQUAL(std::string("serve"), agent.Decide(header, 1, seconds(6)));
     agent.Ownership().UpdateTable(table, base::TimePoint(seconds(4)));
     CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(6)));
   }
 
+  void AgentThatWasFrozenOpensNothingUntilConfirmed() {
+    const auto table = MakeTable(1, 1, {});
+    Agent agent(1, table);
+    auto header = FromBalancer(table);
+    agent.Ownership().NoteTime(base::TimePoint());
+    agent.Ownership().NoteTime(base::TimePoint(seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(1)));
+    const base::TimePoint woken = base::TimePoint(seconds(2)) + base::Duration(1);
+    agent.Ownership().NoteTime(woken);
+    CPPUNIT_ASSERT_EQUAL(std::string("stale_table"), agent.Decide(header, 0, seconds(2)));
+    agent.Ownership().UpdateTable(table, woken);
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(2)));
+  }
+
   void FormerLifeInTheTableOpensNothing() {
     auto table = MakeTable(1, 1, {});
     table.agents[0].incarnation = base::Incarnation(9);
@@ -227,6 +242,7 @@
     auto header = FromBalancer(table);
     agent.Ownership().StartDraining(base::TimePoint());
     CPPUNIT_ASSERT_EQUAL(std::string("open"), agent.Decide(header, 0, seconds(2)));
+    agent.Ownership().UpdateTable(table, base::TimePoint(seconds(3)));
     CPPUNIT_ASSERT_EQUAL(std::string("draining"), agent.Decide(header, 0, seconds(3)));
     auto alone = MakeTable(2, 1, {});
     alone.agents.resize(1);
--- a/libs/flow/tests/flow_core_test.cpp
+++ b/libs/flow/tests/flow_core_test.cpp
@@ -45,7 +45,7 @@
     CPPUNIT_ASSERT(first.is_new);
     const auto second = std::get<Relay>(Decide(core, Key(1)));
     CPPUNIT_ASSERT(!second.is_new && second.flow == first.flow);
-    CPPUNIT_ASSERT(core.CloseIdle(base::TimePoint(seconds(400))) == std::vector{first.flow});
+    CPPUNIT_ASSERT(core.Tick(base::TimePoint(seconds(400))) == std::vector{first.flow});
   }
 
   void FullTableIsARefusal() {
--- a/libs/flow/tests/flow_table_test.cpp
+++ b/libs/flow/tests/flow_table_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(FullTableRefusesAndKeepsWhatItHas);
   CPPUNIT_TEST(OnlyIdleFlowsAreClosed);
   CPPUNIT_TEST(FlowsAreCountedByBucket);
+  CPPUNIT_TEST(LimitsChangeWhileFlowsAreOpen);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,6 +52,19 @@
     CPPUNIT_ASSERT(table_.CountByBucket(3) == (std::vector<std::uint32_t>{1, 0, 2}));
   }
 
+  void LimitsChangeWhileFlowsAreOpen() {
+    const FlowId first = Open(1, 0);
+    Open(2, 0);
+    table_.SetLimits({.capacity = 1, .idle_timeout = seconds(10)});
+    CPPUNIT_ASSERT(!table_.Open(Key(3), base::BucketIndex(0), {}, At(0)));
+    CPPUNIT_ASSERT(table_.Find(Key(1)) == first);
+    table_.SetLimits({.capacity = 5, .idle_timeout = seconds(10)});
+    Open(3, 0);
+    Open(4, 0);
+    Open(5, 0);
+    CPPUNIT_ASSERT(!table_.Open(Key(6), base::BucketIndex(0), {}, At(0)));
+  }
+
  private:
   FlowId Open(std::uint16_t port, int second) {
     return table_.Open(Key(port), base::BucketIndex(0), {}, At(second)).value();
--- a/libs/flow/tests/source_limiter_test.cpp
+++ b/libs/flow/tests/source_limiter_test.cpp
@@ -55,8 +55,11 @@
   }
 
   void RateOfZeroAllowsAll() {
-    SourceLimiter limiter({.rate = 0});
+    SourceLimiter limiter({.rate = 10, .burst = 0});
+    limiter.SetRate(0);
     CPPUNIT_ASSERT_EQUAL(1000, CountAllowed(limiter, 1, 1000, {}));
+    limiter.SetRate(1);
+    CPPUNIT_ASSERT_EQUAL(1, CountAllowed(limiter, 1, 1000, {}));
   }
 };
 
--- a/proofs/flow_ownership/src/flow_ownership_proof.cpp
+++ b/proofs/flow_ownership/src/flow_ownership_proof.cpp
@@ -191,6 +191,7 @@
   CPPUNIT_TEST(IgnoringOtherClaimsIsNoticed);
   CPPUNIT_TEST(TrustingHeldFlowsIsNoticed);
   CPPUNIT_TEST(IgnoringFreshnessIsNoticed);
+  CPPUNIT_TEST(IgnoringPausesIsNoticed);
   CPPUNIT_TEST(IgnoringIncarnationsIsNoticed);
   CPPUNIT_TEST(AcceptingForeignDatagramsIsNoticed);
   CPPUNIT_TEST(TrustingOldReportsIsNoticed);
@@ -226,6 +227,8 @@
     AssertNoticed(Mutant::kTrustsHeldFlows, "the flow of agent");
   }
   void IgnoringFreshnessIsNoticed() { AssertNoticed(Mutant::kIgnoresFreshness, "out of date"); }
+  void IgnoringPausesIsNoticed() { AssertNoticed(Mutant::kIgnoresPause, "opened a flow"); }
+
   // Too rare for the random search, so the steps are given: an agent acknowledges that it lost a
   // bucket, reports that it holds nothing there, and restarts. Its new life hears of an old table.
   void IgnoringIncarnationsIsNoticed() {
--- a/proofs/flow_ownership/src/flow_world.cpp
+++ b/proofs/flow_ownership/src/flow_world.cpp
@@ -104,8 +104,9 @@
 }
 
 void FlowWorld::DeclareDead(std::size_t agent) {
-  if (!planner_.Lists(NodeOf(agent)) ||
-      now_ - LastConfirmation(agent, planner_.Tables().size()) <= kFreshnessLimit) {
+  const base::TimePoint confirmed_at = LastConfirmation(agent, planner_.Tables().size());
+  const bool was_silent = now_ - confirmed_at > kFreshnessLimit;
+  if (!planner_.Lists(NodeOf(agent)) || (!was_silent && !agents_[agent].IsFrozenForLong(now_))) {
     return;
   }
   planner_.DeclareDead(NodeOf(agent));
@@ -153,7 +154,7 @@
   }
 }
 
-void FlowWorld::Freeze(std::size_t agent) { agents_[agent].Freeze(); }
+void FlowWorld::Freeze(std::size_t agent) { agents_[agent].Freeze(now_); }
 
 void FlowWorld::Crash(std::size_t agent) { agents_[agent].Crash(); }
 
@@ -175,10 +176,14 @@
 }
 
 void FlowWorld::AdvanceTime(base::Duration step) {
-  now_ += step;
-  for (SimulatedAgent& agent : agents_) {
-    if (agent.IsRunning()) {
-      agent.CloseIdle(now_);
+  constexpr base::Duration kTickPeriod = std::chrono::milliseconds(500);
+  const base::TimePoint end = now_ + step;
+  while (now_ < end) {
+    now_ = std::min(now_ + kTickPeriod, end);
+    for (SimulatedAgent& agent : agents_) {
+      if (agent.IsRunning()) {
+        agent.Tick(now_);
+      }
     }
   }
 }
--- a/proofs/flow_ownership/src/flow_world.h
+++ b/proofs/flow_ownership/src/flow_world.h
@@ -61,7 +61,7 @@
 
   // The planner's steps.
   void Move(std::size_t bucket, std::size_t agent);
-  void DeclareDead(std::size_t agent);  // only one that was silent for long enough
+  void DeclareDead(std::size_t agent);  // only one that was silent or frozen for long enough
   void List(std::size_t agent);         // the agent's present life, if it runs for the service
 
   // A table, the `age`-th newest, is sent to an agent; or is at once what a balancer has. The
--- a/proofs/flow_ownership/src/mutant.h
+++ b/proofs/flow_ownership/src/mutant.h
@@ -12,6 +12,7 @@
   kIgnoresOtherClaims,   // the last one on a walk that has the flow serves it, not the rightful one
   kTrustsHeldFlows,      // an agent serves what it holds, whatever happened to the bucket
   kIgnoresFreshness,     // an agent opens flows however old its table is
+  kIgnoresPause,         // an agent that was frozen goes on as if it had not been
   kIgnoresIncarnation,   // an agent takes a table of its former life for its own
   kAcceptsForeign,       // an agent takes datagrams of other services and agents
   kTrustsOldReports,     // the planner lets an agent go on a report older than the bucket's entry
--- a/proofs/flow_ownership/src/simulated_agent.cpp
+++ b/proofs/flow_ownership/src/simulated_agent.cpp
@@ -19,6 +19,9 @@
   const bool any_life = mutant_ == Mutant::kIgnoresIncarnation;
   flow::FlowCoreSettings settings;
   settings.table = {kFlowCapacity, kIdleTimeout};
+  if (mutant_ == Mutant::kIgnoresPause) {
+    settings.ownership.pause_threshold = std::chrono::hours(1);
+  }
   core_.emplace(flow::AgentIdentity{node_, any_life ? base::Incarnation() : life_, service},
                 settings);
 }
@@ -62,7 +65,20 @@
 
 void SimulatedAgent::StartDraining(base::TimePoint now) { core_->StartDraining(now); }
 
-void SimulatedAgent::CloseIdle(base::TimePoint now) { core_->CloseIdle(now); }
+void SimulatedAgent::Tick(base::TimePoint now) { core_->Tick(now); }
+
+void SimulatedAgent::Freeze(base::TimePoint now) {
+  if (state_ == ProcessState::kRunning) {
+    core_->Tick(now);
+    state_ = ProcessState::kFrozen;
+    frozen_at_ = now;
+  }
+}
+
+bool SimulatedAgent::IsFrozenForLong(base::TimePoint now) const {
+  return state_ == ProcessState::kFrozen &&
+         now - frozen_at_ > flow::OwnershipSettings().pause_threshold;
+}
 
 routing::AgentReport SimulatedAgent::Report() const {
   routing::AgentReport report;
--- a/proofs/flow_ownership/src/simulated_agent.h
+++ b/proofs/flow_ownership/src/simulated_agent.h
@@ -25,7 +25,7 @@
   // Begins a new life, larger in incarnation than the former, as an agent of `service`.
   void Start(base::ServiceId service);
 
-  void Freeze() { state_ = state_ == ProcessState::kRunning ? ProcessState::kFrozen : state_; }
+  void Freeze(base::TimePoint now);
   void Thaw() { state_ = state_ == ProcessState::kFrozen ? ProcessState::kRunning : state_; }
   void Crash();
 
@@ -37,7 +37,7 @@
                           base::TimePoint now);
 
   void StartDraining(base::TimePoint now);
-  void CloseIdle(base::TimePoint now);
+  void Tick(base::TimePoint now);
   routing::AgentReport Report() const;
 
   // Tells whether this life has the flow open; false when gone.
@@ -53,6 +53,9 @@
   bool IsRunning() const { return state_ == ProcessState::kRunning; }
   bool IsDraining() const { return core_ && core_->Ownership().IsDraining(); }
 
+  // Tells whether the process is frozen for so long that it will know when it wakes.
+  bool IsFrozenForLong(base::TimePoint now) const;
+
   // The newest time at which a table that this life has taken was current.
   base::TimePoint ConfirmedAt() const { return confirmed_at_; }
 
@@ -63,6 +66,7 @@
   base::Incarnation life_;
   ProcessState state_ = ProcessState::kGone;
   base::TimePoint confirmed_at_{};
+  base::TimePoint frozen_at_{};
   std::optional<flow::FlowCore> core_;
 };
 
