--- a/scripts/local/processes.py
+++ b/scripts/local/processes.py
@@ -3,6 +3,7 @@
 import pathlib
 import signal
 import subprocess
+import time
 from typing import Sequence
 
 import psutil
@@ -10,6 +11,7 @@
 from . import admin, polling
 
 _END_SECONDS = 5.0
+_ASK_AGAIN_SECONDS = 0.1
 
 
 class ManagedProcess:
@@ -66,16 +68,21 @@
 
 
 def end_all(processes: Sequence[ManagedProcess]) -> None:
-    """Ends the processes: first asked to, then, those that are left, killed."""
+    """Ends the processes: asked to until a common deadline, then, those that are left, killed.
+
+    Asked again and again, since the daemons take a second request for "at once" and two that come
+    together for one.
+    """
     running = [process for process in processes if process.is_running()]
     for process in running:
         process.send_signal(signal.SIGCONT)
-        process.send_signal(signal.SIGTERM)
+    deadline = time.monotonic() + _END_SECONDS
+    while running and time.monotonic() < deadline:
+        for process in running:
+            process.send_signal(signal.SIGTERM)
+        time.sleep(_ASK_AGAIN_SECONDS)
+        running = [process for process in running if process.is_running()]
     for process in running:
-        process.send_signal(signal.SIGTERM)  # a second one ends a drain at once
+        process.send_signal(signal.SIGKILL)
     for process in running:
-        try:
-            process.wait(_END_SECONDS)
-        except psutil.TimeoutExpired:
-            process.send_signal(signal.SIGKILL)
-            process.wait(_END_SECONDS)
+        process.wait(_END_SECONDS)
