--- a/libs/requests/include/gaugevalve/requests/admission_queue.h
+++ b/libs/requests/include/gaugevalve/requests/admission_queue.h
@@ -21,11 +21,12 @@
 
 // What an endpoint takes, from the settings tree.
 struct AdmissionLimits {
-  std::uint32_t slots = 1;          // requests at the endpoint at once; 0 means "none now"
-  std::uint32_t queue_length = 0;   // requests that may wait
-  std::uint32_t streams = 0;        // long-lived event streams open at once
-  double brown_out_fraction = 1.0;  // queue fill from which only urgent requests may wait
-  std::uint8_t brown_out_urgency = kDefaultUrgency;  // still admitted then: this or more urgent
+  std::uint32_t slots = 1;         // requests at the endpoint at once; 0 means "none now"
+  std::uint32_t queue_length = 0;  // requests that may wait
+  std::uint32_t streams = 0;       // long-lived event streams open at once
+  double brown_out_enter = 1.0;    // share of slots and queue in use that starts a brown-out
+  double brown_out_leave = 1.0;    // share that ends it; at most brown_out_enter
+  std::uint8_t brown_out_urgency = kDefaultUrgency;  // in a brown-out: this or more urgent
   base::Duration expected_service_time{100'000};     // used until measured
 };
 
@@ -104,6 +105,7 @@
                        base::TimePoint now) const;
   std::optional<RefusalReason> ReasonToRefuse(const AdmissionRequest& request, std::size_t position,
                                               base::TimePoint now) const;
+  void ReviewBrownOut();
   Refusal MakeRefusal(RefusalReason reason);
   void FillSlots(base::TimePoint now, AdmissionActions& actions);
   void RefuseHopeless(base::TimePoint now, AdmissionActions& actions);
@@ -112,6 +114,7 @@
   AdmissionLimits limits_;
   base::RandomSource& random_;
   bool draining_ = false;
+  bool browned_out_ = false;
   base::Duration service_time_;
   std::vector<AdmissionRequest> waiting_;                   // in order of start
   std::unordered_map<RequestId, base::TimePoint> running_;  // with the time of their start
--- a/libs/requests/src/admission_queue.cpp
+++ b/libs/requests/src/admission_queue.cpp
@@ -20,6 +20,7 @@
 AdmissionActions AdmissionQueue::Submit(const AdmissionRequest& request, base::TimePoint now) {
   AdmissionActions actions;
   RefuseHopeless(now, actions);
+  ReviewBrownOut();
   const auto place = std::find_if(waiting_.begin(), waiting_.end(),
                                   [&](const auto& other) { return GoesBefore(request, other); });
   const auto position = static_cast<std::size_t>(place - waiting_.begin());
@@ -132,16 +133,21 @@
   if (position >= most_waiting) {
     return RefusalReason::kQueueFull;
   }
-  const auto brown_out_from = static_cast<std::size_t>(limits_.brown_out_fraction *
-                                                       static_cast<double>(limits_.queue_length));
-  const bool would_wait = waiting_.size() >= free_slots;
-  const bool crowded = limits_.brown_out_fraction < 1.0 && waiting_.size() >= brown_out_from;
-  if (would_wait && crowded && request.urgency > limits_.brown_out_urgency) {
+  if (browned_out_ && request.urgency > limits_.brown_out_urgency) {
     return RefusalReason::kBrownOut;
   }
   return std::nullopt;
 }
 
+// Two thresholds, so that the queue doesn't flap around one.
+void AdmissionQueue::ReviewBrownOut() {
+  const double capacity = limits_.slots + limits_.queue_length;
+  const double in_use = static_cast<double>(running_.size() + waiting_.size());
+  const double share = capacity > 0 ? in_use / capacity : 1.0;
+  const bool stays = browned_out_ && share >= limits_.brown_out_leave;
+  browned_out_ = limits_.brown_out_enter < 1.0 && (stays || share >= limits_.brown_out_enter);
+}
+
 Refusal AdmissionQueue::MakeRefusal(RefusalReason reason) {
   // The queue empties in about EstimatedWait(); callers spread over as long again.
   const base::Duration base_wait = std::max(EstimatedWait(), kShortestRetryAfter);
--- a/libs/requests/tests/admission_queue_test.cpp
+++ b/libs/requests/tests/admission_queue_test.cpp
@@ -89,15 +89,21 @@
 
   void BrownOutKeepsRoomForTheUrgent() {
     AdmissionLimits limits = Limits(1, 4);
-    limits.brown_out_fraction = 0.5;
+    limits.brown_out_enter = 0.6;
+    limits.brown_out_leave = 0.3;
     AdmissionQueue queue(limits, random_);
     for (std::uint64_t id = 1; id <= 3; ++id) {
       Submit(queue, id);
     }
-    const AdmissionActions low = queue.Submit({RequestId(4), now_ + milliseconds(9000), 6}, now_);
-    CPPUNIT_ASSERT(low.refused.at(0).refusal.reason == RefusalReason::kBrownOut);
-    CPPUNIT_ASSERT(
-        queue.Submit({RequestId(5), now_ + milliseconds(9000), 3}, now_).refused.empty());
+    CPPUNIT_ASSERT(SubmitUnurgent(queue, 4).refused.at(0).refusal.reason ==
+                   RefusalReason::kBrownOut);
+    CPPUNIT_ASSERT(Submit(queue, 5).refused.empty());
+    queue.Finish(RequestId(1), true, now_);
+    queue.Finish(RequestId(2), true, now_);  // 2 of 5 in use: above the lower threshold
+    CPPUNIT_ASSERT(SubmitUnurgent(queue, 6).refused.at(0).refusal.reason ==
+                   RefusalReason::kBrownOut);
+    queue.Finish(RequestId(3), true, now_);
+    CPPUNIT_ASSERT(SubmitUnurgent(queue, 7).refused.empty());
   }
 
   void DrainingTakesNothingButRunsWhatWaits() {
@@ -141,6 +147,10 @@
     return queue.Submit({RequestId(id), now_ + milliseconds(5000), kDefaultUrgency}, now_);
   }
 
+  AdmissionActions SubmitUnurgent(AdmissionQueue& queue, std::uint64_t id) {
+    return queue.Submit({RequestId(id), now_ + milliseconds(9000), kLowestUrgency}, now_);
+  }
+
   base::RandomSource random_{kSeed};
   base::TimePoint now_{std::chrono::seconds(100)};
 };
