--- /dev/null
+++ b/daemons/agent/src/admitted_request.cpp
@@ -0,0 +1,225 @@
+#include "admitted_request.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "gaugevalve/base/hash.h"
+#include "gaugevalve/requests/request_headers.h"
+
+namespace gaugevalve::agent {
+namespace {
+
+constexpr int kBadRequest = 400;
+
+bool IsSafe(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "TRACE";
+}
+
+std::span<const std::uint8_t> AsBytes(std::string_view text) {
+  return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+// Sends a whole answer of the agent's own.
+void SendAnswer(quic::ResponseWriter& writer, int status, quic::HeaderFields fields,
+                std::string_view body) {
+  fields.push_back({"content-length", std::to_string(body.size())});
+  writer.SendHead({status, std::move(fields)});
+  if (!body.empty()) {
+    writer.WriteBody(AsBytes(body));
+  }
+  writer.Finish();
+}
+
+void SetField(quic::HeaderFields& fields, std::string_view name, const std::string& value) {
+  std::erase_if(fields, [&](const quic::HeaderField& field) { return field.name == name; });
+  fields.push_back({std::string(name), value});
+}
+
+}  // namespace
+
+AdmittedRequest::AdmittedRequest(requests::RequestId id, const quic::RequestHead& head,
+                                 quic::ResponseWriter& writer, RequestOwner& owner)
+    : id_(id), head_(head), writer_(writer), owner_(owner) {
+  const std::string_view accept = quic::FindField(head.fields, "accept");
+  is_stream_ = accept.find("text/event-stream") != std::string_view::npos;
+  const bool has_key = !quic::FindField(head.fields, requests::kIdempotencyKeyHeader).empty();
+  is_keyed_ = has_key && !IsSafe(head.method);
+}
+
+AdmittedRequest::~AdmittedRequest() {
+  exchange_.reset();
+  if (has_arrived_ && !is_decided_) {
+    owner_.OnCancelled(id_);
+  }
+}
+
+void AdmittedRequest::Begin() {
+  if (!is_keyed_) {
+    has_arrived_ = true;
+    owner_.OnArrived(*this);
+  }
+}
+
+std::uint64_t AdmittedRequest::Fingerprint() const {
+  const std::uint64_t target = base::HashText(head_.path, base::HashText(head_.method));
+  return base::HashText(early_body_, target);
+}
+
+// A keyed request is decided on once its body is whole, or as much of it is here as is compared.
+void AdmittedRequest::ArriveIfReady() {
+  const bool is_ready = is_body_whole_ || early_body_.size() >= kMaxEarlyBodyBytes;
+  if (is_keyed_ && is_ready && !has_arrived_) {
+    has_arrived_ = true;
+    owner_.OnArrived(*this);
+  }
+}
+
+bool AdmittedRequest::Start(EndpointClient& client, std::optional<base::Duration> time_left) {
+  if (time_left) {
+    SetField(head_.fields, requests::kTimeoutHeader, requests::FormatTimeout(*time_left));
+  }
+  exchange_ = client.Start(head_, *this);
+  if (exchange_ == nullptr) {
+    return false;
+  }
+  if (!early_body_.empty() && exchange_->WriteBody(AsBytes(early_body_))) {
+    writer_.ConsumeBody(std::exchange(unconsumed_, 0));
+  }
+  if (is_body_whole_) {
+    exchange_->FinishBody();
+  }
+  return true;
+}
+
+void AdmittedRequest::Refuse(const requests::Refusal& refusal) {
+  is_decided_ = true;
+  quic::HeaderFields fields{
+      {std::string(requests::kOutcomeHeader), std::string(requests::OutcomeName(refusal.outcome))}};
+  if (const std::int64_t seconds = requests::RetryAfterSeconds(refusal); seconds > 0) {
+    fields.push_back({"retry-after", std::to_string(seconds)});
+  }
+  const std::string words = std::string(requests::ReasonName(refusal.reason)) + "\n";
+  fields.push_back({"content-type", "text/plain"});
+  SendAnswer(writer_, requests::HttpStatusOf(refusal), std::move(fields), words);
+}
+
+void AdmittedRequest::Repeat(const requests::StoredAnswer& answer) {
+  is_decided_ = true;
+  quic::HeaderFields fields{{std::string(requests::kOutcomeHeader), "repeated"}};
+  if (!answer.content_type.empty()) {
+    fields.push_back({"content-type", answer.content_type});
+  }
+  SendAnswer(writer_, answer.status, std::move(fields), answer.body);
+}
+
+void AdmittedRequest::RefuseMalformed(const std::string& words) {
+  is_decided_ = true;
+  SendAnswer(writer_, kBadRequest,
+             {{std::string(requests::kOutcomeHeader), "not-run"}, {"content-type", "text/plain"}},
+             words + "\n");
+}
+
+void AdmittedRequest::OnBody(std::span<const std::uint8_t> bytes) {
+  if (exchange_ != nullptr) {
+    has_streamed_body_ = true;
+    if (exchange_->WriteBody(bytes)) {
+      writer_.ConsumeBody(bytes.size());
+    } else {
+      unconsumed_ += bytes.size();
+    }
+    return;
+  }
+  if (is_decided_) {
+    writer_.ConsumeBody(bytes.size());
+    return;
+  }
+  const bool has_room = early_body_.size() + bytes.size() <= kMaxEarlyBodyBytes;
+  early_body_.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+  if (has_room) {
+    writer_.ConsumeBody(bytes.size());
+  } else {
+    unconsumed_ += bytes.size();
+  }
+  ArriveIfReady();
+}
+
+void AdmittedRequest::OnBodyEnd() {
+  is_body_whole_ = true;
+  if (exchange_ != nullptr) {
+    exchange_->FinishBody();
+  }
+  ArriveIfReady();
+}
+
+void AdmittedRequest::OnWritable() {
+  if (exchange_ != nullptr) {
+    exchange_->ResumeReading();
+  }
+}
+
+void AdmittedRequest::OnCancelled(quic::Http3Error) {
+  exchange_.reset();
+  if (has_arrived_ && !is_decided_) {
+    is_decided_ = true;
+    owner_.OnCancelled(id_);
+  }
+}
+
+void AdmittedRequest::OnAnswerHead(const quic::ResponseHead& head) {
+  has_answer_head_ = true;
+  stored_answer_.status = head.status;
+  stored_answer_.content_type = std::string(quic::FindField(head.fields, "content-type"));
+  const bool says_not_run = quic::FindField(head.fields, requests::kOutcomeHeader) ==
+                            requests::OutcomeName(requests::RequestOutcome::kNotRun);
+  is_refused_by_endpoint_ = says_not_run;
+  writer_.SendHead(head);
+  owner_.OnAnswerBegan(id_);
+}
+
+void AdmittedRequest::OnAnswerBody(std::span<const std::uint8_t> bytes) {
+  if (is_keyed_) {
+    KeepForRepeats(bytes);
+  }
+  if (!writer_.WriteBody(bytes)) {
+    exchange_->PauseReading();
+  }
+}
+
+void AdmittedRequest::KeepForRepeats(std::span<const std::uint8_t> bytes) {
+  std::string& body = stored_answer_.body;
+  is_answer_too_long_ =
+      is_answer_too_long_ || body.size() + bytes.size() > requests::kMaxStoredBodyBytes;
+  if (is_answer_too_long_) {
+    body.clear();
+  } else {
+    body.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+  }
+}
+
+void AdmittedRequest::OnAnswerEnd() {
+  exchange_.reset();
+  writer_.Finish();
+  is_decided_ = true;
+  owner_.OnEnded(
+      id_,
+      is_refused_by_endpoint_ ? requests::EndpointEnd::kRefused : requests::EndpointEnd::kAnswered,
+      stored_answer_);
+}
+
+void AdmittedRequest::OnExchangeFailed(const ExchangeFailure& failure) {
+  exchange_.reset();
+  if (has_answer_head_) {
+    is_decided_ = true;
+    writer_.Reset(quic::Http3Error::kInternalError);
+  }
+  requests::EndpointEnd end = requests::EndpointEnd::kFailed;
+  if (failure.kind == ExchangeFailure::Kind::kNotSent) {
+    end = has_streamed_body_ ? requests::EndpointEnd::kBodyGone : requests::EndpointEnd::kNotSent;
+  }
+  owner_.OnEnded(id_, end, {});
+}
+
+void AdmittedRequest::OnRequestWritable() { writer_.ConsumeBody(std::exchange(unconsumed_, 0)); }
+
+}  // namespace gaugevalve::agent
--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -54,6 +54,10 @@
     module_->SetCredentials(*credentials);
     return;
   }
+  if (const auto* const peer = std::get_if<PeerMessage>(&message)) {
+    module_->HandlePeerMessage(peer->sender, peer->payload);
+    return;
+  }
   TakeView(*std::get<ViewPointer>(message));
 }
 
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -28,8 +28,16 @@
 // Asks the data task to drain.
 struct StartDraining {};
 
-// What other tasks send to the data task: a newer view, a request to drain, a newer certificate.
-using AgentMessage = std::variant<ViewPointer, StartDraining, quic::CertificateCredentials>;
+// A message about requests from another agent of the service.
+struct PeerMessage {
+  base::NodeId sender;
+  std::string payload;
+};
+
+// What other tasks send to the data task: a newer view, a request to drain, a newer certificate, a
+// message of another agent.
+using AgentMessage =
+    std::variant<ViewPointer, StartDraining, quic::CertificateCredentials, PeerMessage>;
 
 // What the data task says of itself, a few times a second.
 struct AgentStatus {
@@ -73,8 +81,8 @@
   base::SocketAddress DataAddress() const { return socket_.LocalAddress(); }
 
  private:
-  void TakeView(const control::NodeView& view);
   void OnMessage(const AgentMessage& message);
+  void TakeView(const control::NodeView& view);
   void OnReadable();
   void OnTick();
   void HandleDatagram(std::size_t index, base::TimePoint now);
--- a/daemons/agent/src/http3_service.cpp
+++ b/daemons/agent/src/http3_service.cpp
@@ -61,8 +61,7 @@
 
 Http3Service::Http3Service(event_base* loop, AgentOutput& output,
                            const Http3ServiceSettings& settings,
-                           std::unique_ptr<quic::RequestHandlerFactory> factory,
-                           prometheus::Registry& registry)
+                           std::unique_ptr<RequestBackend> backend, prometheus::Registry& registry)
     : output_(&output),
       ownership_(settings.identity, settings.ownership),
       codec_(settings.codec),
@@ -77,12 +76,12 @@
                      server_.Flush(clock_.Now());
                      FinishOwnActivity();
                    }),
-      factory_(std::move(factory)),
+      backend_(std::move(backend)),
       server_(
           settings.server,
           connection_id::Issuer(settings.codec, settings.identity.service, settings.identity.node,
                                 settings.identity.incarnation, FirstNonce(settings.identity)),
-          settings.credentials, *this, *factory_),
+          settings.credentials, *this, *backend_),
       dropped_(registry, "gaugevalve_agent_datagrams_dropped_total",
                "Datagrams that were neither relayed nor passed on, by reason.",
                daemon::ReasonNames<flow::DropReason>(flow::kDropReasonCount)),
@@ -104,6 +103,7 @@
   ownership_.UpdateTable(*service.table, confirmed_at);
   departed_.Update(service.table->agents, clock_.Now());
   table_ = service.table;
+  backend_->SetView(service, confirmed_at);
 }
 
 void Http3Service::HandleDatagram(const wire::ProxyDatagram& datagram,
@@ -223,6 +223,7 @@
 void Http3Service::StartDraining(base::TimePoint now) {
   ownership_.StartDraining(now);
   server_.Drain(now);
+  backend_->StartDraining();
   FinishOwnActivity();
 }
 
@@ -236,6 +237,7 @@
       ownership_.IsDraining() ? routing::AgentState::kDraining : routing::AgentState::kServing;
   report.table_version = ownership_.AcknowledgedVersion();
   report.open_flows = static_cast<std::uint32_t>(server_.ConnectionCount());
+  backend_->FillReport(report);
   report.flows_in_buckets.assign(ownership_.BucketCount(), 0);
   if (report.flows_in_buckets.empty()) {
     return;
@@ -246,6 +248,7 @@
 }
 
 void Http3Service::PublishCounters() {
+  backend_->PublishCounters();
   dropped_.Publish();
   dropped_quic_.Publish();
   opened_.Publish();
--- a/daemons/agent/src/http3_service.h
+++ b/daemons/agent/src/http3_service.h
@@ -16,12 +16,12 @@
 #include "gaugevalve/daemon/reason_counters.h"
 #include "gaugevalve/flow/bucket_ownership.h"
 #include "gaugevalve/quic/http3_server.h"
-#include "gaugevalve/quic/request_handler.h"
 #include "gaugevalve/tasks/timer.h"
 #include "gaugevalve/tasks/udp_batch.h"
 #include "http3_drop.h"
 #include "prometheus/gauge.h"
 #include "prometheus/registry.h"
+#include "request_backend.h"
 #include "service_module.h"
 
 namespace gaugevalve::agent {
@@ -46,15 +46,19 @@
 // Runs in the data task's thread.
 class Http3Service final : public ServiceModule, private quic::DatagramSink {
  public:
-  // `loop` and `output` must outlive this. `factory` makes the handlers of requests; it may hold
-  // what they need.
+  // `loop` and `output` must outlive this. `backend` takes the requests.
   Http3Service(event_base* loop, AgentOutput& output, const Http3ServiceSettings& settings,
-               std::unique_ptr<quic::RequestHandlerFactory> factory,
-               prometheus::Registry& registry);
+               std::unique_ptr<RequestBackend> backend, prometheus::Registry& registry);
 
   void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) override;
   void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
                       base::TimePoint now) override;
+  void SetEndpoint(const settings::EndpointSettings& endpoint) override {
+    backend_->SetEndpoint(endpoint);
+  }
+  void HandlePeerMessage(base::NodeId sender, std::string_view payload) override {
+    backend_->HandlePeerMessage(sender, payload);
+  }
   void HandleTick(base::TimePoint) override {}
   void StartDraining(base::TimePoint now) override;
   void FillReport(routing::AgentReport& report) const override;
@@ -96,7 +100,7 @@
   std::size_t used_answers_ = 0;
   tasks::Timer expiry_timer_;
   tasks::Timer flush_timer_;
-  std::unique_ptr<quic::RequestHandlerFactory> factory_;
+  std::unique_ptr<RequestBackend> backend_;
   quic::Http3Server server_;
   daemon::ReasonCounters dropped_;
   daemon::ReasonCounters dropped_quic_;
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "agent_worker.h"
@@ -27,7 +28,7 @@
 #include "http3_service.h"
 #include "http3_setup.h"
 #include "prometheus/registry.h"
-#include "request_proxy.h"
+#include "request_service.h"
 
 namespace {
 
@@ -40,6 +41,7 @@
     "took longer than --drain_timeout.";
 
 constexpr std::size_t kStatusInboxCapacity = 16;
+constexpr std::size_t kPeerOutboxCapacity = 1024;
 constexpr base::Duration kDropLogPeriod = std::chrono::seconds(10);
 constexpr base::Duration kDrainPollPeriod = std::chrono::milliseconds(100);
 
@@ -62,6 +64,8 @@
         registry_(std::make_shared<prometheus::Registry>()),
         statuses_(loop_.get(), kStatusInboxCapacity,
                   [this](AgentStatus status) { TakeStatus(std::move(status)); }),
+        peer_outbox_(loop_.get(), kPeerOutboxCapacity,
+                     [this](const OutgoingPeerMessage& message) { SendToPeer(message); }),
         worker_(
             {node_.data_address, *node_.egress_address, identity_.service, node_.agent->endpoint},
             [this](event_base* loop, agent::AgentOutput& output) {
@@ -96,6 +100,12 @@
  private:
   using AgentStatus = agent::AgentStatus;
 
+  // What the data task sends to other agents through the control task.
+  struct OutgoingPeerMessage {
+    base::NodeId destination;
+    std::string payload;
+  };
+
   std::unique_ptr<agent::ServiceModule> MakeModule(event_base* loop, agent::AgentOutput& output) {
     if (agent::ServesHttp3(node_)) {
       return MakeHttp3Module(loop, output);
@@ -108,12 +118,19 @@
   std::unique_ptr<agent::ServiceModule> MakeHttp3Module(event_base* loop,
                                                         agent::AgentOutput& output) {
     agent::Http3Files files = agent::LoadHttp3Files(node_);
+    agent::RequestServiceSettings requests;
+    requests.identity = identity_;
+    requests.endpoint = *node_.agent->http_address;
+    auto backend = std::make_unique<agent::RequestService>(
+        loop, requests,
+        [this](base::NodeId destination, std::string payload) {
+          peer_outbox_.TrySend({destination, std::move(payload)});
+        },
+        *registry_);
     return std::make_unique<agent::Http3Service>(
         loop, output,
         agent::Http3ServiceSettings{identity_, {}, {}, files.codec, files.credentials},
-        std::make_unique<agent::RequestProxy>(loop, *node_.agent->http_address,
-                                              agent::EndpointClientOptions()),
-        *registry_);
+        std::move(backend), *registry_);
   }
 
   void ReloadCertificate() {
@@ -136,9 +153,20 @@
         daemon::ControlTaskSettings{node_, identity_.incarnation, worker_.DataAddress()}, admin_,
         [this](const agent::ViewPointer& view) { return worker_.Send(view); },
         [this] { End(daemon::kFailure); });
+    control_->SetReceiver(
+        transport::MessageKind::kRequestHandOver, [this](const transport::Envelope& envelope) {
+          worker_.Send(agent::PeerMessage{envelope.sender.node, envelope.payload});
+        });
     control_->Start();
   }
 
+  void SendToPeer(const OutgoingPeerMessage& message) {
+    if (control_ != nullptr) {
+      control_->SendToNode(message.destination, transport::MessageKind::kRequestHandOver,
+                           message.payload);
+    }
+  }
+
   void TakeStatus(AgentStatus status) {
     status_ = std::move(status);
     if (control_ != nullptr) {
@@ -198,6 +226,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   AgentStatus status_;
   tasks::Inbox<AgentStatus> statuses_;
+  tasks::Inbox<OutgoingPeerMessage> peer_outbox_;  // a full one loses messages: they are repeated
   agent::AgentWorker worker_;
   telemetry::AdminServer admin_;
   std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
--- /dev/null
+++ b/daemons/agent/src/request_service.cpp
@@ -0,0 +1,272 @@
+#include "request_service.h"
+
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gaugevalve/requests/request_headers.h"
+#include "gaugevalve/telemetry/event.h"
+#include "http1_request.h"
+
+namespace gaugevalve::agent {
+namespace {
+
+// How late a refusal or a repeated message may be.
+constexpr base::Duration kTimerPeriod = std::chrono::milliseconds(20);
+constexpr base::Duration kDefaultTimeout = std::chrono::seconds(10);
+
+// How a request ended, for the metric.
+enum class EndCount : std::uint8_t {
+  kAnswered,
+  kNotRun,
+  kOutcomeUnknown,
+  kCancelled,
+  kRepeated,
+  kCut
+};
+
+base::Duration WallTime() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<base::Duration>(since_epoch);
+}
+
+requests::PipelineSettings PipelineSettingsOf(const RequestServiceSettings& settings) {
+  requests::PipelineSettings pipeline;
+  pipeline.self = settings.identity.node;
+  pipeline.incarnation = settings.identity.incarnation;
+  pipeline.admission = settings.admission;
+  pipeline.default_timeout = kDefaultTimeout;
+  pipeline.at_most_once = settings.at_most_once;
+  return pipeline;
+}
+
+EndCount EndCountOf(requests::RequestOutcome outcome) {
+  switch (outcome) {
+    case requests::RequestOutcome::kAnswered:
+      return EndCount::kAnswered;
+    case requests::RequestOutcome::kNotRun:
+      return EndCount::kNotRun;
+    case requests::RequestOutcome::kCancelled:
+      return EndCount::kCancelled;
+    case requests::RequestOutcome::kOutcomeUnknown:
+      break;
+  }
+  return EndCount::kOutcomeUnknown;
+}
+
+std::vector<std::string_view> RefusalReasonNames() {
+  std::vector<std::string_view> names;
+  for (std::size_t value = 0; value < requests::kRefusalReasonCount; ++value) {
+    names.push_back(requests::ReasonName(static_cast<requests::RefusalReason>(value)));
+  }
+  return names;
+}
+
+prometheus::Gauge* MakeGauge(prometheus::Registry& registry, const std::string& state) {
+  return &prometheus::BuildGauge()
+              .Name("gaugevalve_agent_requests")
+              .Help("Requests now at the endpoint, waiting for it, or streaming from it.")
+              .Register(registry)
+              .Add({{"state", state}});
+}
+
+}  // namespace
+
+RequestService::RequestService(event_base* loop, const RequestServiceSettings& settings,
+                               PeerSender peer_sender, prometheus::Registry& registry)
+    : identity_(settings.identity),
+      default_timeout_(kDefaultTimeout),
+      limits_(settings.admission),
+      peer_sender_(std::move(peer_sender)),
+      random_(settings.identity.node.value() ^ settings.identity.incarnation.value()),
+      client_(loop, settings.endpoint, settings.client),
+      pipeline_(PipelineSettingsOf(settings), random_, clock_.Now(), WallTime()),
+      ended_(registry, "gaugevalve_agent_requests_ended_total", "Requests by how they ended.",
+             {"answered", "not-run", "unknown", "cancelled", "repeated", "cut"}),
+      refused_(registry, "gaugevalve_agent_requests_refused_total",
+               "Requests that the agent answered itself, by reason.", RefusalReasonNames()),
+      malformed_messages_(prometheus::BuildCounter()
+                              .Name("gaugevalve_agent_peer_messages_malformed_total")
+                              .Help("Messages of other agents that could not be decoded.")
+                              .Register(registry)
+                              .Add({})),
+      running_(MakeGauge(registry, "running")),
+      waiting_(MakeGauge(registry, "waiting")),
+      streams_(MakeGauge(registry, "streaming")),
+      timer_(loop, [this] { Perform(pipeline_.OnTimer(clock_.Now())); }) {
+  timer_.StartPeriodic(kTimerPeriod);
+}
+
+std::unique_ptr<quic::RequestHandler> RequestService::OnRequest(const quic::RequestHead& head,
+                                                                const quic::Path&,
+                                                                quic::ResponseWriter& writer) {
+  RequestOwner& owner = *this;
+  auto request =
+      std::make_unique<AdmittedRequest>(requests::RequestId(next_id_), head, writer, owner);
+  ++next_id_;
+  request->Begin();
+  return request;
+}
+
+void RequestService::OnArrived(AdmittedRequest& request) {
+  const quic::HeaderFields& fields = request.Head().fields;
+  const std::string_view timeout_text = quic::FindField(fields, requests::kTimeoutHeader);
+  const std::string_view key = quic::FindField(fields, requests::kIdempotencyKeyHeader);
+  requests::ArrivedRequest arrived;
+  arrived.id = request.Id();
+  arrived.is_stream = request.IsStream();
+  arrived.timeout = requests::ParseTimeout(timeout_text);
+  arrived.urgency = requests::ParseUrgency(quic::FindField(fields, requests::kPriorityHeader));
+  if (!IsWritable(request.Head())) {
+    return request.RefuseMalformed("the request line or a field has a blank or control character");
+  }
+  if (!timeout_text.empty() && !arrived.timeout) {
+    return request.RefuseMalformed("grpc-timeout: one to eight digits and one of H, M, S, m, u, n");
+  }
+  if (key.size() > requests::kMaxIdempotencyKeyBytes) {
+    return request.RefuseMalformed("idempotency-key: longer than 255 bytes");
+  }
+  if (request.IsKeyed()) {
+    requests::RequestKey request_key;
+    request_key.digest = requests::KeyDigest::Of(identity_.service, key);
+    request_key.fingerprint = request.Fingerprint();
+    if (const auto created = requests::KeyCreationMilliseconds(key)) {
+      request_key.created_at = std::chrono::milliseconds(*created);
+    }
+    arrived.key = request_key;
+  }
+  const base::TimePoint now = clock_.Now();
+  known_[request.Id()] = {&request, now + arrived.timeout.value_or(default_timeout_)};
+  Perform(pipeline_.Arrive(arrived, now));
+}
+
+void RequestService::OnEnded(requests::RequestId id, requests::EndpointEnd end,
+                             const requests::StoredAnswer& answer) {
+  const bool is_whole =
+      end == requests::EndpointEnd::kAnswered || end == requests::EndpointEnd::kRefused;
+  if (is_whole) {
+    ended_.Add(end == requests::EndpointEnd::kAnswered ? EndCount::kAnswered : EndCount::kNotRun);
+  } else {
+    ++failures_since_report_;
+  }
+  Perform(pipeline_.EndAtEndpoint(id, end, answer, clock_.Now()));
+  const bool was_cut = !pipeline_.Knows(id) && Forget(id) != nullptr && !is_whole;
+  if (was_cut) {
+    ended_.Add(EndCount::kCut);
+  }
+}
+
+void RequestService::OnCancelled(requests::RequestId id) {
+  Forget(id);
+  ended_.Add(EndCount::kCancelled);
+  Perform(pipeline_.Cancel(id, clock_.Now()));
+}
+
+AdmittedRequest* RequestService::Forget(requests::RequestId id) {
+  const auto found = known_.find(id);
+  if (found == known_.end()) {
+    return nullptr;
+  }
+  AdmittedRequest* const request = found->second.request;
+  known_.erase(found);
+  return request;
+}
+
+void RequestService::Perform(requests::PipelineActions actions) {
+  for (requests::OutgoingMessage& outgoing : actions.send) {
+    peer_sender_(outgoing.destination, outgoing.message.SerializeAsString());
+  }
+  for (const requests::RequestId id : actions.abandon) {
+    if (const auto found = known_.find(id); found != known_.end()) {
+      found->second.request->Abandon();
+    }
+  }
+  for (const requests::RefusedRequest& refused : actions.refused) {
+    Refuse(refused);
+  }
+  for (const requests::RepeatedRequest& repeated : actions.repeated) {
+    ended_.Add(EndCount::kRepeated);
+    if (AdmittedRequest* const request = Forget(repeated.id)) {
+      request->Repeat(repeated.answer);
+    }
+  }
+  for (const requests::RequestId id : actions.start) {
+    Start(id);
+  }
+}
+
+void RequestService::Start(requests::RequestId id) {
+  const auto found = known_.find(id);
+  if (found == known_.end()) {
+    Perform(pipeline_.Cancel(id, clock_.Now()));
+    return;
+  }
+  AdmittedRequest& request = *found->second.request;
+  std::optional<base::Duration> time_left;
+  if (!request.IsStream()) {
+    time_left = found->second.deadline - clock_.Now();
+  }
+  if (!request.Start(client_, time_left)) {
+    OnEnded(id, requests::EndpointEnd::kNotSent, {});
+  }
+}
+
+void RequestService::Refuse(const requests::RefusedRequest& refused) {
+  const requests::Refusal& refusal = refused.refusal;
+  refused_.Add(refusal.reason);
+  ended_.Add(EndCountOf(refusal.outcome));
+  if (refusal.outcome == requests::RequestOutcome::kOutcomeUnknown) {
+    telemetry::Event(telemetry::Level::kInfo, "request_outcome_unknown")
+        .Field("request", refused.id)
+        .Field("reason", refusal.reason);
+  }
+  if (AdmittedRequest* const request = Forget(refused.id)) {
+    request->Refuse(refusal);
+  }
+}
+
+void RequestService::SetView(const control::ServiceView& service, base::TimePoint confirmed_at) {
+  Perform(pipeline_.SetTable(service.table, confirmed_at, clock_.Now()));
+}
+
+void RequestService::SetEndpoint(const settings::EndpointSettings& endpoint) {
+  limits_.slots = endpoint.slots;
+  limits_.queue_length = endpoint.queue_length;
+  limits_.streams = endpoint.connections;
+  limits_.brown_out_enter = endpoint.brownout_enter;
+  limits_.brown_out_leave = endpoint.brownout_leave;
+  default_timeout_ = endpoint.request_deadline;
+  Perform(pipeline_.SetLimits(limits_, default_timeout_, clock_.Now()));
+}
+
+void RequestService::HandlePeerMessage(base::NodeId sender, std::string_view payload) {
+  requests::proto::AtMostOnceMessage message;
+  if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+    malformed_messages_.Add();
+    return;
+  }
+  Perform(pipeline_.OnMessage(sender, message, clock_.Now()));
+}
+
+void RequestService::FillReport(routing::AgentReport& report) {
+  const requests::AdmissionQueue& admission = pipeline_.Admission();
+  report.busy_slots = static_cast<std::uint32_t>(admission.RunningCount());
+  report.total_slots = limits_.slots;
+  report.queued_requests = static_cast<std::uint32_t>(admission.WaitingCount());
+  report.recent_latency = admission.ServiceTime();
+  report.endpoint_failures = std::exchange(failures_since_report_, 0);
+}
+
+void RequestService::PublishCounters() {
+  const requests::AdmissionQueue& admission = pipeline_.Admission();
+  ended_.Publish();
+  refused_.Publish();
+  malformed_messages_.Publish();
+  running_->Set(static_cast<double>(admission.RunningCount()));
+  waiting_->Set(static_cast<double>(admission.WaitingCount()));
+  streams_->Set(static_cast<double>(admission.StreamCount()));
+}
+
+}  // namespace gaugevalve::agent
--- a/daemons/agent/src/service_module.h
+++ b/daemons/agent/src/service_module.h
@@ -1,6 +1,9 @@
 // One kind of service in the agent's data task.
 #pragma once
 
+#include <string_view>
+
+#include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/control/node_view.h"
 #include "gaugevalve/quic/credentials.h"
@@ -25,6 +28,10 @@
   // leaves this out.
   virtual void SetEndpoint(const settings::EndpointSettings& /*endpoint*/) {}
 
+  // Takes a message about requests from another agent of the service. A module that has no use for
+  // them leaves this out.
+  virtual void HandlePeerMessage(base::NodeId /*sender*/, std::string_view /*payload*/) {}
+
   // Handles a datagram that a balancer or another agent has sent. The header may be changed.
   virtual void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
                               base::TimePoint now) = 0;
--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -3,10 +3,15 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+#include <cstdio>
+#include <map>
+#include <mutex>
+
 #include "agent_worker.h"
 #include "gaugevalve/quic/udp_client.h"
 #include "gaugevalve/tasks/task.h"
-#include "request_proxy.h"
+#include "request_service.h"
 #include "scripted_endpoint.h"
 #include "test_fabric.h"
 
@@ -38,26 +43,73 @@
                                          std::chrono::hours(1));
 }
 
+// Returns a UUID of version 7 made now (RFC 9562).
+std::string NewKey() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch);
+  std::array<char, 40> text{};
+  std::snprintf(text.data(), text.size(), "%08llx-%04llx-7000-8000-000000000001",
+                static_cast<unsigned long long>(milliseconds.count() >> 16U),
+                static_cast<unsigned long long>(milliseconds.count() & 0xFFFF));
+  return text.data();
+}
+
+// Carries messages between the agents of a test. Thread-safe; a message to nobody is lost.
+class PeerExchange {
+ public:
+  void Add(base::NodeId node, AgentWorker* worker) {
+    const std::scoped_lock lock(mutex_);
+    workers_[node] = worker;
+  }
+  void Remove(base::NodeId node) {
+    const std::scoped_lock lock(mutex_);
+    workers_.erase(node);
+  }
+  void Send(base::NodeId sender, base::NodeId destination, const std::string& payload) {
+    const std::scoped_lock lock(mutex_);
+    const auto found = workers_.find(destination);
+    if (found != workers_.end()) {
+      found->second->Send(PeerMessage{sender, payload});
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<base::NodeId, AgentWorker*> workers_;
+};
+
+// A service that has just begun forgets nothing here, so that keyed requests run at once.
+requests::AtMostOnceLimits WithoutStartUpTime() {
+  requests::AtMostOnceLimits limits;
+  limits.freshness = base::Duration(1);
+  limits.clock_margin = base::Duration(0);
+  return limits;
+}
+
 // One life of an agent, with its worker's thread.
 class TestAgent {
  public:
   TestAgent(std::uint64_t node, std::uint64_t life, const base::SocketAddress& data_address,
             const base::SocketAddress& egress, const base::SocketAddress& endpoint,
-            const quic::CertificatePair& pair)
-      : identity_{base::NodeId(node), base::Incarnation(life * 1'000'000), kService},
+            const quic::CertificatePair& pair, PeerExchange& peers)
+      : peers_(peers),
+        identity_{base::NodeId(node), base::Incarnation(life * 1'000'000), kService},
         worker_(
-            {data_address, egress, kService},
+            {data_address, egress, kService, ""},
             [&](event_base* loop, AgentOutput& output) {
               return std::make_unique<Http3Service>(
                   loop, output,
                   Http3ServiceSettings{identity_, {}, {}, MakeCodec(), MakeCredentials(pair)},
-                  std::make_unique<RequestProxy>(loop, endpoint, EndpointClientOptions()),
-                  registry_);
+                  MakeBackend(loop, endpoint), registry_);
             },
             [](const AgentStatus&) {}, registry_) {
     worker_.Start();
+    peers_.Add(identity_.node, &worker_);
+  }
+  ~TestAgent() {
+    peers_.Remove(identity_.node);
+    worker_.Stop();
   }
-  ~TestAgent() { worker_.Stop(); }
   TestAgent(const TestAgent&) = delete;
   TestAgent& operator=(const TestAgent&) = delete;
 
@@ -67,6 +119,21 @@
   }
 
  private:
+  std::unique_ptr<RequestBackend> MakeBackend(event_base* loop,
+                                              const base::SocketAddress& endpoint) {
+    RequestServiceSettings settings;
+    settings.identity = identity_;
+    settings.endpoint = endpoint;
+    settings.at_most_once = WithoutStartUpTime();
+    return std::make_unique<RequestService>(
+        loop, settings,
+        [this](base::NodeId destination, const std::string& payload) {
+          peers_.Send(identity_.node, destination, payload);
+        },
+        registry_);
+  }
+
+  PeerExchange& peers_;
   flow::AgentIdentity identity_;
   prometheus::Registry registry_;
   AgentWorker worker_;
@@ -110,6 +177,8 @@
   CPPUNIT_TEST(LargeBodiesPassBothWays);
   CPPUNIT_TEST(PacketsOfAnotherAgentsConnectionReachIt);
   CPPUNIT_TEST(ACutAnswerIsResetAndAnUnsentRequestRefused);
+  CPPUNIT_TEST(AKeyedRequestRunsOnceAndARepeatGetsItsAnswer);
+  CPPUNIT_TEST(AMalformedDeadlineIsRefusedWithWords);
   CPPUNIT_TEST(AnEventStreamSurvivesADrainAndAChangeOfAddress);
   CPPUNIT_TEST(ARestartedAgentTellsItsCallers);
   CPPUNIT_TEST(ANewCertificateCutsNothing);
@@ -120,6 +189,7 @@
   quic::CertificatePair pair_;
   std::unique_ptr<ScriptedEndpoint> endpoint_;
   std::unique_ptr<TestFabric> fabric_;
+  PeerExchange peers_;
   std::vector<std::unique_ptr<TestAgent>> agents_;
   Events events_;
   std::unique_ptr<quic::UdpClient> caller_;
@@ -127,7 +197,7 @@
   std::unique_ptr<TestAgent> MakeAgent(std::uint64_t node, std::uint64_t life,
                                        const base::SocketAddress& data_address) {
     return std::make_unique<TestAgent>(node, life, data_address, fabric_->EgressAddress(),
-                                       endpoint_->Address(), pair_);
+                                       endpoint_->Address(), pair_, peers_);
   }
 
   // Tells all agents and the balancer that every bucket is the first agent's.
@@ -161,10 +231,11 @@
     return caller;
   }
 
-  std::shared_ptr<Answer> Ask(const std::string& method, const std::string& body = "") {
+  std::shared_ptr<Answer> Ask(const std::string& method, const std::string& body = "",
+                              const quic::HeaderFields& fields = {}) {
     auto answer = std::make_shared<Answer>();
     CPPUNIT_ASSERT(caller_->Client().SubmitRequest(
-        {method, "https", "service.example", "/events", {}},
+        {method, "https", "service.example", "/events", fields},
         {reinterpret_cast<const std::uint8_t*>(body.data()), body.size()},
         std::make_unique<AnswerRecorder>(answer)));
     return answer;
@@ -259,8 +330,36 @@
                          std::string(quic::FindField(refused->head.fields, "gaugevalve-outcome")));
   }
 
+  void AKeyedRequestRunsOnceAndARepeatGetsItsAnswer() {
+    const quic::HeaderFields key{{"idempotency-key", NewKey()}};
+    const auto first = Ask("POST", "one", key);
+    WaitForRequest(1, "0\r\n\r\n");
+    endpoint_->Send(0, "HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\ndone");
+    WaitForAnswer(*first);
+    CPPUNIT_ASSERT_EQUAL(201, first->head.status);
+    const auto repeat = Ask("POST", "one", key);
+    WaitForAnswer(*repeat);
+    CPPUNIT_ASSERT_EQUAL(201, repeat->head.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), repeat->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("repeated"),
+                         std::string(quic::FindField(repeat->head.fields, "gaugevalve-outcome")));
+    const auto other = Ask("POST", "two", key);
+    WaitForAnswer(*other);
+    CPPUNIT_ASSERT_EQUAL(422, other->head.status);
+    CPPUNIT_ASSERT(endpoint_->Received(0).find("two") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoint_->Count());
+  }
+
+  void AMalformedDeadlineIsRefusedWithWords() {
+    const auto answer = Ask("GET", "", {{"grpc-timeout", "soon"}});
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT_EQUAL(400, answer->head.status);
+    CPPUNIT_ASSERT(answer->body.starts_with("grpc-timeout: "));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, endpoint_->Count());
+  }
+
   void AnEventStreamSurvivesADrainAndAChangeOfAddress() {
-    const auto events_answer = Ask("GET");
+    const auto events_answer = Ask("GET", "", {{"accept", "text/event-stream"}});
     WaitForRequest(1);
     endpoint_->Send(0, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n1\n\r\n");
     RunUntil(loop_.get(), [&] { return events_answer->body == "1\n"; });
--- a/daemons/common/include/gaugevalve/daemon/control_task.h
+++ b/daemons/common/include/gaugevalve/daemon/control_task.h
@@ -57,6 +57,13 @@
   // Says farewell and calls `done` once others have had time to hear it.
   void Leave(std::function<void()> done);
 
+  // Sends a message of the daemon's own to a live member; it may be lost, and is when the node
+  // isn't known here.
+  void SendToNode(base::NodeId node, transport::MessageKind kind, const std::string& payload);
+
+  // Sets who takes messages of a kind that isn't the control task's own.
+  void SetReceiver(transport::MessageKind kind, transport::PeerTransport::Receiver receiver);
+
   // Returns the control address, with the port the system chose.
   base::SocketAddress ControlAddress() const;
 
--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -122,6 +122,19 @@
   farewell_timer_.StartOnce(kFarewellTime);
 }
 
+void ControlTask::SendToNode(base::NodeId node, transport::MessageKind kind,
+                             const std::string& payload) {
+  const membership::Member* const member = node_->Directory().Find(node);
+  if (member != nullptr) {
+    transport_->Send(member->metadata->control_address, kind, payload);
+  }
+}
+
+void ControlTask::SetReceiver(transport::MessageKind kind,
+                              transport::PeerTransport::Receiver receiver) {
+  transport_->SetReceiver(kind, std::move(receiver));
+}
+
 base::SocketAddress ControlTask::ControlAddress() const {
   return transport_->Identity().control_address;
 }
--- a/libs/requests/include/gaugevalve/requests/request_outcome.h
+++ b/libs/requests/include/gaugevalve/requests/request_outcome.h
@@ -1,6 +1,7 @@
 // How a request ended, as its caller is told, and how that reads in HTTP.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <ostream>
@@ -39,6 +40,10 @@
   kDeadlineAfterStart,  // the deadline passed after it was sent to the endpoint
 };
 
+// Number of values of RefusalReason, which count from 0.
+inline constexpr std::size_t kRefusalReasonCount =
+    static_cast<std::size_t>(RefusalReason::kDeadlineAfterStart) + 1;
+
 // What the caller of a refused request is sent, at once.
 struct Refusal {
   RequestOutcome outcome = RequestOutcome::kNotRun;
--- a/libs/requests/include/gaugevalve/requests/request_pipeline.h
+++ b/libs/requests/include/gaugevalve/requests/request_pipeline.h
@@ -35,7 +35,8 @@
 enum class EndpointEnd : std::uint8_t {
   kAnswered,  // a whole answer
   kRefused,   // a whole answer which says that the request was not run
-  kNotSent,   // no connection: no byte left this agent
+  kNotSent,   // no connection: no byte left this agent, and it can be sent again
+  kBodyGone,  // no byte left this agent either, but parts of the body can't be had again
   kFailed,    // broken off after the first byte
 };
 
@@ -93,7 +94,9 @@
   void StartDraining() { admission_.SetDraining(true); }
 
   const AdmissionQueue& Admission() const { return admission_; }
-  std::size_t RequestCount() const { return requests_.size(); }
+
+  // Returns whether the request has not ended yet.
+  bool Knows(RequestId id) const { return requests_.contains(id); }
 
  private:
   enum class Stage : std::uint8_t { kAwaitingPermit, kWaiting, kRunning, kStreaming };
@@ -108,7 +111,7 @@
 
   void OpenStream(const ArrivedRequest& request, PipelineActions& actions);
   void Admit(Request& request, base::TimePoint now, PipelineActions& actions);
-  void Take(AdmissionActions admitted, base::TimePoint now, PipelineActions& actions);
+  void Take(const AdmissionActions& admitted, base::TimePoint now, PipelineActions& actions);
   void Take(AtMostOnceActions keyed, base::TimePoint now, PipelineActions& actions);
   void RefuseHere(const RefusedRequest& refused, base::TimePoint now, PipelineActions& actions);
   bool Retry(Request& request, base::TimePoint now, PipelineActions& actions);
--- a/libs/requests/src/request_pipeline.cpp
+++ b/libs/requests/src/request_pipeline.cpp
@@ -11,7 +11,7 @@
 }
 
 Refusal RefusalOf(EndpointEnd end) {
-  if (end == EndpointEnd::kNotSent) {
+  if (end == EndpointEnd::kNotSent || end == EndpointEnd::kBodyGone) {
     return {RequestOutcome::kNotRun, RefusalReason::kEndpointDown, std::chrono::seconds(1)};
   }
   return {RequestOutcome::kOutcomeUnknown, RefusalReason::kEndpointFailed, base::Duration(0)};
@@ -23,6 +23,7 @@
       return ExecutionState::kAnswered;
     case EndpointEnd::kRefused:
     case EndpointEnd::kNotSent:
+    case EndpointEnd::kBodyGone:
       return ExecutionState::kNotRun;
     case EndpointEnd::kFailed:
       return ExecutionState::kUnknown;
@@ -85,7 +86,7 @@
   Take(admission_.Submit(request.admission, now), now, actions);
 }
 
-void RequestPipeline::Take(AdmissionActions admitted, base::TimePoint now,
+void RequestPipeline::Take(const AdmissionActions& admitted, base::TimePoint now,
                            PipelineActions& actions) {
   for (const RequestId id : admitted.start) {
     requests_.at(id).stage = Stage::kRunning;
