--- a/cmake/GaugevalveTargets.cmake
+++ b/cmake/GaugevalveTargets.cmake
@@ -9,6 +9,13 @@
   target_link_options(gaugevalve_options INTERFACE -fsanitize=address,undefined)
 endif()
 
+# Labels the tests declared below proofs/, so that a run can leave them out or run only them.
+function(gaugevalve_label_proof test)
+  if(CMAKE_CURRENT_SOURCE_DIR MATCHES "/proofs/")
+    set_tests_properties(${test} PROPERTIES LABELS proof)
+  endif()
+endfunction()
+
 # gaugevalve_library(<name> [SOURCES ...] [DEPENDS ...] [GENERATED ...])
 # Declares libs/<name> as the target gaugevalve::<name>. Its public headers are below include/;
 # committed generated code (protobuf) is below generated/ and is compiled without our warnings.
@@ -61,6 +68,7 @@
   target_link_libraries(${name} PRIVATE gaugevalve_options gaugevalve::testing ${ARG_DEPENDS})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
   add_test(NAME ${name} COMMAND ${name})
+  gaugevalve_label_proof(${name})
 endfunction()
 
 # gaugevalve_proof(<name> [SOURCES ...] [DEPENDS ...] [ARGUMENTS ...])
@@ -75,6 +83,7 @@
   target_link_libraries(${name} PRIVATE gaugevalve_options gaugevalve::proof ${ARG_DEPENDS})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/proofs)
   add_test(NAME ${name} COMMAND ${name} ${ARG_ARGUMENTS})
+  gaugevalve_label_proof(${name})
 endfunction()
 
 # gaugevalve_fuzzer(<name> [SOURCES ...] [DEPENDS ...])
