--- a/standins/store/src/store_server.cpp
+++ b/standins/store/src/store_server.cpp
@@ -154,6 +154,7 @@
 
 bool StoreServer::RefuseByFault(evhttp_request* request) {
   if (faults_.outage == Outage::kHang) {
+    hung_.push_back(request);
     return true;  // no answer, ever
   }
   if (faults_.outage == Outage::kUnavailable) {
@@ -232,8 +233,9 @@
       std::ranges::find_if(delayed_, [&](const auto& entry) { return entry.get() == &delayed; });
   // Destroyed later: this runs in the answer's own timer.
   finished_.splice(finished_.end(), delayed_, position);
-  if (delayed.close) {
-    evhttp_connection_free(evhttp_request_get_connection(delayed.request));
+  evhttp_connection* connection = evhttp_request_get_connection(delayed.request);
+  if (delayed.close && connection != nullptr) {
+    evhttp_connection_free(connection);
   } else {
     SendNow(delayed.request, delayed.status, delayed.body);
   }
@@ -245,7 +247,23 @@
     return evhttp_request_get_connection(request) == connection;
   };
   watches_.remove_if([&](const WatchStream& watch) { return is_gone(watch.request()); });
+  hung_.remove_if(is_gone);
   delayed_.remove_if([&](const auto& answer) { return is_gone(answer->request); });
+  DropOrphans();
+}
+
+// A request whose caller hung up has no connection any more, and libevent leaves it to us.
+void StoreServer::DropOrphans() {
+  const auto free_if_orphan = [](evhttp_request* request) {
+    if (evhttp_request_get_connection(request) != nullptr) {
+      return false;
+    }
+    evhttp_request_free(request);
+    return true;
+  };
+  watches_.remove_if([&](const WatchStream& watch) { return free_if_orphan(watch.request()); });
+  hung_.remove_if(free_if_orphan);
+  delayed_.remove_if([&](const auto& answer) { return free_if_orphan(answer->request); });
 }
 
 void StoreServer::CloseConnections() {
--- a/standins/store/src/store_server.h
+++ b/standins/store/src/store_server.h
@@ -76,6 +76,7 @@
              base::Duration delay);
   void FinishDelayed(DelayedAnswer& delayed);
   void Forget(evhttp_connection* connection);
+  void DropOrphans();
   void CloseConnections();
   void NotifyWatches();
 
@@ -91,6 +92,7 @@
   std::unique_ptr<store::TokenBucket> rate_limit_;  // null: none
   std::set<evhttp_connection*> connections_;
   std::list<WatchStream> watches_;
+  std::list<evhttp_request*> hung_;  // never answered
   std::list<std::unique_ptr<DelayedAnswer>> delayed_;
   std::list<std::unique_ptr<DelayedAnswer>> finished_;  // sent; freed at the next timer
 };
