--- a/daemons/agent/src/request_service.cpp
+++ b/daemons/agent/src/request_service.cpp
@@ -179,8 +179,8 @@
   return request;
 }
 
-void RequestService::Perform(requests::PipelineActions actions) {
-  for (requests::OutgoingMessage& outgoing : actions.send) {
+void RequestService::Perform(const requests::PipelineActions& actions) {
+  for (const requests::OutgoingMessage& outgoing : actions.send) {
     peer_sender_(outgoing.destination, outgoing.message.SerializeAsString());
   }
   for (const requests::RequestId id : actions.abandon) {
--- a/daemons/agent/src/request_service.h
+++ b/daemons/agent/src/request_service.h
@@ -76,7 +76,7 @@
                const requests::StoredAnswer& answer) override;
   void OnCancelled(requests::RequestId id) override;
 
-  void Perform(requests::PipelineActions actions);
+  void Perform(const requests::PipelineActions& actions);
   void Start(requests::RequestId id);
   void Refuse(const requests::RefusedRequest& refused);
   AdmittedRequest* Forget(requests::RequestId id);
