--- a/libs/telemetry/src/admin_server.cpp
+++ b/libs/telemetry/src/admin_server.cpp
@@ -13,6 +13,7 @@
 
 #include <exception>
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -89,6 +90,28 @@
   std::map<std::string, Handler> handlers;
   std::string unhealthy_reason;
   std::unique_ptr<evhtp_t, EvhtpDeleter> server;
+  // evhtp leaves open connections to themselves when it is freed; these are closed before.
+  std::set<evhtp_connection_t*> connections;
+
+  ~Implementation() {
+    const std::set<evhtp_connection_t*> open = connections;
+    for (evhtp_connection_t* const connection : open) {
+      evhtp_connection_free(connection);
+    }
+  }
+
+  static evhtp_res OnAccept(evhtp_connection_t* connection, void* self) {
+    static_cast<Implementation*>(self)->connections.insert(connection);
+    evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
+                              reinterpret_cast<evhtp_hook>(reinterpret_cast<void*>(&OnClosed)),
+                              self);
+    return EVHTP_RES_OK;
+  }
+
+  static evhtp_res OnClosed(evhtp_connection_t* connection, void* self) {
+    static_cast<Implementation*>(self)->connections.erase(connection);
+    return EVHTP_RES_OK;
+  }
 
   static void OnRequest(evhtp_request_t* native, void* self) {
     static_cast<Implementation*>(self)->Answer(native);
@@ -132,6 +155,7 @@
   implementation_->server.reset(evhtp_new(base, nullptr));
   evhtp_t* const server = implementation_->server.get();
   evhtp_set_max_body_size(server, kMaxBodyBytes);
+  evhtp_set_post_accept_cb(server, &Implementation::OnAccept, implementation_.get());
   evhtp_set_gencb(server, &Implementation::OnRequest, implementation_.get());
 
   sockaddr_storage native{};
