--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -182,7 +182,7 @@
   void StartDrain() {
     telemetry::Event(telemetry::Level::kInfo, "drain_started")
         .Field("open_flows", status_.report.open_flows);
-    admin_.SetUnhealthy("draining");
+    admin_.AddReadinessCheck([] { return std::vector<std::string>{"draining"}; });
     drain_started_ = clock_.Now();
     worker_.Send(agent::StartDraining());
     if (control_ != nullptr) {
--- a/daemons/balancer/src/main.cpp
+++ b/daemons/balancer/src/main.cpp
@@ -110,7 +110,7 @@
   void StartDrain() {
     telemetry::Event(telemetry::Level::kInfo, "drain_started")
         .Field("name", command_line_.settings.name);
-    admin_.SetUnhealthy("draining");
+    admin_.AddReadinessCheck([] { return std::vector<std::string>{"draining"}; });
     drain_started_ = clock_.Now();
     drain_timer_.StartPeriodic(kDrainPollPeriod);
     if (control_ != nullptr) {
--- a/daemons/common/include/gaugevalve/daemon/control_task.h
+++ b/daemons/common/include/gaugevalve/daemon/control_task.h
@@ -9,6 +9,7 @@
 
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/control/control_node.h"
+#include "gaugevalve/control/readiness.h"
 #include "gaugevalve/control/status_document.h"
 #include "gaugevalve/lease/lease_task.h"
 #include "gaugevalve/settings/node_settings.h"
@@ -37,8 +38,9 @@
   // Called when a newer process has this node's name: this one must end.
   using SupersededHandler = std::function<void()>;
 
-  // Listens on the node's control address and adds /status and /explain to `admin`. `loop` and
-  // `admin` must outlive the task. Throws transport::TransportError when it can't listen.
+  // Listens on the node's control address and adds /status, /explain and a readiness check to
+  // `admin`. `loop` and `admin` must outlive the task. Throws transport::TransportError when it
+  // can't listen.
   ControlTask(event_base* loop, const ControlTaskSettings& settings, telemetry::AdminServer& admin,
               ViewHandler view_handler, SupersededHandler superseded_handler);
   ~ControlTask() override;
@@ -95,6 +97,7 @@
   SupersededHandler superseded_handler_;
   std::unique_ptr<transport::NngPeerTransport> transport_;
   std::unique_ptr<control::ControlNode> node_;
+  control::Readiness readiness_;
   std::optional<StoreAccess> store_;
   base::TimePoint unwanted_since_{};  // the store isn't this node's to read since then
   base::TimePoint next_review_{};
--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -293,6 +293,7 @@
 }
 
 void ControlTask::AddHandlers(telemetry::AdminServer& admin) {
+  admin.AddReadinessCheck([this] { return readiness_.Missing(*node_); });
   admin.Handle("/status", [this](const telemetry::AdminRequest&) {
     return telemetry::AdminResponse{200, kJson,
                                     control::FormatStatus(*node_, StoreState(), clock_.Now())};
--- /dev/null
+++ b/libs/control/include/gaugevalve/control/readiness.h
@@ -0,0 +1,23 @@
+// Whether a node can take traffic (docs/operators/control-plane.md).
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "gaugevalve/control/control_node.h"
+
+namespace gaugevalve::control {
+
+// Says what a starting node still lacks. Once nothing was missing it stays ready: a service that is
+// added later must not take every balancer out of the fabric at once. Decision core; not
+// thread-safe.
+class Readiness {
+ public:
+  // Returns each thing that is missing, in words for operators; nothing when the node is ready.
+  std::vector<std::string> Missing(const ControlNode& node);
+
+ private:
+  bool was_ready_ = false;
+};
+
+}  // namespace gaugevalve::control
--- a/libs/settings/include/gaugevalve/settings/node_settings.h
+++ b/libs/settings/include/gaugevalve/settings/node_settings.h
@@ -68,7 +68,7 @@
   std::string zone;
   base::SocketAddress data_address;                   // datagrams; peers are told this address
   base::SocketAddress control_address;                // nng; peers are told this address
-  base::SocketAddress admin_address;                  // /metrics, /healthz, /status
+  base::SocketAddress admin_address;                  // /metrics, /healthz, /readyz, /status
   std::vector<base::SocketAddress> seed_peers;        // control addresses asked first
   std::vector<base::SocketAddress> store_endpoints;   // etcd v3 JSON over HTTP
   std::optional<base::SocketAddress> egress_address;  // fabric's way out; agents need it
--- a/libs/settings/src/node_keys.cpp
+++ b/libs/settings/src/node_keys.cpp
@@ -16,7 +16,7 @@
     {"zone", kRequired, "Zone the machine is in."},
     {"data_address", kRequired, "IP:port for datagrams. Peers are told it; port 0: any free one."},
     {"control_address", kRequired, "IP:port for the nodes' own messages (nng). Peers are told it."},
-    {"admin_address", kRequired, "IP:port for /metrics, /healthz and /status over HTTP."},
+    {"admin_address", kRequired, "IP:port for /metrics, /healthz, /readyz and /status over HTTP."},
     {"seed_peers", kOptional, "List of control addresses to ask first when joining."},
     {"store_endpoints", kOptional, "List of IP:port of the store's etcd v3 JSON gateways."},
     {"egress_address", kForAgents, "IP:port of the fabric's way out, where answers are sent."},
--- a/libs/telemetry/include/gaugevalve/telemetry/admin_server.h
+++ b/libs/telemetry/include/gaugevalve/telemetry/admin_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gaugevalve/base/socket_address.h"
 
@@ -33,13 +34,17 @@
   std::string body;
 };
 
-// Serves GET /metrics (Prometheus text format), GET /healthz and added handlers over HTTP/1.1
-// (libevhtp) on an event loop of the caller's. All calls and handlers run on that loop's thread.
+// Serves GET /metrics (Prometheus text format), GET /healthz (liveness: 200 while the loop turns),
+// GET /readyz (readiness: 200, or 503 with the reasons, one a line) and added handlers over
+// HTTP/1.1 (libevhtp) on an event loop of the caller's. All calls and handlers run on that loop's
+// thread.
 class AdminServer {
  public:
   static constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 
   using Handler = std::function<AdminResponse(const AdminRequest&)>;
+  // Returns why the process can't take traffic now, in words for operators; nothing when it can.
+  using ReadinessCheck = std::function<std::vector<std::string>()>;
 
   // Binds `address`; port 0 lets the system choose. `base` must outlive the server. Throws
   // std::runtime_error, naming the address, when it can't be bound.
@@ -56,8 +61,8 @@
   // exception from the handler is answered 500 with its text.
   void Handle(const std::string& path, Handler handler);
 
-  // Sets what GET /healthz answers: 200 "ok" when empty, else 503 with these words.
-  void SetUnhealthy(std::string reason);
+  // Adds a check to those that GET /readyz asks. A process without any is ready.
+  void AddReadinessCheck(ReadinessCheck check);
 
  private:
   struct Implementation;
--- a/libs/telemetry/src/admin_server.cpp
+++ b/libs/telemetry/src/admin_server.cpp
@@ -88,7 +88,7 @@
 struct AdminServer::Implementation {
   std::shared_ptr<prometheus::Registry> registry;
   std::map<std::string, Handler> handlers;
-  std::string unhealthy_reason;
+  std::vector<ReadinessCheck> readiness_checks;
   std::unique_ptr<evhtp_t, EvhtpDeleter> server;
   // evhtp leaves open connections to themselves when it is freed; these are closed before.
   std::set<evhtp_connection_t*> connections;
@@ -140,12 +140,17 @@
     return {kOk, "text/plain; version=0.0.4", serializer.Serialize(registry->Collect())};
   }
 
-  AdminResponse Health() const {
-    if (unhealthy_reason.empty()) {
-      return {kOk, "text/plain", "ok\n"};
+  AdminResponse Readiness() const {
+    std::string reasons;
+    for (const ReadinessCheck& check : readiness_checks) {
+      for (const std::string& reason : check()) {
+        reasons += reason + "\n";
+      }
     }
-    return {kUnavailable, "text/plain", unhealthy_reason + "\n"};
+    return reasons.empty() ? Alive() : AdminResponse{kUnavailable, "text/plain", reasons};
   }
+
+  static AdminResponse Alive() { return {kOk, "text/plain", "ok\n"}; }
 };
 
 AdminServer::AdminServer(event_base* base, const base::SocketAddress& address,
@@ -166,7 +171,8 @@
   }
   Implementation* const self = implementation_.get();
   Handle("/metrics", [self](const AdminRequest&) { return self->Metrics(); });
-  Handle("/healthz", [self](const AdminRequest&) { return self->Health(); });
+  Handle("/healthz", [](const AdminRequest&) { return Implementation::Alive(); });
+  Handle("/readyz", [self](const AdminRequest&) { return self->Readiness(); });
 }
 
 AdminServer::~AdminServer() = default;
@@ -183,8 +189,8 @@
   implementation_->handlers[path] = std::move(handler);
 }
 
-void AdminServer::SetUnhealthy(std::string reason) {
-  implementation_->unhealthy_reason = std::move(reason);
+void AdminServer::AddReadinessCheck(ReadinessCheck check) {
+  implementation_->readiness_checks.push_back(std::move(check));
 }
 
 }  // namespace gaugevalve::telemetry
--- a/libs/telemetry/tests/admin_server_test.cpp
+++ b/libs/telemetry/tests/admin_server_test.cpp
@@ -22,7 +22,7 @@
 class AdminServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdminServerTest);
   CPPUNIT_TEST(ServesMetrics);
-  CPPUNIT_TEST(HealthTellsTheReason);
+  CPPUNIT_TEST(ReadinessTellsEveryReasonAndLivenessNone);
   CPPUNIT_TEST(HandlerSeesQueryAndItsFailureIsAnswered);
   CPPUNIT_TEST(UnknownPageIsNotFound);
   CPPUNIT_TEST_SUITE_END();
@@ -49,12 +49,17 @@
                    std::string::npos);
   }
 
-  void HealthTellsTheReason() {
-    CPPUNIT_ASSERT_EQUAL(200, Get("/healthz").status);
-    server_->SetUnhealthy("no settings yet");
-    const Answer answer = Get("/healthz");
+  void ReadinessTellsEveryReasonAndLivenessNone() {
+    CPPUNIT_ASSERT_EQUAL(200, Get("/readyz").status);
+    std::vector<std::string> reasons{"no settings yet", "no table"};
+    server_->AddReadinessCheck([&] { return reasons; });
+    server_->AddReadinessCheck([] { return std::vector<std::string>{"draining"}; });
+    const Answer answer = Get("/readyz");
     CPPUNIT_ASSERT_EQUAL(503, answer.status);
-    CPPUNIT_ASSERT_EQUAL(std::string("no settings yet\n"), answer.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("no settings yet\nno table\ndraining\n"), answer.body);
+    reasons.clear();
+    CPPUNIT_ASSERT_EQUAL(std::string("draining\n"), Get("/readyz").body);
+    CPPUNIT_ASSERT_EQUAL(200, Get("/healthz").status);
   }
 
   void HandlerSeesQueryAndItsFailureIsAnswered() {
--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -226,7 +226,7 @@
             [f"--name={name}", f"--service={service}", f"--datagram={endpoint.datagram_address}",
              f"--http={endpoint.http_address}", f"--admin={endpoint.admin_address}"],
             endpoint.admin_address)
-        impostor.wait_healthy()
+        impostor.wait_ready()
         self.deployment.backends[endpoint.name] = impostor
         self.addCleanup(self._restore, endpoint.name, old, impostor)
 
@@ -235,7 +235,7 @@
         impostor.wait(limit_seconds=60)
         self.deployment.backends[endpoint_name] = old
         old.start()
-        old.wait_healthy()
+        old.wait_ready()
 
     def _broken_by_cause(self, name: str, service: str) -> dict[str, int]:
         self.let_traffic_pass(4000)  # the endpoint has flows
--- a/scripts/local/admin.py
+++ b/scripts/local/admin.py
@@ -33,10 +33,10 @@
     return json.loads(request_text(address, path, body))
 
 
-def is_healthy(address: str) -> bool:
-    """Tells whether the process says that it is ready."""
+def is_ready(address: str) -> bool:
+    """Tells whether the process says that it can take traffic."""
     try:
-        request_text(address, "/healthz")
+        request_text(address, "/readyz")
     except AdminError:
         return False
     return True
--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -31,7 +31,7 @@
     def __enter__(self) -> "Deployment":
         try:
             self.store.start()
-            self.store.wait_healthy()
+            self.store.wait_ready()
             if self.spec.has_http3():
                 self._write_secrets()
             self.control("tree", "apply", str(nodes.write_tree(self.layout, self._directory)))
@@ -39,7 +39,7 @@
                 if process is not self.store:
                     process.start()
             for process in self.processes():
-                process.wait_healthy()
+                process.wait_ready()
             polling.wait_until(self.is_settled, "every node has its settings and tables")
         except BaseException:
             self.end()
--- a/scripts/local/processes.py
+++ b/scripts/local/processes.py
@@ -32,15 +32,15 @@
             self._process = psutil.Popen(self.command, stdin=subprocess.DEVNULL, stdout=output,
                                          stderr=log)
 
-    def wait_healthy(self) -> None:
+    def wait_ready(self) -> None:
         """Waits until the process says that it is ready; RuntimeError when it ends instead."""
 
         def is_ready() -> bool:
             if not self.is_running():
                 raise RuntimeError(f"{self.name} ended with {self.exit_code()}:\n{self.log_tail()}")
-            return admin.is_healthy(self.admin_address)
+            return admin.is_ready(self.admin_address)
 
-        polling.wait_until(is_ready, f"{self.name} is healthy")
+        polling.wait_until(is_ready, f"{self.name} is ready")
 
     def is_running(self) -> bool:
         """Tells whether the process lives, frozen ones included."""
