--- a/libs/control/include/gaugevalve/control/planner_host.h
+++ b/libs/control/include/gaugevalve/control/planner_host.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,7 @@
 #include "gaugevalve/control/member_directory.h"
 #include "gaugevalve/control/planner_election.h"
 #include "gaugevalve/control/roster.h"
+#include "gaugevalve/membership/member.h"
 #include "gaugevalve/routing/bucket_table.h"
 #include "gaugevalve/routing/service_planner.h"
 #include "gaugevalve/settings/effective_settings.h"
@@ -54,12 +56,21 @@
   // Tells the planner of a service that its agents changed.
   void UpdateAgents(base::ServiceId service, const PlanningContext& context, base::TimePoint now);
 
+  // Tells the planner of a service that this life of an agent said farewell: its buckets needn't
+  // wait. Call before the UpdateAgents() that leaves it out.
+  void NoteFarewell(base::ServiceId service, base::NodeId agent, base::Incarnation life);
+
+  // Notes that an agent was declared dead, for planners that start soon after. Call before the
+  // UpdateAgents() that leaves it out.
+  void NoteFailure(const membership::Member& agent, base::TimePoint now);
+
   // Tells the planner of a service that a newer table than its own has come: another planner's.
   // This one takes over again if it is still elected.
   void OnForeignTable(base::ServiceId service, const routing::TableVersion& version,
                       base::TimePoint now);
 
-  // Takes a report; returns the answer if this node plans the service.
+  // Takes a report; returns the answer if this node plans the service and the report is one of an
+  // agent that it knows to be alive. An answer lets the agent open flows for a while.
   std::optional<ReportAnswer> TakeReport(const NumberedReport& report, base::TimePoint now);
 
   // Runs the planners that are due; returns the tables that changed.
@@ -81,15 +92,24 @@
     std::map<base::NodeId, routing::AgentReport> early_reports;
   };
 
+  // An agent that was declared dead lately: its table may not be too old yet to open flows.
+  struct Failure {
+    membership::Member agent;
+    base::TimePoint at;
+  };
+
   void StartCollecting(base::ServiceId service, const ElectedPlanner& elected, std::uint64_t epoch,
                        base::TimePoint now);
   void StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
                      const PlanningContext& context, base::TimePoint now);
   base::Duration StepInterval(std::size_t service_count) const;
+  void AppendFailures(const settings::ServiceSettings& service, const MemberDirectory& directory,
+                      base::TimePoint now, std::vector<routing::AgentStatus>& statuses) const;
 
   base::NodeId self_;
   PlannerHostOptions options_;
   std::map<base::ServiceId, Hosted> hosted_;
+  std::deque<Failure> failures_;  // of the last kDeadAgentHold, oldest first; at most one an agent
 };
 
 }  // namespace gaugevalve::control
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -152,6 +152,11 @@
   } else {
     agents_stale_.insert(event.member.metadata->service);
   }
+  if (event.kind == membership::EventKind::kLeft) {
+    planners_.NoteFarewell(event.member.metadata->service, node, event.member.metadata->life);
+  } else if (event.kind == membership::EventKind::kFailed) {
+    planners_.NoteFailure(event.member, now);
+  }
   next_duty_ = now;
 }
 
--- a/libs/control/src/planner_host.cpp
+++ b/libs/control/src/planner_host.cpp
@@ -101,6 +101,34 @@
   }
 }
 
+void PlannerHost::NoteFarewell(base::ServiceId service, base::NodeId agent,
+                               base::Incarnation life) {
+  const auto found = hosted_.find(service);
+  if (found != hosted_.end() && found->second.planner != nullptr) {
+    found->second.planner->NoteFarewell(agent, life);
+  }
+}
+
+void PlannerHost::NoteFailure(const membership::Member& agent, base::TimePoint now) {
+  std::erase_if(failures_, [&](const Failure& failure) {
+    return failure.agent.node == agent.node || failure.at + routing::kDeadAgentHold <= now;
+  });
+  failures_.push_back({agent, now});
+}
+
+void PlannerHost::AppendFailures(const settings::ServiceSettings& service,
+                                 const MemberDirectory& directory, base::TimePoint now,
+                                 std::vector<routing::AgentStatus>& statuses) const {
+  for (const Failure& failure : failures_) {
+    const bool is_recent = now < failure.at + routing::kDeadAgentHold;
+    const bool is_ours = failure.agent.metadata->service == service.id;
+    if (is_recent && is_ours && directory.Find(failure.agent.node) == nullptr) {
+      statuses.push_back(StatusOf(failure.agent, service));
+      statuses.back().standing = routing::AgentStanding::kDead;
+    }
+  }
+}
+
 void PlannerHost::OnForeignTable(base::ServiceId service, const routing::TableVersion& version,
                                  base::TimePoint now) {
   const auto found = hosted_.find(service);
@@ -126,7 +154,11 @@
     }
     return std::nullopt;  // it knows no table yet that it could vouch for
   }
-  hosted.planner->TakeReport(numbered.report, now);
+  const routing::AgentReport& report = numbered.report;
+  if (!routing::ServicePlanner::MayAnswer(hosted.planner->TakeReport(report, now))) {
+    return std::nullopt;
+  }
+  hosted.planner->NoteAnswered(report.node, report.incarnation, now);
   return ReportAnswer{numbered.sequence, hosted.planner->Table().version};
 }
 
@@ -144,10 +176,11 @@
     if (hosted.planner == nullptr) {
       StartPlanning(*settings, hosted, context, now);
     }
-    hosted.next_step = now + kShortestStep;
     if (hosted.planner->Step(now).has_value()) {
       changed.push_back(hosted.planner->Table());
     }
+    const base::TimePoint regular = now + kShortestStep;
+    hosted.next_step = std::min(regular, hosted.planner->NextRelease().value_or(regular));
   }
   return changed;
 }
@@ -169,7 +202,9 @@
   if (newest.has_value()) {
     hosted.planner->TakeOver(std::move(*newest));
   }
-  hosted.planner->SetAgents(StatusesOf(service, context.directory), now);
+  std::vector<routing::AgentStatus> statuses = StatusesOf(service, context.directory);
+  AppendFailures(service, context.directory, now, statuses);
+  hosted.planner->SetAgents(std::move(statuses), now);
   for (const auto& [node, report] : hosted.early_reports) {
     hosted.planner->TakeReport(report, now);
   }
--- a/libs/flow/include/gaugevalve/flow/bucket_ownership.h
+++ b/libs/flow/include/gaugevalve/flow/bucket_ownership.h
@@ -12,6 +12,7 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/flow/drop_reason.h"
 #include "gaugevalve/routing/bucket_table.h"
+#include "gaugevalve/routing/freshness.h"
 #include "gaugevalve/wire/forwarding_header.h"
 
 namespace gaugevalve::flow {
@@ -31,8 +32,8 @@
 // When an agent may open flows.
 struct OwnershipSettings {
   // Time since NodeView::confirmed_at after which the agent opens no flow. Must be below the time
-  // after which a silent agent is taken for dead, which is when others may open its flows.
-  base::Duration freshness_limit = std::chrono::milliseconds(2500);
+  // for which planners hold the buckets of an agent that was declared dead.
+  base::Duration freshness_limit = routing::kFreshnessLimit;
   // A gap between two calls of NoteTime() by which the agent knows that it was frozen, when others
   // may have taken it for dead sooner than that. It then opens no flow until its table is confirmed
   // anew.
--- a/libs/routing/include/gaugevalve/routing/agent_status.h
+++ b/libs/routing/include/gaugevalve/routing/agent_status.h
@@ -11,7 +11,7 @@
 enum class AgentStanding : std::uint8_t {
   kLive = 0,     // owns buckets and opens flows
   kLeaving = 1,  // keeps its flows, gets no new ones
-  kDead = 2,     // its flows are lost
+  kDead = 2,     // declared dead; may still run unseen
 };
 
 // One agent of a service as membership and settings know it.
--- a/libs/routing/include/gaugevalve/routing/planner_settings.h
+++ b/libs/routing/include/gaugevalve/routing/planner_settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/routing/freshness.h"
 
 namespace gaugevalve::routing {
 
@@ -23,6 +24,9 @@
   // it decides anything.
   base::Duration take_over_settling = std::chrono::seconds(3);
 
+  // Time from the last answer to an agent that was declared dead until its buckets are given away.
+  base::Duration dead_agent_hold = kDeadAgentHold;
+
   // Bound on the moves that aren't forced by a dead or leaving owner: at most this many a step ...
   std::uint32_t max_moves_per_step = 8;
   // ... and this many a minute on average. Unused allowance is kept up to one minute's worth.
--- a/libs/routing/include/gaugevalve/routing/service_planner.h
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -14,6 +14,7 @@
 #include "gaugevalve/routing/agent_status.h"
 #include "gaugevalve/routing/assignment_policy.h"
 #include "gaugevalve/routing/bucket_table.h"
+#include "gaugevalve/routing/dead_agent_hold.h"
 #include "gaugevalve/routing/move_budget.h"
 #include "gaugevalve/routing/planner_settings.h"
 #include "gaugevalve/routing/report_ledger.h"
@@ -34,10 +35,11 @@
 // The rules that keep flows in place. All are always on in the product; proofs switch one off to
 // show that they would notice.
 struct PlannerMechanisms {
-  bool keep_previous_owner = true;      // in the chain, when a bucket moves
-  bool current_reports_only = true;     // shorten a chain
-  bool restore_holders = true;          // put agents that report flows back into the chain
-  bool start_over_on_take_over = true;  // new versions and full chains for every bucket
+  bool keep_previous_owner = true;       // in the chain, when a bucket moves
+  bool current_reports_only = true;      // shorten a chain
+  bool restore_holders = true;           // put agents that report flows back into the chain
+  bool start_over_on_take_over = true;   // new versions and full chains for every bucket
+  bool hold_buckets_of_the_dead = true;  // until an agent cut off from control opens nothing
 };
 
 // Counts since the planner was made, for metrics.
@@ -65,6 +67,12 @@
 //   every bucket then gets a new version, and its chain is filled with the other agents. They leave
 //   it with their next report of no flow. Reports from before shorten no chain. In a service of
 //   more than kMaxPreviousOwners + 1 agents those with the most flows in the bucket are taken.
+// - An agent that was declared dead, or is missing, may still run, cut off from control but not
+// from
+//   balancers. Its buckets stay as they are, and it stays in chains, until PlannerSettings'
+//   `dead_agent_hold` after the last answer to it. There is no wait after its farewell, or when
+//   another life of it is there. Whoever takes over must be told of the agents that died during that
+//   time before: the table it takes over needn't list them.
 // - Moves that aren't forced by a dead or leaving owner are bounded per step and per minute.
 //
 // Memory: one table, one report for each agent. Not thread-safe; time mustn't go backwards.
@@ -86,13 +94,24 @@
   // older than (epoch, generation, 1).
   void TakeOver(BucketTable table);
 
-  // Replaces the list of the service's agents. One that is missing counts as dead. When two entries
-  // name one node the larger incarnation counts.
+  // Replaces the list of the service's agents. One that is missing counts as declared dead. When
+  // two entries name one node the larger incarnation counts.
   void SetAgents(std::vector<AgentStatus> agents, base::TimePoint now);
 
   // Takes an agent's report.
   ReportOutcome TakeReport(const AgentReport& report, base::TimePoint now);
 
+  // Tells whether a report with this outcome may be answered. The answer lets the agent open flows
+  // for a while, so no agent that was declared dead gets one, nor any by a superseded planner.
+  static bool MayAnswer(ReportOutcome outcome);
+
+  // Notes that a report of this life of an agent is answered now. Without it an agent that is
+  // declared dead is taken for one that was answered just before.
+  void NoteAnswered(base::NodeId node, base::Incarnation incarnation, base::TimePoint now);
+
+  // Notes that this life of an agent said farewell, before SetAgents() leaves it out.
+  void NoteFarewell(base::NodeId node, base::Incarnation incarnation);
+
   // Decides what changes at `now`. Call it after events and at least once a step interval. Returns
   // the delta to spread; table() already has it applied.
   std::optional<TableDelta> Step(base::TimePoint now);
@@ -100,6 +119,10 @@
   // The present table; valid until the next TakeOver() or Step().
   const BucketTable& Table() const { return table_; }
 
+  // Returns when the buckets of a dead agent are next free to be given away; nothing when none
+  // wait.
+  std::optional<base::TimePoint> NextRelease() const { return dead_agents_.NextRelease(); }
+
   const PlannerCounters& Counters() const { return counters_; }
 
  private:
@@ -110,13 +133,18 @@
   };
 
   const AgentStatus* FindStatus(base::NodeId node) const;
-  bool IsAlive(base::NodeId node) const;
+  bool IsDeclaredAlive(base::NodeId node) const;
+  bool MayHoldFlows(base::NodeId node) const;
   void NoteLife(const AgentStatus& status, base::TimePoint now);
   ReportOutcome Check(const AgentReport& report) const;
   std::vector<AssignmentCandidate> MakeCandidates(base::TimePoint now);
-  std::vector<AssignmentBucket> MakeAssignmentBuckets(const BucketTable& table) const;
+  std::vector<base::BucketIndex> FreeBuckets(const BucketTable& table) const;
+  std::vector<AssignmentBucket> MakeAssignmentBuckets(
+      const BucketTable& table, const std::vector<base::BucketIndex>& indices) const;
+  Assignment Assign(const std::vector<AssignmentCandidate>& candidates, const BucketTable& table,
+                    std::size_t allowance) const;
   bool HoldsNothing(base::NodeId node, std::size_t index, const Bucket& bucket) const;
-  void ListAgents(BucketTable& next) const;
+  std::vector<AgentEntry> ListedAgents() const;
   void DropDeadFromChains(BucketTable& next) const;
   void UpdateChains(BucketTable& next);
   bool UpdateChain(std::size_t index, Bucket& bucket) const;
@@ -136,9 +164,9 @@
   std::vector<AgentStatus> agents_;  // sorted by node
   std::map<base::NodeId, Life> lives_;
   ReportLedger ledger_;
+  DeadAgentHold dead_agents_;
   MoveBudget budget_;
   bool took_over_ = false;                     // and hasn't decided anything since
-  TableVersion newest_reported_;               // of former planners
   std::optional<base::TimePoint> settled_at_;  // the latest time to wait for reports until
   bool urgent_ = true;                         // the agents changed since the last step
   base::TimePoint next_step_{};
--- a/libs/routing/src/service_planner.cpp
+++ b/libs/routing/src/service_planner.cpp
@@ -59,6 +59,7 @@
       epoch_(epoch),
       generation_(generation),
       ledger_(settings_.smoothing_time, settings_.report_timeout),
+      dead_agents_(settings_.dead_agent_hold),
       budget_(settings_.max_moves_per_step, settings_.max_moves_per_minute) {
   table_.service = service;
   table_.buckets.assign(settings_.bucket_count, Bucket{});
@@ -82,6 +83,9 @@
   }
   agents_ = std::move(sorted);
   urgent_ = true;
+  if (mechanisms_.hold_buckets_of_the_dead) {
+    dead_agents_.Update(table_.agents, agents_, now);
+  }
   ledger_.Retain([&](base::NodeId node, base::Incarnation incarnation) {
     const AgentStatus* status = FindStatus(node);
     return status != nullptr && status->entry.incarnation == incarnation;
@@ -111,17 +115,21 @@
   return found != agents_.end() && found->entry.node == node ? &*found : nullptr;
 }
 
-bool ServicePlanner::IsAlive(base::NodeId node) const {
+bool ServicePlanner::IsDeclaredAlive(base::NodeId node) const {
   const AgentStatus* status = FindStatus(node);
   return status != nullptr && status->standing != AgentStanding::kDead;
 }
 
+bool ServicePlanner::MayHoldFlows(base::NodeId node) const {
+  return IsDeclaredAlive(node) || dead_agents_.Holds(node);
+}
+
 ReportOutcome ServicePlanner::Check(const AgentReport& report) const {
   if (report.service != table_.service) {
     return ReportOutcome::kWrongService;
   }
   const AgentStatus* status = FindStatus(report.node);
-  if (status == nullptr) {
+  if (status == nullptr || status->standing == AgentStanding::kDead) {
     return ReportOutcome::kUnknownAgent;
   }
   if (report.incarnation != status->entry.incarnation) {
@@ -148,6 +156,26 @@
   return outcome;
 }
 
+bool ServicePlanner::MayAnswer(ReportOutcome outcome) {
+  switch (outcome) {
+    case ReportOutcome::kTaken:
+    case ReportOutcome::kOlderThanKnown:
+    case ReportOutcome::kWrongBucketCount:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void ServicePlanner::NoteAnswered(base::NodeId node, base::Incarnation incarnation,
+                                  base::TimePoint now) {
+  dead_agents_.NoteAnswered(node, incarnation, now);
+}
+
+void ServicePlanner::NoteFarewell(base::NodeId node, base::Incarnation incarnation) {
+  dead_agents_.NoteFarewell(node, incarnation);
+}
+
 std::vector<AssignmentCandidate> ServicePlanner::MakeCandidates(base::TimePoint now) {
   std::vector<AgentView> views;
   for (const AgentStatus& status : agents_) {
@@ -172,35 +200,64 @@
   return candidates;
 }
 
+// All buckets but those of held agents, which nobody else may be given.
+std::vector<base::BucketIndex> ServicePlanner::FreeBuckets(const BucketTable& table) const {
+  std::vector<base::BucketIndex> indices;
+  indices.reserve(table.buckets.size());
+  for (std::size_t position = 0; position < table.buckets.size(); ++position) {
+    if (!dead_agents_.Holds(table.buckets[position].owner)) {
+      indices.emplace_back(static_cast<std::uint16_t>(position));
+    }
+  }
+  return indices;
+}
+
 std::vector<AssignmentBucket> ServicePlanner::MakeAssignmentBuckets(
-    const BucketTable& table) const {
+    const BucketTable& table, const std::vector<base::BucketIndex>& indices) const {
   std::vector<AssignmentBucket> buckets;
-  buckets.reserve(table.buckets.size());
-  for (std::size_t index = 0; index < table.buckets.size(); ++index) {
-    const Bucket& bucket = table.buckets[index];
+  buckets.reserve(indices.size());
+  for (const base::BucketIndex index : indices) {
+    const Bucket& bucket = table.buckets[index.value()];
     const AgentEntry* owner = table.FindAgent(bucket.owner);
     AssignmentBucket& view = buckets.emplace_back();
     view.owner = bucket.owner;
     view.owner_zone = owner != nullptr ? owner->zone : std::string();
-    view.owner_alive = IsAlive(bucket.owner);
-    view.flows_at_owner = ledger_.FlowsInBucket(bucket.owner, index).value_or(0);
+    view.owner_alive = IsDeclaredAlive(bucket.owner);
+    view.flows_at_owner = ledger_.FlowsInBucket(bucket.owner, index.value()).value_or(0);
     view.previous_owners = bucket.previous_owners;
   }
   return buckets;
 }
 
-void ServicePlanner::ListAgents(BucketTable& next) const {
-  next.agents.clear();
+Assignment ServicePlanner::Assign(const std::vector<AssignmentCandidate>& candidates,
+                                  const BucketTable& table, std::size_t allowance) const {
+  const std::vector<base::BucketIndex> indices = FreeBuckets(table);
+  Assignment assignment =
+      policies_.assignment->Assign(candidates, MakeAssignmentBuckets(table, indices), allowance);
+  for (std::vector<BucketMove>* moves : {&assignment.forced, &assignment.optional}) {
+    for (BucketMove& move : *moves) {
+      move.index = indices[move.index.value()];
+    }
+  }
+  return assignment;
+}
+
+std::vector<AgentEntry> ServicePlanner::ListedAgents() const {
+  std::vector<AgentEntry> agents;
   for (const AgentStatus& status : agents_) {
     if (status.standing != AgentStanding::kDead) {
-      next.agents.push_back(status.entry);
+      agents.push_back(status.entry);
     }
   }
+  dead_agents_.AppendTo(agents);
+  std::sort(agents.begin(), agents.end(),
+            [](const AgentEntry& left, const AgentEntry& right) { return left.node < right.node; });
+  return agents;
 }
 
 void ServicePlanner::DropDeadFromChains(BucketTable& next) const {
   for (Bucket& bucket : next.buckets) {
-    std::erase_if(bucket.previous_owners, [&](base::NodeId node) { return !IsAlive(node); });
+    std::erase_if(bucket.previous_owners, [&](base::NodeId node) { return !MayHoldFlows(node); });
   }
 }
 
@@ -228,7 +285,7 @@
     const bool holds_flows = ledger_.FlowsInBucket(node, index).value_or(0) > 0;
     const bool named = node == bucket.owner || Contains(bucket.previous_owners, node);
     const bool has_room = bucket.previous_owners.size() < kMaxPreviousOwners;
-    if (holds_flows && !named && has_room && IsAlive(node)) {
+    if (holds_flows && !named && has_room && IsDeclaredAlive(node)) {
       bucket.previous_owners.push_back(node);
     }
   }
@@ -250,7 +307,7 @@
   for (const BucketMove& move : moves) {
     Bucket& bucket = next.buckets[move.index.value()];
     std::erase(bucket.previous_owners, move.new_owner);
-    if (mechanisms_.keep_previous_owner && IsAlive(bucket.owner)) {
+    if (mechanisms_.keep_previous_owner && IsDeclaredAlive(bucket.owner)) {
       bucket.previous_owners.insert(bucket.previous_owners.begin(), bucket.owner);
     }
     bucket.owner = move.new_owner;
@@ -274,14 +331,14 @@
 }
 
 void ServicePlanner::FillChains(BucketTable& next) const {
+  const std::vector<AgentEntry> listed = ListedAgents();
   for (std::size_t index = 0; index < next.buckets.size(); ++index) {
     Bucket& bucket = next.buckets[index];
     std::vector<base::NodeId> others;
-    for (const AgentStatus& status : agents_) {
-      const base::NodeId node = status.entry.node;
-      const bool named = node == bucket.owner || Contains(bucket.previous_owners, node);
-      if (!named && IsAlive(node)) {
-        others.push_back(node);
+    for (const AgentEntry& agent : listed) {
+      const bool named = agent.node == bucket.owner || Contains(bucket.previous_owners, agent.node);
+      if (!named) {
+        others.push_back(agent.node);
       }
     }
     std::stable_sort(others.begin(), others.end(), [&](base::NodeId left, base::NodeId right) {
@@ -312,6 +369,7 @@
 }
 
 std::optional<TableDelta> ServicePlanner::Step(base::TimePoint now) {
+  urgent_ = dead_agents_.Release(now) || urgent_;
   if (!urgent_ && now < next_step_) {
     return std::nullopt;
   }
@@ -332,11 +390,10 @@
   } else {
     UpdateChains(next);
   }
-  const Assignment assignment =
-      policies_.assignment->Assign(candidates, MakeAssignmentBuckets(next), budget_.Available(now));
+  const Assignment assignment = Assign(candidates, next, budget_.Available(now));
   ApplyMoves(assignment.forced, next);
   ApplyMoves(assignment.optional, next);
-  ListAgents(next);
+  next.agents = ListedAgents();
   budget_.Spend(assignment.optional.size());
   counters_.forced_moves += assignment.forced.size();
   counters_.optional_moves += assignment.optional.size();
--- a/proofs/flow_ownership/src/flow_ownership_proof.cpp
+++ b/proofs/flow_ownership/src/flow_ownership_proof.cpp
@@ -194,6 +194,7 @@
   CPPUNIT_TEST(IgnoringPausesIsNoticed);
   CPPUNIT_TEST(IgnoringIncarnationsIsNoticed);
   CPPUNIT_TEST(AcceptingForeignDatagramsIsNoticed);
+  CPPUNIT_TEST(DeclaringDeadAtOnceIsNoticed);
   CPPUNIT_TEST(TrustingOldReportsIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +241,9 @@
   void AcceptingForeignDatagramsIsNoticed() {
     AssertNoticed(Mutant::kAcceptsForeign, "of another service");
   }
+  void DeclaringDeadAtOnceIsNoticed() {
+    AssertNoticed(Mutant::kDeclaresDeadAtOnce, "was taken for dead, hasn't heard of it and opened");
+  }
   void TrustingOldReportsIsNoticed() {
     AssertNoticed(Mutant::kTrustsOldReports, "opened the flow of agent");
   }
--- a/proofs/flow_ownership/src/flow_world.cpp
+++ b/proofs/flow_ownership/src/flow_world.cpp
@@ -12,6 +12,8 @@
 constexpr base::ServiceId kOtherService(8);
 constexpr std::size_t kMostMessages = 64;  // the network loses the oldest beyond that
 constexpr base::Duration kFreshnessLimit = flow::OwnershipSettings().freshness_limit;
+// The shortest silence after which membership may declare a death.
+constexpr base::Duration kShortestSilence = std::chrono::milliseconds(1400);
 
 base::SocketAddress AddressOf(std::size_t agent) {
   return base::SocketAddress::Ipv4(0x7f000001, static_cast<std::uint16_t>(agent));
@@ -47,7 +49,8 @@
 }
 
 FlowWorld::FlowWorld(Mutant mutant)
-    : planner_(kService, kBuckets, mutant),
+    : mutant_(mutant),
+      planner_(kService, kBuckets, mutant),
       agents_(MakeAgents(mutant)),
       oracle_(agents_, kService, kFreshnessLimit) {
   AdvanceTime(kFreshnessLimit);
@@ -105,7 +108,9 @@
 
 void FlowWorld::DeclareDead(std::size_t agent) {
   const base::TimePoint confirmed_at = LastConfirmation(agent, planner_.Tables().size());
-  const bool was_silent = now_ - confirmed_at > kFreshnessLimit;
+  const base::Duration silence =
+      mutant_ == Mutant::kDeclaresDeadAtOnce ? kShortestSilence : routing::kDeadAgentHold;
+  const bool was_silent = now_ - confirmed_at > silence;
   if (!planner_.Lists(NodeOf(agent)) || (!was_silent && !agents_[agent].IsFrozenForLong(now_))) {
     return;
   }
@@ -265,7 +270,7 @@
 
 void FlowWorld::Settle() {
   network_.clear();
-  AdvanceTime(kFreshnessLimit + base::Duration(1));
+  AdvanceTime(routing::kDeadAgentHold + base::Duration(1));
   for (std::size_t agent = 0; agent < kAgents; ++agent) {
     Thaw(agent);
     const bool serves = agents_[agent].IsRunning() && agents_[agent].Service() == kService;
--- a/proofs/flow_ownership/src/flow_world.h
+++ b/proofs/flow_ownership/src/flow_world.h
@@ -118,6 +118,7 @@
   void AskForFlow(std::size_t flow, std::size_t balancer);
   void Break(const std::string& rule);
 
+  Mutant mutant_;
   base::TimePoint now_{};
   PlannerModel planner_;
   std::vector<SimulatedAgent> agents_;
--- a/proofs/flow_ownership/src/mutant.h
+++ b/proofs/flow_ownership/src/mutant.h
@@ -15,6 +15,8 @@
   kIgnoresPause,         // an agent that was frozen goes on as if it had not been
   kIgnoresIncarnation,   // an agent takes a table of its former life for its own
   kAcceptsForeign,       // an agent takes datagrams of other services and agents
+  kDeclaresDeadAtOnce,   // the planner goes by membership's word, which is sooner than a table is
+                         // old
   kTrustsOldReports,     // the planner lets an agent go on a report older than the bucket's entry
 };
 
--- a/proofs/routing/planner_fleet.h
+++ b/proofs/routing/planner_fleet.h
@@ -38,6 +38,8 @@
   void SendLie(std::uint32_t seed);
   void DeliverReport(std::uint32_t position);
   void TellStanding(std::uint32_t agent, std::uint32_t standing);
+  void TellDead(std::uint32_t agent);     // whatever is true: it may only be cut off from control
+  void SayFarewell(std::uint32_t agent);  // it ends, and says so
   void Restart(std::uint32_t agent);
   void TakeOver(std::uint32_t age);
   void Step(std::uint32_t milliseconds);
@@ -57,6 +59,15 @@
     std::array<std::uint32_t, kBuckets> flows{};
     std::vector<routing::Bucket> entries;  // newest seen; it opens flows where it is the owner
     routing::TableVersion table_version;
+    bool is_listed = false;  // its table knows this life of it; without that it opens nothing
+    // When it sent the newest of its reports that were answered: it opens flows for a while after.
+    base::TimePoint confirmed_at = base::TimePoint::min();
+  };
+
+  // A report with the time at which it was sent.
+  struct SentReport {
+    routing::AgentReport report;
+    base::TimePoint sent_at;
   };
 
   // A non-forced move of a bucket, for the bound per minute.
@@ -70,11 +81,15 @@
   routing::AgentReport HonestReport(std::size_t agent, std::uint32_t busy) const;
   bool MayOwn(base::NodeId node) const;
   bool IsToldAlive(base::NodeId node) const;
+  bool IsHeld(base::NodeId node) const;
+  bool MayOpen(std::size_t agent) const;
   bool AnybodyMayOwn() const;
   void Check(const routing::BucketTable& before, const routing::TableDelta& delta);
   void CheckBucket(std::size_t index, const routing::Bucket& before, const routing::Bucket& after);
   void CheckMoves(const routing::BucketTable& before, const routing::BucketTable& after);
   void CheckDropped(std::size_t index, const routing::Bucket& before, const routing::Bucket& after);
+  void CheckTakenFromDead(std::size_t index, const routing::Bucket& before,
+                          const routing::Bucket& after);
   void Blame(const std::string& what);
 
   routing::PlannerMechanisms mechanisms_;
@@ -84,9 +99,10 @@
   std::uint32_t generation_ = 0;
   std::unique_ptr<routing::ServicePlanner> planner_;
   std::array<Agent, kAgents> agents_;
-  std::vector<routing::AgentStatus> told_;  // what membership says
-  std::set<base::NodeId> draining_;         // by the last report that the planner took
-  std::deque<routing::AgentReport> reports_;
+  std::vector<routing::AgentStatus> told_;               // what membership says
+  std::set<base::NodeId> draining_;                      // by the last report that the planner took
+  std::array<base::TimePoint, kAgents> told_dead_at_{};  // or the take-over since
+  std::deque<SentReport> reports_;
   std::vector<routing::BucketTable> published_;
   std::deque<Moves> moves_;
   std::string fault_;
