--- a/standins/backend/src/main.cpp
+++ b/standins/backend/src/main.cpp
@@ -4,7 +4,6 @@
 #include <absl/time/time.h>
 #include <prometheus/registry.h>
 
-#include <csignal>
 #include <cstdlib>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -14,7 +13,7 @@
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/standins/address_flags.h"
 #include "gaugevalve/standins/command_line.h"
-#include "gaugevalve/tasks/task.h"
+#include "gaugevalve/standins/program_loop.h"
 #include "gaugevalve/telemetry/logging.h"
 #include "http_endpoint.h"
 
@@ -69,16 +68,13 @@
   }
   const EndpointIdentity identity{absl::GetFlag(FLAGS_name), absl::GetFlag(FLAGS_service)};
 
-  const tasks::LoopPointer loop = tasks::MakeLoop();
-  const auto stop = [&loop] { event_base_loopbreak(loop.get()); };
-  const auto on_terminate = tasks::Watch::Signal(loop.get(), SIGTERM, stop);
-  const auto on_interrupt = tasks::Watch::Signal(loop.get(), SIGINT, stop);
+  ProgramLoop loop;
   EndpointFaults faults;
   FlowLedger flows(identity.service);
-  const DatagramEcho echo(loop.get(), datagram, identity, faults, flows);
+  const DatagramEcho echo(loop.Get(), datagram, identity, faults, flows);
   RequestLedger requests;
-  const HttpEndpoint http_endpoint(loop.get(), ReadHttpSettings(http), identity, faults, requests);
-  telemetry::AdminServer server(loop.get(), admin, std::make_shared<prometheus::Registry>());
+  const HttpEndpoint http_endpoint(loop.Get(), ReadHttpSettings(http), identity, faults, requests);
+  telemetry::AdminServer server(loop.Get(), admin, std::make_shared<prometheus::Registry>());
   AddBackendPages(server, faults, [&] {
     return nlohmann::json{{"endpoint", identity.name},
                           {"service", identity.service},
@@ -91,7 +87,7 @@
       .Field("datagram", echo.BoundAddress())
       .Field("http", http_endpoint.BoundAddress())
       .Field("admin", server.BoundAddress());
-  event_base_dispatch(loop.get());
+  loop.Run();
   return EXIT_SUCCESS;
 }
 
--- a/standins/machine_list/src/main.cpp
+++ b/standins/machine_list/src/main.cpp
@@ -3,22 +3,17 @@
 // lag that can be changed at run time.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <event2/event.h>
 #include <prometheus/registry.h>
 
-#include <csignal>
 #include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <string>
 
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/standins/address_flags.h"
-#include "gaugevalve/tasks/task.h"
-#include "gaugevalve/tasks/watch.h"
+#include "gaugevalve/standins/command_line.h"
+#include "gaugevalve/standins/program_loop.h"
 #include "gaugevalve/telemetry/admin_server.h"
 #include "gaugevalve/telemetry/event.h"
 #include "gaugevalve/telemetry/logging.h"
@@ -30,8 +25,6 @@
 namespace gaugevalve::standins {
 namespace {
 
-constexpr int kExitUsage = 2;
-
 base::SocketAddress ReadListenFlag() {
   base::Findings findings;
   const base::SocketAddress address =
@@ -42,38 +35,27 @@
   return address;
 }
 
-void Serve() {
+int Serve() {
+  const telemetry::LoggingSession logging(telemetry::Level::kInfo);
   const base::SocketAddress address = ReadListenFlag();
-  const tasks::LoopPointer loop = tasks::MakeLoop();
-  const auto stop = [&loop] { event_base_loopbreak(loop.get()); };
-  const auto on_terminate = tasks::Watch::Signal(loop.get(), SIGTERM, stop);
-  const auto on_interrupt = tasks::Watch::Signal(loop.get(), SIGINT, stop);
+  ProgramLoop loop;
   const base::SystemClock clock;
   LaggingMachineList list;
-  telemetry::AdminServer server(loop.get(), address, std::make_shared<prometheus::Registry>());
+  telemetry::AdminServer server(loop.Get(), address, std::make_shared<prometheus::Registry>());
   AddMachineListPages(server, list, clock);
   telemetry::Event(telemetry::Level::kInfo, "standin_machine_list_started")
       .Field("listen", server.BoundAddress());
-  event_base_dispatch(loop.get());
+  loop.Run();
+  return EXIT_SUCCESS;
 }
 
 }  // namespace
 }  // namespace gaugevalve::standins
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "The platform's machine list for tests, with a lag set at run time.\n"
-      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.");
-  absl::ParseCommandLine(argc, argv);
-  const gaugevalve::telemetry::LoggingSession logging(gaugevalve::telemetry::Level::kInfo);
-  try {
-    gaugevalve::standins::Serve();
-  } catch (const gaugevalve::base::FindingsError& error) {
-    std::cerr << gaugevalve::base::FormatFindings(error.findings());
-    return gaugevalve::standins::kExitUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "standin-machine-list: " << error.what() << '\n';
-    return EXIT_FAILURE;
-  }
-  return EXIT_SUCCESS;
+  return gaugevalve::standins::RunProgram(
+      argc, argv,
+      "The platform's list of machines for tests, with a lag set at run time.\n"
+      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.",
+      gaugevalve::standins::Serve);
 }
