--- a/libs/testing/src/proof_main.cpp
+++ b/libs/testing/src/proof_main.cpp
@@ -14,7 +14,8 @@
 #include "gaugevalve/testing/proof.h"
 
 ABSL_FLAG(std::uint64_t, seed, 20261202, "Seed of the generated cases.");
-ABSL_FLAG(int, cases, 100, "Cases of each property; a mutant gets up to fifty times as many.");
+ABSL_FLAG(int, cases, 100, "Cases of each property.");
+ABSL_FLAG(int, mutant_effort, 50, "A mutant gets up to this many times as many cases.");
 ABSL_FLAG(int, size, 100, "Largest size of a case: about the number of commands.");
 ABSL_FLAG(std::string, only, "", "Run only the property with this name.");
 
@@ -25,6 +26,7 @@
   std::string name;
   ProofKind kind;
   std::function<void()> property;
+  ProofDemands demands;
 };
 
 std::vector<Proof>& Proofs() {
@@ -33,13 +35,12 @@
 }
 
 rc::detail::TestResult Check(const Proof& proof) {
-  constexpr int kMutantEffort = 50;
   rc::detail::TestParams params;
   params.seed = absl::GetFlag(FLAGS_seed);
   params.maxSize = absl::GetFlag(FLAGS_size);
   params.maxSuccess = absl::GetFlag(FLAGS_cases);
   if (proof.kind == ProofKind::kMutantIsCaught) {
-    params.maxSuccess *= kMutantEffort;
+    params.maxSuccess *= absl::GetFlag(FLAGS_mutant_effort);
     params.disableShrinking = true;
   }
   rc::detail::TestMetadata metadata;
@@ -48,29 +49,62 @@
   return rc::detail::checkTestable(proof.property, metadata, params);
 }
 
-bool HoldsAsExpected(const Proof& proof) {
+void PrintReplay(const Proof& proof) {
+  std::cout << "\nreplay: --seed " << absl::GetFlag(FLAGS_seed) << " --cases "
+            << absl::GetFlag(FLAGS_cases) << " --size " << absl::GetFlag(FLAGS_size)
+            << " --mutant_effort " << absl::GetFlag(FLAGS_mutant_effort) << " --only " << proof.name
+            << "\n";
+}
+
+bool MutantIsCaught(const Proof& proof) {
   const rc::detail::TestResult result = Check(proof);
-  if (proof.kind == ProofKind::kMutantIsCaught) {
-    const bool caught = result.is<rc::detail::FailureResult>();
-    std::cout << (caught ? "ok   mutant is caught: " : "FAIL mutant is not caught: ") << proof.name
-              << "\n";
-    return caught;
+  if (!result.is<rc::detail::FailureResult>()) {
+    std::cout << "FAIL mutant is not caught: " << proof.name << "\n";
+    return false;
+  }
+  const std::string& found = result.get<rc::detail::FailureResult>().description;
+  if (found.find(proof.demands.counter_example) == std::string::npos) {
+    std::cout << "FAIL mutant is caught, but not by \"" << proof.demands.counter_example
+              << "\": " << proof.name << "\n"
+              << found;
+    PrintReplay(proof);
+    return false;
+  }
+  std::cout << "ok   mutant is caught: " << proof.name << "\n";
+  return true;
+}
+
+bool CasesAreEnough(const Proof& proof) {
+  if (!proof.demands.coverage) {
+    return true;
   }
-  const bool holds = result.is<rc::detail::SuccessResult>();
-  std::cout << (holds ? "ok   holds: " : "FAIL does not hold: ") << proof.name << "\n";
-  if (!holds) {
+  const Coverage coverage = proof.demands.coverage();
+  std::cout << (coverage.is_enough ? "     " : "FAIL too little happened: ") << coverage.counts
+            << "\n";
+  return coverage.is_enough;
+}
+
+bool PropertyHolds(const Proof& proof) {
+  const rc::detail::TestResult result = Check(proof);
+  if (!result.is<rc::detail::SuccessResult>()) {
+    std::cout << "FAIL does not hold: " << proof.name << "\n";
     rc::detail::printResultMessage(result, std::cout);
-    std::cout << "\nreplay: --seed " << absl::GetFlag(FLAGS_seed) << " --cases "
-              << absl::GetFlag(FLAGS_cases) << " --size " << absl::GetFlag(FLAGS_size) << " --only "
-              << proof.name << "\n";
+    PrintReplay(proof);
+    return false;
   }
-  return holds;
+  std::cout << "ok   holds: " << proof.name << "\n";
+  return CasesAreEnough(proof);
+}
+
+bool IsAsExpected(const Proof& proof) {
+  return proof.kind == ProofKind::kMutantIsCaught ? MutantIsCaught(proof) : PropertyHolds(proof);
 }
 
 }  // namespace
 
-RegisteredProof::RegisteredProof(std::string name, ProofKind kind, std::function<void()> property) {
-  Proofs().push_back({std::move(name), kind, std::move(property)});
+RegisteredProof::RegisteredProof(std::string name, ProofKind kind, std::function<void()> property,
+                                 ProofDemands demands) {
+  Proofs().push_back({std::move(name), kind, std::move(property), std::move(demands)});
 }
 
 }  // namespace gaugevalve::testing
@@ -87,7 +121,7 @@
   for (const auto& proof : Proofs()) {
     const std::string only = absl::GetFlag(FLAGS_only);
     if (only.empty() || only == proof.name) {
-      all_hold = gaugevalve::testing::HoldsAsExpected(proof) && all_hold;
+      all_hold = gaugevalve::testing::IsAsExpected(proof) && all_hold;
       ++run;
     }
   }
--- a/proofs/lease/src/lease_proof.cpp
+++ b/proofs/lease/src/lease_proof.cpp
@@ -1,13 +1,15 @@
 // Stateful fuzzing of LeaseHolder and FencingGate against two rules: at no instant do two holders
 // believe that they hold, and a guarded resource never takes an action of an older holder after
 // one of a newer. Each protection is also taken away in turn; the rules must then be seen broken.
-#include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
-#include <iostream>
+#include <memory>
 #include <sstream>
+#include <string>
+#include <utility>
 
+#include "gaugevalve/testing/proof.h"
 #include "lease_world.h"
 
 namespace gaugevalve::proofs {
@@ -128,88 +130,67 @@
   Delivery delivery_;
 };
 
-// What the cases of one property did, to show that it wasn't about nothing.
+// What the cases of one property did together.
 struct Totals {
   std::size_t acquisitions = 0;
   std::size_t actions_taken = 0;
   std::size_t actions_refused = 0;
 };
 
-constexpr std::uint64_t kSeed = 20'240'501;
-
-rc::detail::TestResult Explore(const LeaseWorldSettings& settings, Totals& totals) {
-  rc::detail::TestParams parameters;
-  parameters.seed = kSeed;
-  parameters.maxSuccess = 1500;
-  parameters.maxSize = 250;
-  const auto property = [&] {
-    LeaseWorld world(settings);
-    Model model;
-    model.early_expiry = settings.early_expiry;
-    rc::state::check(model, world, rc::state::gen::execOneOfWithArgs<Perform>());
-    world.Heal();
-    totals.acquisitions += world.Acquisitions();
-    totals.actions_taken += world.ActionsTaken();
-    totals.actions_refused += world.ActionsRefused();
-    if (world.Violation()) {
-      RC_FAIL(*world.Violation());
-    }
-    RC_ASSERT(world.HoldersThatBelieve() == 1U);
-  };
-  return rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+void Explore(const LeaseWorldSettings& settings, Totals& totals) {
+  LeaseWorld world(settings);
+  Model model;
+  model.early_expiry = settings.early_expiry;
+  rc::state::check(model, world, rc::state::gen::execOneOfWithArgs<Perform>());
+  world.Heal();
+  totals.acquisitions += world.Acquisitions();
+  totals.actions_taken += world.ActionsTaken();
+  totals.actions_refused += world.ActionsRefused();
+  if (world.Violation()) {
+    RC_FAIL(*world.Violation());
+  }
+  RC_ASSERT(world.HoldersThatBelieve() == 1U);
 }
 
-std::string Describe(const rc::detail::TestResult& result, const Totals& totals) {
-  std::ostringstream words;
-  rc::detail::printResultMessage(result, words);
-  words << "\nseed " << kSeed << ", acquisitions " << totals.acquisitions << ", actions taken "
-        << totals.actions_taken << ", refused " << totals.actions_refused << '\n';
-  return words.str();
+testing::Coverage CoverageOf(const Totals& totals) {
+  constexpr std::size_t kEnough = 1000;
+  std::ostringstream counts;
+  counts << "leases taken " << totals.acquisitions << ", actions taken " << totals.actions_taken
+         << ", actions refused " << totals.actions_refused;
+  return {
+      totals.acquisitions > kEnough && totals.actions_taken > kEnough && totals.actions_refused > 0,
+      counts.str()};
 }
 
-class LeaseProof : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(LeaseProof);
-  CPPUNIT_TEST(OneHolderAtATimeAndNoOlderAction);
-  CPPUNIT_TEST(NoOlderActionEvenWhenLeasesEndEarly);
-  CPPUNIT_TEST(CatchesMissingAllowanceForDrift);
-  CPPUNIT_TEST(CatchesMissingGate);
-  CPPUNIT_TEST(CatchesHolderThatDoesNotAskTheClock);
-  CPPUNIT_TEST_SUITE_END();
-
- public:
-  void OneHolderAtATimeAndNoOlderAction() { MustHold(LeaseWorldSettings{}); }
-
-  void NoOlderActionEvenWhenLeasesEndEarly() { MustHold({.early_expiry = true}); }
-
-  void CatchesMissingAllowanceForDrift() { MustBreak({.assumed_drift = 0}, "believe they hold"); }
-
-  void CatchesMissingGate() { MustBreak({.gate_closed = false}, "took an action"); }
-
-  void CatchesHolderThatDoesNotAskTheClock() {
-    MustBreak({.ask_clock = false}, "believe they hold");
-  }
-
- private:
-  static void MustHold(const LeaseWorldSettings& settings) {
-    Totals totals;
-    const rc::detail::TestResult result = Explore(settings, totals);
-    std::cout << Describe(result, totals);
-    CPPUNIT_ASSERT_MESSAGE(Describe(result, totals), result.is<rc::detail::SuccessResult>());
-    CPPUNIT_ASSERT(totals.acquisitions > 1000);
-    CPPUNIT_ASSERT(totals.actions_taken > 1000);
-    CPPUNIT_ASSERT(totals.actions_refused > 0);
-  }
+testing::RegisteredProof Holds(std::string name, const LeaseWorldSettings& settings) {
+  const auto totals = std::make_shared<Totals>();
+  return {std::move(name),
+          testing::ProofKind::kHolds,
+          [settings, totals] { Explore(settings, *totals); },
+          {.counter_example = "", .coverage = [totals] { return CoverageOf(*totals); }}};
+}
 
-  static void MustBreak(const LeaseWorldSettings& settings, const std::string& words) {
-    Totals totals;
-    const rc::detail::TestResult result = Explore(settings, totals);
-    const std::string description = Describe(result, totals);
-    CPPUNIT_ASSERT_MESSAGE(description, result.is<rc::detail::FailureResult>());
-    CPPUNIT_ASSERT_MESSAGE(description, description.find(words) != std::string::npos);
-  }
-};
+testing::RegisteredProof IsCaught(std::string name, const LeaseWorldSettings& settings,
+                                  std::string counter_example) {
+  return {std::move(name),
+          testing::ProofKind::kMutantIsCaught,
+          [settings] {
+            Totals unused;
+            Explore(settings, unused);
+          },
+          {.counter_example = std::move(counter_example), .coverage = nullptr}};
+}
 
-CPPUNIT_TEST_SUITE_REGISTRATION(LeaseProof);
+const testing::RegisteredProof one_holder =
+    Holds("one_holder_at_a_time_and_no_older_action", LeaseWorldSettings{});
+const testing::RegisteredProof early_expiry =
+    Holds("no_older_action_even_when_leases_end_early", {.early_expiry = true});
+const testing::RegisteredProof without_allowance =
+    IsCaught("without_allowance_for_drift", {.assumed_drift = 0}, "believe they hold");
+const testing::RegisteredProof without_gate =
+    IsCaught("without_gate", {.gate_closed = false}, "took an action");
+const testing::RegisteredProof without_clock =
+    IsCaught("without_asking_the_clock", {.ask_clock = false}, "believe they hold");
 
 }  // namespace
 }  // namespace gaugevalve::proofs
