--- a/proofs/lease/src/lease_world.cpp
+++ b/proofs/lease/src/lease_world.cpp
@@ -35,7 +35,9 @@
                         {},
                         {},
                         {}});
-    Campaign(index);
+  }
+  for (std::size_t index = 0; index < kHolders; ++index) {
+    Campaign(index);  // which looks at all of them
   }
 }
 
