--- a/cmake/GaugevalveTargets.cmake
+++ b/cmake/GaugevalveTargets.cmake
@@ -71,6 +71,14 @@
   gaugevalve_label_proof(${name})
 endfunction()
 
+# gaugevalve_test_help(<program> <flag>): tests that the program's --help lists this flag of its own.
+function(gaugevalve_test_help program flag)
+  if(BUILD_TESTING)
+    add_test(NAME ${program}_help COMMAND ${program} --help)
+    set_tests_properties(${program}_help PROPERTIES PASS_REGULAR_EXPRESSION "\n    ${flag} \\(")
+  endif()
+endfunction()
+
 # gaugevalve_proof(<name> [SOURCES ...] [DEPENDS ...] [ARGUMENTS ...])
 # A program of RapidCheck properties and their mutants; gaugevalve::proof brings main(). ARGUMENTS
 # are its flags in CI.
--- a/examples/lease/src/main.cpp
+++ b/examples/lease/src/main.cpp
@@ -14,9 +14,8 @@
 #include <string>
 
 #include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
 #include "gaugevalve/base/clock.h"
+#include "gaugevalve/command_line/parse.h"
 #include "gaugevalve/lease/lease_task.h"
 #include "gaugevalve/store/store_client.h"
 #include "gaugevalve/tasks/task.h"
@@ -86,8 +85,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage("Takes a lease in the store and prints its fencing tokens.");
-  absl::ParseCommandLine(argc, argv);
+  gaugevalve::command_line::Parse(argc, argv,
+                                  "Takes a lease in the store and prints its fencing tokens.");
   try {
     Run();
   } catch (const std::exception& error) {
--- a/libs/testing/src/proof_main.cpp
+++ b/libs/testing/src/proof_main.cpp
@@ -9,8 +9,7 @@
 #include <vector>
 
 #include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
+#include "gaugevalve/command_line/parse.h"
 #include "gaugevalve/testing/proof.h"
 
 ABSL_FLAG(std::uint64_t, seed, 20261202, "Seed of the generated cases.");
@@ -111,9 +110,8 @@
 
 int main(int argc, char** argv) {
   using gaugevalve::testing::Proofs;
-  absl::SetProgramUsageMessage(
-      "Runs stateful properties and their mutants; exits 1 when one fails.");
-  absl::ParseCommandLine(argc, argv);
+  gaugevalve::command_line::Parse(
+      argc, argv, "Runs stateful properties and their mutants; exits 1 when one fails.");
   std::cout << "seed " << absl::GetFlag(FLAGS_seed) << ", " << absl::GetFlag(FLAGS_cases)
             << " cases, size " << absl::GetFlag(FLAGS_size) << std::endl;
   bool all_hold = true;
--- a/proofs/store_stampede/src/main.cpp
+++ b/proofs/store_stampede/src/main.cpp
@@ -2,14 +2,13 @@
 // time. One line of key=value pairs for each number of readers.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <cstdlib>
 #include <iostream>
 #include <string>
 #include <vector>
 
+#include "gaugevalve/command_line/parse.h"
 #include "stampede.h"
 
 ABSL_FLAG(std::vector<std::string>, readers, std::vector<std::string>({"8"}),
@@ -50,10 +49,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
+  gaugevalve::command_line::Parse(
+      argc, argv,
       "Prints what readers do to a store that was away and comes back, in simulated time.\n"
-      "Exit status: 0 done, 2 a bad flag.");
-  absl::ParseCommandLine(argc, argv);
+      "Exit status: 0 done, 1 an unknown flag, 2 a wrong number of readers.");
   constexpr int kExitUsage = 2;
   for (const std::string& text : absl::GetFlag(FLAGS_readers)) {
     char* end = nullptr;
--- a/standins/backend/src/main.cpp
+++ b/standins/backend/src/main.cpp
@@ -98,6 +98,7 @@
   return gaugevalve::standins::RunProgram(
       argc, argv,
       "An endpoint for tests: answers datagrams and HTTP/1.1 and keeps a ledger of what it ran.\n"
-      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.",
+      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start or an unknown flag,\n"
+      "2 findings in the flags.",
       gaugevalve::standins::Serve);
 }
--- a/standins/machine_list/src/main.cpp
+++ b/standins/machine_list/src/main.cpp
@@ -56,6 +56,7 @@
   return gaugevalve::standins::RunProgram(
       argc, argv,
       "The platform's list of machines for tests, with a lag set at run time.\n"
-      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.",
+      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start or an unknown flag,\n"
+      "2 findings in the flags.",
       gaugevalve::standins::Serve);
 }
--- a/standins/store/src/main.cpp
+++ b/standins/store/src/main.cpp
@@ -65,8 +65,9 @@
 int main(int argc, char** argv) {
   return gaugevalve::standins::RunProgram(
       argc, argv,
-      "The platform's store for tests: the etcd v3 JSON gateway, in memory, with faults set at "
-      "run\n"
-      "time. Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start, 2 a bad flag.",
+      "The platform's store for tests: the etcd v3 JSON gateway, in memory, with faults set at\n"
+      "run time.\n"
+      "Exit status: 0 ended by SIGTERM or SIGINT, 1 it could not start or an unknown flag,\n"
+      "2 findings in the flags.",
       gaugevalve::standins::Serve);
 }
--- a/standins/support/include/gaugevalve/standins/command_line.h
+++ b/standins/support/include/gaugevalve/standins/command_line.h
@@ -5,9 +5,8 @@
 
 namespace gaugevalve::standins {
 
-// Reads the Abseil flags that the program's main.cpp defines. Ends the process for --help, which
-// shows these flags below `purpose`, and for flags that are unknown or malformed. Throws
-// base::FindingsError for arguments that are no flags.
+// Reads the program's flags by command_line::Parse(). Throws base::FindingsError for arguments that
+// are no flags.
 void ParseFlags(int argc, char** argv, const std::string& purpose);
 
 // The program's exit statuses in common.
--- a/tools/benchmark-forwarding/src/main.cpp
+++ b/tools/benchmark-forwarding/src/main.cpp
@@ -21,11 +21,10 @@
 #include <vector>
 
 #include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
 #include "balancer_worker.h"
 #include "bare_relay.h"
 #include "datagram_forwarder.h"
+#include "gaugevalve/command_line/parse.h"
 #include "gaugevalve/control/node_view.h"
 #include "sink.h"
 #include "traffic_source.h"
@@ -177,8 +176,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
+  command_line::Parse(
+      argc, argv,
       "Compares the balancer's data task with a bare recvmmsg/sendmmsg loop on loopback.");
-  absl::ParseCommandLine(argc, argv);
   return Run();
 }
--- a/tools/gaugevalvectl/src/command_table.cpp
+++ b/tools/gaugevalvectl/src/command_table.cpp
@@ -42,9 +42,11 @@
      "stops new work to an endpoint (service/endpoint) or a zone (region/zone)"},
     {"undrain", "ENDPOINT|ZONE", 1, 1, kNeedsStore, &Undrain, "lets it take new work again"},
     {"status", "", 0, 0, kNoStore, &Status,
-     "shows which node has which revision in force, who holds the lease, and who is behind"},
+     "asks the nodes of --node which revision each has in force and who holds the lease; names who "
+     "is behind and which balancers were not asked"},
     {"explain", "SERVICE SOURCE", 2, 2, kNoStore, &Explain,
-     "asks nodes why a flow from this source IP:port goes where it goes"},
+     "asks the nodes of --node why a datagram service's flow from this source IP:port goes where "
+     "it goes"},
     {"watch", "", 0, 0, kNeedsStore, &WatchTree, "shows edits as they are committed"},
     {"certificate self-signed", "HOST CERTIFICATE_FILE KEY_FILE", 3, 3, kNoStore,
      &CertificateSelfSigned, "writes a certificate and key for trying an http3 service"},
@@ -88,16 +90,25 @@
 std::span<const Command> Commands() { return kCommands; }
 
 std::string UsageText() {
-  std::string text = "gaugevalvectl [--store=IP:PORT,...] [--node=IP:PORT,...] COMMAND\n";
+  std::string text =
+      "the operators' command line.\n"
+      "gaugevalvectl [--store=IP:PORT,...] [--node=IP:PORT,...] [FLAGS] COMMAND\n";
   for (const Command& command : kCommands) {
     text += "  " + std::string(command.words);
     text += command.arguments.empty() ? "" : " " + std::string(command.arguments);
     text += "\n      " + std::string(command.description) + "\n";
   }
   text +=
-      "Exit codes: 0 done; 1 wrong command line or unexpected error; 2 findings, nothing changed; "
-      "3 another edit came first, nothing changed; 4 store away, nothing changed; 5 outcome of the "
-      "edit not known; 6 nodes behind or silent; 7 no node answered.\n";
+      "Exit codes:\n"
+      "  0 done\n"
+      "  1 wrong command line (and --help), or an unexpected error\n"
+      "  2 findings; nothing was changed\n"
+      "  3 another edit came first; nothing was changed\n"
+      "  4 the store is away; nothing was changed\n"
+      "  5 the outcome of the edit is not known\n"
+      "  6 a node is behind, silent or was not asked\n"
+      "  7 no node answered\n"
+      "`gaugevalvectl --help` lists the flags too.\n";
   return text;
 }
 
@@ -116,7 +127,7 @@
     context.err << error.what();
     return ExitCode::kFindings;
   } catch (const StoreAwayError& error) {
-    context.err << error.what() << "\nNothing was changed.\n";
+    context.err << error.what() << "\n";  // the words say that nothing was changed
     return ExitCode::kStoreAway;
   } catch (const std::exception& error) {
     context.err << error.what() << "\n";
--- a/tools/gaugevalvectl/src/main.cpp
+++ b/tools/gaugevalvectl/src/main.cpp
@@ -7,21 +7,21 @@
 #include <random>
 
 #include "absl/flags/flag.h"
-#include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
 #include "absl/time/time.h"
 #include "command_table.h"
 #include "etcd_settings_store.h"
 #include "gaugevalve/base/finding.h"
+#include "gaugevalve/command_line/parse.h"
 
 ABSL_FLAG(std::vector<std::string>, store, {},
           "Addresses of the store's etcd v3 JSON gateways, as IP:port with commas between.");
 ABSL_FLAG(std::vector<std::string>, node, {},
-          "Admin addresses of nodes to ask, as IP:port with commas between. `status` finds the "
-          "other nodes from these.");
+          "Admin addresses of the nodes that status and explain ask, as IP:port with commas "
+          "between.");
 ABSL_FLAG(std::string, output, "text", "Form of the output: text or json.");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(30),
-          "Time for an edit with all its attempts, or for a node to answer.");
+          "Time for an edit with all its attempts, or for a node to answer, with its unit: 500ms, "
+          "30s, 2m.");
 ABSL_FLAG(std::string, author, "", "Name recorded with an edit; by default the USER variable.");
 ABSL_FLAG(std::string, comment, "", "Why the edit is made; recorded with it.");
 ABSL_FLAG(bool, dry_run, false, "Check an edit and show what it would change, and stop there.");
@@ -87,11 +87,11 @@
  public:
   ctl::ReadReply Read(const std::vector<ctl::KeyRange>& /*ranges*/,
                       base::Duration /*timeout*/) override {
-    return {ctl::StoreOutcome::kNotApplied, "no store was named", {}};
+    return {ctl::StoreOutcome::kNotApplied, "no store was named; nothing was changed", {}};
   }
   ctl::RunReply Run(const settings::StoreTransaction& /*transaction*/,
                     base::Duration /*timeout*/) override {
-    return {ctl::StoreOutcome::kNotApplied, "no store was named", {}};
+    return {ctl::StoreOutcome::kNotApplied, "no store was named; nothing was changed", {}};
   }
 };
 
@@ -105,13 +105,12 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(ctl::UsageText());
-  const std::vector<char*> positional = absl::ParseCommandLine(argc, argv);
+  const std::vector<std::string> words = command_line::Parse(argc, argv, ctl::UsageText());
   try {
     const ctl::Options options = ReadOptions();
     const std::unique_ptr<ctl::SettingsStore> store = MakeStore(options);
     const ctl::CommandContext context{options, *store, std::cout, std::cerr};
-    return static_cast<int>(ctl::RunCommand(context, {positional.begin() + 1, positional.end()}));
+    return static_cast<int>(ctl::RunCommand(context, words));
   } catch (const base::FindingsError& error) {
     std::cerr << error.what();
     return static_cast<int>(ctl::ExitCode::kFindings);
--- a/tools/gaugevalvectl/src/node_commands.cpp
+++ b/tools/gaugevalvectl/src/node_commands.cpp
@@ -174,13 +174,12 @@
       was_explained = true;
       const nlohmann::ordered_json json =
           nlohmann::ordered_json::parse(answer.body, nullptr, false);
-      context.Print(node + ": " + answer.body + "\n", {{"asked", node}, {"answer", json}});
+      context.Print(node + ": " + answer.body, {{"asked", node}, {"answer", json}});
       continue;
     }
     was_refused = was_refused || answer.status != 0;
-    const std::string words =
-        answer.status == 0 ? answer.words : std::to_string(answer.status) + " " + answer.body;
-    context.err << node << ": " << words << "\n";
+    const std::string words = answer.status == 0 ? answer.words + "\n" : answer.body;
+    context.err << node << ": " << words;
   }
   if (was_explained) {
     return ExitCode::kOk;
--- a/tools/gaugevalvectl/tests/tree_commands_test.cpp
+++ b/tools/gaugevalvectl/tests/tree_commands_test.cpp
@@ -142,7 +142,10 @@
     options_.timeout = std::chrono::milliseconds(300);
     const CommandResult result = Run({"tree", "set", "slots", "9"});
     ExpectExit(ExitCode::kStoreAway, result);
-    CPPUNIT_ASSERT(result.err.find("Nothing was changed.") != std::string::npos);
+    CPPUNIT_ASSERT(result.err.starts_with("the store can't be read: "));
+    CPPUNIT_ASSERT(result.err.ends_with("; nothing was changed\n"));
+    CPPUNIT_ASSERT_EQUAL(result.err.find("othing was changed"),
+                         result.err.rfind("othing was changed"));
   }
 
   // The answer is lost after the write took effect, and the store goes away before it can be asked.
