--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -1,4 +1,5 @@
-# The third-party libraries, found once for the whole workspace. Each becomes an imported target.
+# The third-party libraries that the libraries and programs need, found once for the whole workspace.
+# Each becomes an imported target. Installed with the package, whose users need the same.
 find_package(Threads REQUIRED)
 find_package(absl REQUIRED)
 find_package(nng CONFIG REQUIRED)
@@ -6,13 +7,11 @@
 find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
 find_package(Protobuf REQUIRED)
-find_package(rapidcheck CONFIG REQUIRED)
 find_package(PkgConfig REQUIRED)
 
 pkg_check_modules(libevent REQUIRED IMPORTED_TARGET libevent libevent_pthreads)
 pkg_check_modules(evhtp REQUIRED IMPORTED_TARGET evhtp)
 pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
-pkg_check_modules(cppunit REQUIRED IMPORTED_TARGET cppunit)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(nettle REQUIRED IMPORTED_TARGET nettle)
 pkg_check_modules(zstd REQUIRED IMPORTED_TARGET libzstd)
--- a/cmake/GaugevalveTargets.cmake
+++ b/cmake/GaugevalveTargets.cmake
@@ -1,6 +1,10 @@
 # Helpers that declare the workspace's targets, so each member's CMakeLists.txt is a few lines.
+include(CMakePackageConfigHelpers)
 include(GNUInstallDirs)
 
+# Where the package's own CMake files go.
+set(GAUGEVALVE_PACKAGE_DIRECTORY ${CMAKE_INSTALL_LIBDIR}/cmake/gaugevalve)
+
 add_library(gaugevalve_options INTERFACE)
 target_compile_options(gaugevalve_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
 if(GAUGEVALVE_SANITIZE)
@@ -40,11 +44,30 @@
     target_include_directories(
       ${target} SYSTEM PUBLIC $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/generated>)
     set_source_files_properties(${ARG_GENERATED} PROPERTIES COMPILE_OPTIONS "-w")
-    install(DIRECTORY generated/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR} FILES_MATCHING PATTERN "*.h")
+    install(
+      DIRECTORY generated/
+      DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}
+      COMPONENT development
+      FILES_MATCHING
+      PATTERN "*.h")
   endif()
   target_link_libraries(${target} ${scope} ${ARG_DEPENDS})
-  install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
-  install(TARGETS ${target} EXPORT gaugevalveTargets)
+  install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR} COMPONENT development)
+  install(TARGETS ${target} EXPORT gaugevalveTargets COMPONENT development)
+endfunction()
+
+# Installs a program declared in the current directory with the component that its users install:
+# `runtime` for a deployment's machines and operators, `trial` for stand-ins, examples and
+# benchmarks. What proofs/ declares is for this workspace only.
+function(gaugevalve_install_program name)
+  if(CMAKE_CURRENT_SOURCE_DIR MATCHES "/proofs/")
+    return()
+  endif()
+  set(component trial)
+  if(CMAKE_CURRENT_SOURCE_DIR MATCHES "/(daemons|tools)/")
+    set(component runtime)
+  endif()
+  install(TARGETS ${name} DESTINATION ${CMAKE_INSTALL_BINDIR} COMPONENT ${component})
 endfunction()
 
 # gaugevalve_program(<name> [SOURCES ...] [DEPENDS ...])
@@ -54,7 +77,7 @@
   target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
   target_link_libraries(${name} PRIVATE gaugevalve_options ${ARG_DEPENDS})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
-  install(TARGETS ${name} DESTINATION ${CMAKE_INSTALL_BINDIR})
+  gaugevalve_install_program(${name})
 endfunction()
 
 # gaugevalve_test(<name> [SOURCES ...] [DEPENDS ...])
@@ -114,8 +137,40 @@
   endif()
 endfunction()
 
+# Installs what find_package(gaugevalve) reads, and the operators' pages and trees to start from.
 function(gaugevalve_install_package)
-  install(EXPORT gaugevalveTargets NAMESPACE gaugevalve:: DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/gaugevalve)
-  install(FILES cmake/gaugevalveConfig.cmake DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/gaugevalve)
-  install(FILES cmake/Dependencies.cmake DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/gaugevalve)
+  write_basic_package_version_file(
+    ${CMAKE_CURRENT_BINARY_DIR}/gaugevalveConfigVersion.cmake COMPATIBILITY SameMinorVersion)
+  install(
+    EXPORT gaugevalveTargets
+    NAMESPACE gaugevalve::
+    DESTINATION ${GAUGEVALVE_PACKAGE_DIRECTORY}
+    COMPONENT development)
+  install(
+    FILES cmake/gaugevalveConfig.cmake cmake/Dependencies.cmake
+          ${CMAKE_CURRENT_BINARY_DIR}/gaugevalveConfigVersion.cmake
+    DESTINATION ${GAUGEVALVE_PACKAGE_DIRECTORY}
+    COMPONENT development)
+  install(
+    DIRECTORY docs/operators examples/settings examples/nodes
+    DESTINATION ${CMAKE_INSTALL_DOCDIR}
+    COMPONENT runtime)
+  install(
+    FILES docs/SETTINGS.md docs/LOG-EVENTS.md
+    DESTINATION ${CMAKE_INSTALL_DOCDIR}
+    COMPONENT runtime)
+endfunction()
+
+# Tests that an installation works without the workspace: installs into the build directory, runs the
+# programs, and builds the examples against the package. Not with the sanitizers, which the
+# package's users would have to link too.
+function(gaugevalve_test_install)
+  if(NOT BUILD_TESTING OR GAUGEVALVE_SANITIZE)
+    return()
+  endif()
+  add_test(
+    NAME install
+    COMMAND
+      ${CMAKE_COMMAND} -D BUILD_DIRECTORY=${CMAKE_BINARY_DIR} -D VERSION=${PROJECT_VERSION}
+      -D GENERATOR=${CMAKE_GENERATOR} -P ${CMAKE_CURRENT_SOURCE_DIR}/cmake/tests/install_test.cmake)
 endfunction()
