--- a/tools/load/src/datagram_run.cpp
+++ b/tools/load/src/datagram_run.cpp
@@ -15,8 +15,12 @@
 // Flow numbers of runs with different seeds don't overlap, so ledgers can tell the runs apart.
 constexpr unsigned kSeedShift = 32;
 
-// Ports held back from reuse: a few seconds' worth of flows, and few of a process's descriptors.
-constexpr std::size_t kMaxEndedSockets = 4096;
+// Longer than any process is frozen and any datagram delayed in the deployments under test.
+constexpr base::Duration kPortQuarantine = std::chrono::seconds(30);
+
+// Ports that the system may offer before one is free of quarantine. At 500 flows a second more than
+// half of Linux's 28,000 are held back.
+constexpr std::size_t kMaxPortOffers = 32;
 
 }  // namespace
 
@@ -28,10 +32,10 @@
 };
 
 struct DatagramRun::OpenFlow {
-  OpenFlow(DatagramRun& run, Service& its_service, DatagramFlow flow)
+  OpenFlow(DatagramRun& run, Service& its_service, DatagramFlow flow, tasks::UdpSocket its_socket)
       : service(its_service),
         core(std::move(flow)),
-        socket(tasks::UdpSocket::Connect(its_service.target.address)),
+        socket(std::move(its_socket)),
         timer(run.loop_, [this, &run] { run.OnFlowTimer(*this); }),
         watch(tasks::Watch::Readable(run.loop_, socket.Descriptor(),
                                      [this, &run] { run.OnFlowReadable(*this); })) {}
@@ -49,7 +53,8 @@
       report_(report),
       random_(settings.seed),
       received_(kDatagramsPerTurn),
-      tick_(loop, [this] { OnTick(); }) {
+      tick_(loop, [this] { OnTick(); }),
+      ended_ports_(kPortQuarantine) {
   for (const standins::NamedAddress& target : settings_.services) {
     services_.push_back(std::make_unique<Service>(Service{target, &report_.services[target.name]}));
   }
@@ -102,16 +107,34 @@
 }
 
 void DatagramRun::OpenOneFlow(Service& service, base::TimePoint now) {
+  std::optional<tasks::UdpSocket> socket = ConnectFromFreshPort(service.target.address, now);
+  if (!socket) {
+    return;
+  }
   const std::uint64_t number = (settings_.seed << kSeedShift) + ++flows_opened_;
   const double mean_lifetime = static_cast<double>(settings_.mean_flow_lifetime.count());
   const base::Duration lifetime(static_cast<std::int64_t>(random_.NextExponential(mean_lifetime)));
   flows_.push_back(std::make_unique<OpenFlow>(
-      *this, service, DatagramFlow(number, service.target.name, settings_.timing, now + lifetime)));
+      *this, service, DatagramFlow(number, service.target.name, settings_.timing, now + lifetime),
+      std::move(*socket)));
   ++service.open_flows;
   ++service.report->flows_opened;
   OnFlowTimer(*flows_.back());
 }
 
+std::optional<tasks::UdpSocket> DatagramRun::ConnectFromFreshPort(const base::SocketAddress& target,
+                                                                  base::TimePoint now) {
+  std::vector<tasks::UdpSocket> refused;  // kept open meanwhile, so that others are offered
+  while (refused.size() < kMaxPortOffers) {
+    tasks::UdpSocket socket = tasks::UdpSocket::Connect(target);
+    if (!ended_ports_.Holds(socket.LocalAddress().port, now)) {
+      return socket;
+    }
+    refused.push_back(std::move(socket));
+  }
+  return std::nullopt;
+}
+
 void DatagramRun::OnFlowTimer(OpenFlow& flow) {
   const base::TimePoint now = clock_.Now();
   const std::optional<standins::EchoRequest> request = flow.core.OnTimer(now);
@@ -167,18 +190,16 @@
 }
 
 void DatagramRun::RemoveEndedFlows() {
-  std::erase_if(flows_, [this](const std::unique_ptr<OpenFlow>& flow) {
+  const base::TimePoint now = clock_.Now();
+  std::erase_if(flows_, [this, now](const std::unique_ptr<OpenFlow>& flow) {
     if (!flow->core.HasEnded()) {
       return false;
     }
     --flow->service.open_flows;
     flow->service.report->RecordEnd(flow->core);
-    ended_sockets_.push_back(std::move(flow->socket));
+    ended_ports_.Add(flow->socket.LocalAddress().port, now);
     return true;
   });
-  while (ended_sockets_.size() > kMaxEndedSockets) {
-    ended_sockets_.pop_front();
-  }
 }
 
 }  // namespace gaugevalve::load
--- a/tools/load/src/datagram_run.h
+++ b/tools/load/src/datagram_run.h
@@ -1,8 +1,8 @@
 // Runs flows against `datagram` services over real sockets and fills in a report.
 #pragma once
 
-#include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +15,7 @@
 #include "gaugevalve/tasks/udp_batch.h"
 #include "gaugevalve/tasks/udp_socket.h"
 #include "gaugevalve/tasks/watch.h"
+#include "port_quarantine.h"
 #include "run_report.h"
 
 namespace gaugevalve::load {
@@ -31,9 +32,10 @@
   std::uint64_t seed = 1;
 };
 
-// Opens flows at the set rate, each on a socket and so a source port of its own. When the duration
-// is over, flows end with the answer they wait for; then the loop is made to end. Runs on the
-// loop's thread; loop and report must outlive it.
+// Opens flows at the set rate, each on a socket and a source port of its own, which no other flow
+// has within 30 s of its end. A flow for which no such port is found isn't opened. When the
+// duration is over, flows end with the answer they wait for; then the loop is made to end. Runs on
+// the loop's thread; loop and report must outlive it.
 class DatagramRun {
  public:
   DatagramRun(event_base* loop, const DatagramRunSettings& settings, RunReport& report);
@@ -52,6 +54,8 @@
   void OnTick();
   void OpenDueFlows(Service& service, base::TimePoint now);
   void OpenOneFlow(Service& service, base::TimePoint now);
+  std::optional<tasks::UdpSocket> ConnectFromFreshPort(const base::SocketAddress& target,
+                                                       base::TimePoint now);
   void OnFlowTimer(OpenFlow& flow);
   void OnFlowReadable(OpenFlow& flow);
   void JudgeDatagram(OpenFlow& flow, std::span<const std::uint8_t> bytes, base::TimePoint now);
@@ -71,9 +75,7 @@
   std::uint64_t flows_opened_ = 0;
   std::vector<std::unique_ptr<Service>> services_;
   std::vector<std::unique_ptr<OpenFlow>> flows_;
-  // Sockets of ended flows, oldest first: their ports aren't given to other flows while late
-  // answers may come, which would look like answers crossed. Bounded by kMaxEndedSockets.
-  std::deque<tasks::UdpSocket> ended_sockets_;
+  PortQuarantine ended_ports_;
 };
 
 }  // namespace gaugevalve::load
