--- a/libs/quic/src/connection.h
+++ b/libs/quic/src/connection.h
@@ -133,6 +133,9 @@
   };
   struct Callbacks;  // the libraries' callbacks
 
+  static ngtcp2_conn* TransportOf(ngtcp2_crypto_conn_ref* reference);
+  static nghttp3_callbacks HttpCallbacks();
+
   int SetUpHttp();
   int ReadStream(std::int64_t id, std::span<const std::uint8_t> data, bool is_last);
   int OnStreamClosed(std::int64_t id, std::uint64_t error);
