--- /dev/null
+++ b/libs/requests/include/gaugevalve/requests/hand_over_id.h
@@ -0,0 +1,30 @@
+// The name of one hand-over.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <utility>
+
+#include "gaugevalve/base/identifiers.h"
+
+namespace gaugevalve::requests {
+
+// One life of the agent that ends the caller's connection, its own count, and the one life of the
+// agent that it asks to run the request. Unique in the service.
+struct HandOverId {
+  base::NodeId origin;
+  base::Incarnation origin_incarnation;
+  std::uint64_t number = 0;
+  base::NodeId executor;
+  base::Incarnation executor_incarnation;
+
+  friend auto operator<=>(const HandOverId&, const HandOverId&) = default;
+
+  template <class HashState>
+  friend HashState AbslHashValue(HashState state, const HandOverId& id) {
+    return HashState::combine(std::move(state), id.origin, id.origin_incarnation, id.number,
+                              id.executor, id.executor_incarnation);
+  }
+};
+
+}  // namespace gaugevalve::requests
--- a/libs/requests/src/at_most_once.cpp
+++ b/libs/requests/src/at_most_once.cpp
@@ -283,6 +283,7 @@
     case proto::AtMostOnceMessage::kFinished:
       OnFinished(message.finished(), now);
       break;
+    case proto::AtMostOnceMessage::kHandOver:
     case proto::AtMostOnceMessage::BODY_NOT_SET:
       break;
   }
--- /dev/null
+++ b/libs/requests/src/hand_over.cpp
@@ -0,0 +1,91 @@
+#include "gaugevalve/requests/hand_over.h"
+
+#include <algorithm>
+
+#include "gaugevalve/requests/hand_over_codec.h"
+
+namespace gaugevalve::requests {
+
+HandOver::HandOver(base::NodeId self, base::Incarnation incarnation, const HandOverLimits& limits,
+                   base::RandomSource& random)
+    : self_(self),
+      incarnation_(incarnation),
+      limits_(limits),
+      loads_(self, limits),
+      origin_(self, incarnation, limits, loads_, random),
+      executor_(self, incarnation, limits) {}
+
+// An agent that left the table may still finish what it has: only its silence, or a newer life,
+// ends that. A draining agent is no longer listed, and is just the one that hands over.
+HandOverActions HandOver::SetTable(const std::shared_ptr<const routing::BucketTable>& table,
+                                   base::TimePoint now) {
+  HandOverActions actions;
+  table_ = table;
+  loads_.SetTable(*table);
+  for (const routing::AgentEntry& agent : table->agents) {
+    if (agent.node != self_) {
+      origin_.OnNewLife(agent.node, agent.incarnation, now, actions);
+      executor_.OnNewLife(agent.node, agent.incarnation, actions);
+    }
+  }
+  return actions;
+}
+
+HandOverActions HandOver::OnMessage(base::NodeId sender, const proto::HandOverMessage& message,
+                                    base::TimePoint now) {
+  HandOverActions actions;
+  if (!IsWellFormed(message)) {
+    return actions;
+  }
+  switch (message.body_case()) {
+    case proto::HandOverMessage::kLoad:
+      if (base::NodeId(message.load().node()) == sender) {
+        loads_.Learn(message.load(), now);
+      }
+      break;
+    case proto::HandOverMessage::kOffer:
+    case proto::HandOverMessage::kRequestFrame:
+    case proto::HandOverMessage::kAnswerAcknowledgement:
+    case proto::HandOverMessage::kClose:
+      executor_.OnMessage(sender, message, now, actions);
+      break;
+    default:
+      origin_.OnMessage(sender, message, now, actions);
+  }
+  return actions;
+}
+
+HandOverActions HandOver::OnTimer(const OwnLoad& load, base::TimePoint now) {
+  HandOverActions actions;
+  origin_.OnTimer(now, actions);
+  executor_.OnTimer(now, actions);
+  const bool has_turned = load.takes_requests != took_requests_;
+  if (table_ != nullptr && (now >= announce_at_ || has_turned)) {
+    announce_at_ = now + limits_.load_interval;
+    took_requests_ = load.takes_requests;
+    Announce(load, actions);
+  }
+  return actions;
+}
+
+void HandOver::Announce(const OwnLoad& load, HandOverActions& actions) {
+  const std::vector<routing::AgentEntry>& agents = table_->agents;
+  const std::size_t count = std::min(agents.size(), limits_.announced_peers + 1);
+  for (std::size_t told = 0; told < count; ++told) {
+    const base::NodeId node = agents[next_announced_ % agents.size()].node;
+    ++next_announced_;
+    if (node == self_) {
+      continue;
+    }
+    actions.send.push_back({node, {}});
+    proto::HandOverLoad* const message =
+        actions.send.back().message.mutable_hand_over()->mutable_load();
+    message->set_node(self_.value());
+    message->set_incarnation(incarnation_.value());
+    message->set_free_slots(load.free_slots);
+    message->set_queue_room(load.queue_room);
+    message->set_takes_requests(load.takes_requests);
+  }
+}
+
+}  // namespace gaugevalve::requests
--- /dev/null
+++ b/libs/requests/src/hand_over_executor.cpp
@@ -0,0 +1,302 @@
+#include "gaugevalve/requests/hand_over_executor.h"
+
+#include <utility>
+
+#include "gaugevalve/requests/hand_over_codec.h"
+
+namespace gaugevalve::requests {
+namespace {
+
+constexpr Refusal kFull{RequestOutcome::kNotRun, RefusalReason::kQueueFull,
+                        base::Duration(1'000'000)};
+
+// Adds an empty message of this hand-over for the origin.
+proto::HandOverMessage* AddMessage(const HandOverId& id, HandOverActions& actions) {
+  actions.send.push_back({id.origin, {}});
+  proto::HandOverMessage* const message = actions.send.back().message.mutable_hand_over();
+  EncodeHandOverId(id, message->mutable_id());
+  return message;
+}
+
+proto::HandOverFrame RefusalFrame(const Refusal& refusal) {
+  proto::HandOverFrame frame;
+  *frame.mutable_refusal() = EncodeRefusal(refusal);
+  return frame;
+}
+
+proto::HandOverFrame CutFrame() {
+  proto::HandOverFrame frame;
+  frame.set_cut(true);
+  return frame;
+}
+
+}  // namespace
+
+HandOverExecutor::HandOverExecutor(base::NodeId self, base::Incarnation incarnation,
+                                   const HandOverLimits& limits)
+    : self_(self),
+      incarnation_(incarnation),
+      limits_(limits),
+      memory_(limits.remembered_per_origin, limits.remembered_origins) {}
+
+// Without the check of lives, a hand-over is known by its origin and number alone.
+HandOverId HandOverExecutor::KeyOf(const HandOverId& id) const {
+  return limits_.mechanisms.check_incarnation
+             ? id
+             : HandOverId{id.origin, base::Incarnation(1), id.number, self_, base::Incarnation(1)};
+}
+
+HandOverExecutor::Run* HandOverExecutor::Find(const HandOverId& id) {
+  const auto found = runs_.find(KeyOf(id));
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+void HandOverExecutor::OnMessage(base::NodeId sender, const proto::HandOverMessage& message,
+                                 base::TimePoint now, HandOverActions& actions) {
+  const HandOverId id = DecodeHandOverId(message.id());
+  const bool is_for_this_life =
+      id.executor_incarnation == incarnation_ || !limits_.mechanisms.check_incarnation;
+  if (id.executor != self_ || id.origin != sender || !is_for_this_life) {
+    return;
+  }
+  Run* const run = Find(id);
+  if (run == nullptr) {
+    OnUnknown(id, message, now, actions);
+  } else {
+    run->heard_at = now;
+    Take(id, *run, message, now, actions);
+  }
+}
+
+void HandOverExecutor::OnUnknown(const HandOverId& id, const proto::HandOverMessage& message,
+                                 base::TimePoint now, HandOverActions& actions) {
+  if (message.has_close()) {
+    memory_.Remember(id, false);
+    return;
+  }
+  const OfferHistory history =
+      limits_.mechanisms.remember_ended ? memory_.Find(id) : OfferHistory::kNew;
+  switch (history) {
+    case OfferHistory::kNew:
+      if (message.has_offer()) {
+        OnOffer(id, message.offer(), now, actions);
+      }
+      return;
+    case OfferHistory::kRefused:
+      *AddMessage(id, actions)->mutable_answer_frame() = RefusalFrame(kFull);
+      return;
+    case OfferHistory::kEnded:
+      AddMessage(id, actions)->set_gone(true);
+      return;
+    case OfferHistory::kOldLife:
+      return;
+  }
+}
+
+void HandOverExecutor::OnOffer(const HandOverId& id, const proto::HandOverOffer& offer,
+                               base::TimePoint now, HandOverActions& actions) {
+  OnNewLife(id.origin, id.origin_incarnation, actions);
+  if (runs_.size() >= limits_.executor_capacity) {
+    if (limits_.mechanisms.remember_refused) {
+      memory_.Remember(id, true);
+    }
+    *AddMessage(id, actions)->mutable_answer_frame() = RefusalFrame(kFull);
+    return;
+  }
+  const base::Duration time_left(static_cast<std::int64_t>(offer.time_left_microseconds()));
+  Run run{.body = FrameReceiver(limits_.mechanisms.check_sequence),
+          .answer = FrameSender(kWindowFrames, limits_.resend_interval, limits_.heartbeat_interval),
+          .deadline = now + time_left,
+          .heard_at = now,
+          .heartbeat_at = now + limits_.heartbeat_interval};
+  runs_.emplace(KeyOf(id), std::move(run));
+  actions.executor.push_back({KeyOf(id), RunOffered{offer.head(), time_left}});
+}
+
+void HandOverExecutor::Take(const HandOverId& id, Run& run, const proto::HandOverMessage& message,
+                            base::TimePoint now, HandOverActions& actions) {
+  if (message.has_close()) {
+    Forget(KeyOf(id), actions);
+  } else if (message.has_offer()) {
+    if (run.is_accepted) {
+      SendAcknowledgement(id, run, actions);
+    }
+  } else if (message.has_request_frame()) {
+    if (run.body.Accept(message.request_frame().sequence())) {
+      TakeBody(KeyOf(id), run, message.request_frame(), actions);
+    }
+    SendAcknowledgement(id, run, actions);
+  } else if (message.has_answer_acknowledgement()) {
+    run.answer.OnAcknowledgement(message.answer_acknowledgement(), now);
+    SendAnswer(id, run, now, actions);
+    if (run.waits_for_room && run.answer.HasRoom()) {
+      run.waits_for_room = false;
+      actions.executor.push_back({KeyOf(id), AnswerWanted{}});
+    }
+  }
+}
+
+void HandOverExecutor::TakeBody(const HandOverId& id, Run& run, const proto::HandOverFrame& frame,
+                                HandOverActions& actions) const {
+  if (run.has_ended) {
+    return;  // the endpoint answered early: the rest of the body is for nobody
+  }
+  if (frame.has_end()) {
+    actions.executor.push_back({id, BodyEnded{}});
+  } else {
+    actions.executor.push_back({id, BodyBytesCame{frame.bytes()}});
+  }
+}
+
+void HandOverExecutor::SendAnswer(const HandOverId& id, Run& run, base::TimePoint now,
+                                  HandOverActions& actions) const {
+  for (proto::HandOverFrame& frame : run.answer.TakeDue(now)) {
+    *AddMessage(id, actions)->mutable_answer_frame() = std::move(frame);
+  }
+}
+
+void HandOverExecutor::SendAcknowledgement(const HandOverId& id, const Run& run,
+                                           HandOverActions& actions) const {
+  *AddMessage(id, actions)->mutable_request_acknowledgement() = run.body.Acknowledgement();
+}
+
+void HandOverExecutor::Accept(const HandOverId& run, HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found != nullptr && !found->has_ended) {
+    found->is_accepted = true;
+    SendAcknowledgement(run, *found, actions);
+  }
+}
+
+void HandOverExecutor::Refuse(const HandOverId& run, const Refusal& refusal, base::TimePoint now,
+                              HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found == nullptr || found->has_ended) {
+    return;
+  }
+  if (found->has_answer_begun) {
+    Finish(run, *found, CutFrame(), now, actions);
+    return;
+  }
+  found->was_refused = refusal.outcome == RequestOutcome::kNotRun;
+  Finish(run, *found, RefusalFrame(refusal), now, actions);
+}
+
+void HandOverExecutor::BeginAnswer(const HandOverId& run, const proto::HandOverAnswerHead& head,
+                                   base::TimePoint now, HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found == nullptr || found->has_ended || found->has_answer_begun) {
+    return;
+  }
+  if (!IsWellFormed(head)) {
+    constexpr Refusal kUnfit{RequestOutcome::kOutcomeUnknown, RefusalReason::kEndpointFailed,
+                             base::Duration(0)};
+    Finish(run, *found, RefusalFrame(kUnfit), now, actions);
+    actions.executor.push_back({run, RunCancelled{}});
+    return;
+  }
+  found->has_answer_begun = true;
+  proto::HandOverFrame frame;
+  *frame.mutable_head() = head;
+  found->answer.Push(std::move(frame));
+  SendAnswer(run, *found, now, actions);
+}
+
+bool HandOverExecutor::WriteAnswer(const HandOverId& run, std::string_view bytes,
+                                   base::TimePoint now, HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found == nullptr || found->has_ended) {
+    return true;
+  }
+  found->answer.PushBytes(bytes);
+  SendAnswer(run, *found, now, actions);
+  found->waits_for_room = !found->answer.HasRoom();
+  return !found->waits_for_room;
+}
+
+void HandOverExecutor::EndAnswer(const HandOverId& run, base::TimePoint now,
+                                 HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found != nullptr && !found->has_ended) {
+    proto::HandOverFrame frame;
+    frame.set_end(true);
+    Finish(run, *found, std::move(frame), now, actions);
+  }
+}
+
+void HandOverExecutor::CutAnswer(const HandOverId& run, base::TimePoint now,
+                                 HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found != nullptr && !found->has_ended) {
+    Finish(run, *found, CutFrame(), now, actions);
+  }
+}
+
+void HandOverExecutor::Finish(const HandOverId& id, Run& run, proto::HandOverFrame last,
+                              base::TimePoint now, HandOverActions& actions) {
+  run.has_ended = true;
+  run.answer.Push(std::move(last));
+  SendAnswer(id, run, now, actions);
+}
+
+void HandOverExecutor::SetBodyPaused(const HandOverId& run, bool is_paused,
+                                     HandOverActions& actions) {
+  Run* const found = Find(run);
+  if (found != nullptr) {
+    found->body.SetPaused(is_paused);
+    SendAcknowledgement(run, *found, actions);
+  }
+}
+
+void HandOverExecutor::Forget(const HandOverId& id, HandOverActions& actions) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) {
+    return;
+  }
+  if (!found->second.has_ended) {
+    actions.executor.push_back({id, RunCancelled{}});
+  }
+  memory_.Remember(id, found->second.was_refused);
+  runs_.erase(found);
+}
+
+void HandOverExecutor::OnNewLife(base::NodeId node, base::Incarnation incarnation,
+                                 HandOverActions& actions) {
+  std::vector<HandOverId> over;
+  for (const auto& [id, run] : runs_) {
+    if (id.origin == node && id.origin_incarnation < incarnation &&
+        limits_.mechanisms.check_incarnation) {
+      over.push_back(id);
+    }
+  }
+  for (const HandOverId& id : over) {
+    Forget(id, actions);
+  }
+  memory_.NoteLife(node, incarnation);
+}
+
+void HandOverExecutor::OnTimer(base::TimePoint now, HandOverActions& actions) {
+  std::vector<HandOverId> over;
+  for (auto& [id, run] : runs_) {
+    if (now - run.heard_at >= limits_.silence) {
+      over.push_back(id);
+      continue;
+    }
+    if (!run.has_answer_begun && !run.has_ended && now >= run.deadline) {
+      constexpr Refusal kLate{RequestOutcome::kOutcomeUnknown, RefusalReason::kDeadlineAfterStart,
+                              base::Duration(0)};
+      actions.executor.push_back({id, RunCancelled{}});
+      Finish(id, run, RefusalFrame(kLate), now, actions);
+    }
+    SendAnswer(id, run, now, actions);
+    if (now >= run.heartbeat_at && run.is_accepted) {
+      run.heartbeat_at = now + limits_.heartbeat_interval;
+      SendAcknowledgement(id, run, actions);
+    }
+  }
+  for (const HandOverId& id : over) {
+    Forget(id, actions);
+  }
+}
+
+}  // namespace gaugevalve::requests
--- /dev/null
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -0,0 +1,331 @@
+#include "gaugevalve/requests/hand_over_origin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gaugevalve/requests/hand_over_codec.h"
+
+namespace gaugevalve::requests {
+namespace {
+
+constexpr base::Duration kRetryAfter{1'000'000};
+
+// Adds an empty message of this hand-over for the executor.
+proto::HandOverMessage* AddMessage(const HandOverId& id, HandOverActions& actions) {
+  actions.send.push_back({id.executor, {}});
+  proto::HandOverMessage* const message = actions.send.back().message.mutable_hand_over();
+  EncodeHandOverId(id, message->mutable_id());
+  return message;
+}
+
+void SendClose(const HandOverId& id, HandOverActions& actions) {
+  AddMessage(id, actions)->set_close(true);
+}
+
+}  // namespace
+
+HandOverOrigin::HandOverOrigin(base::NodeId self, base::Incarnation incarnation,
+                               const HandOverLimits& limits, PeerLoads& loads,
+                               base::RandomSource& random)
+    : self_(self),
+      incarnation_(incarnation),
+      limits_(limits),
+      loads_(loads),
+      random_(random),
+      retry_budget_(limits.retry_share, limits.retry_burst) {}
+
+// A request's body waits for the executor's credit.
+FrameSender HandOverOrigin::NewBody() const {
+  return {0, limits_.resend_interval, limits_.heartbeat_interval};
+}
+
+bool HandOverOrigin::Offer(const HandOverRequest& request, HandOverNeed need, base::TimePoint now,
+                           HandOverActions& actions) {
+  const bool is_full =
+      exchanges_.size() >= limits_.origin_capacity && limits_.mechanisms.bound_in_flight;
+  const bool was_moved = request.was_handed_over && limits_.mechanisms.bound_hops;
+  if (is_full || was_moved || now >= request.deadline || !IsWellFormed(request.head)) {
+    return false;
+  }
+  Exchange exchange{.request = request,
+                    .need = need,
+                    .id = {},
+                    .tried = {},
+                    .body = NewBody(),
+                    .answer = FrameReceiver(limits_.mechanisms.check_sequence)};
+  if (!OfferTo(exchange, now, actions)) {
+    return false;
+  }
+  retry_budget_.OnFirstTry();
+  exchanges_.emplace(request.id, std::move(exchange));
+  return true;
+}
+
+bool HandOverOrigin::OfferTo(Exchange& exchange, base::TimePoint now, HandOverActions& actions) {
+  const auto peer = loads_.Choose(exchange.need, exchange.tried, random_, now);
+  if (!peer) {
+    return false;
+  }
+  exchange.id = {self_, incarnation_, next_number_, peer->node, peer->incarnation};
+  ++next_number_;
+  exchange.tried.push_back(peer->node);
+  exchange.body.Rewind();
+  exchange.answer = FrameReceiver(limits_.mechanisms.check_sequence);
+  exchange.is_accepted = false;
+  exchange.heard_at = now;
+  exchange.heartbeat_at = now + limits_.heartbeat_interval;
+  by_number_[exchange.id.number] = exchange.request.id;
+  loads_.Began(peer->node);
+  SendOffer(exchange, now, actions);
+  return true;
+}
+
+void HandOverOrigin::SendOffer(Exchange& exchange, base::TimePoint now,
+                               HandOverActions& actions) const {
+  exchange.offer_at = now + limits_.resend_interval;
+  proto::HandOverOffer* const offer = AddMessage(exchange.id, actions)->mutable_offer();
+  *offer->mutable_head() = exchange.request.head;
+  const base::Duration time_left = exchange.request.deadline - now;
+  offer->set_time_left_microseconds(
+      static_cast<std::uint64_t>(std::max<std::int64_t>(time_left.count(), 0)));
+  offer->set_hops(1);
+}
+
+void HandOverOrigin::SendBody(Exchange& exchange, base::TimePoint now,
+                              HandOverActions& actions) const {
+  for (proto::HandOverFrame& frame : exchange.body.TakeDue(now)) {
+    *AddMessage(exchange.id, actions)->mutable_request_frame() = std::move(frame);
+  }
+}
+
+void HandOverOrigin::SendAcknowledgement(const Exchange& exchange, HandOverActions& actions) const {
+  *AddMessage(exchange.id, actions)->mutable_answer_acknowledgement() =
+      exchange.answer.Acknowledgement();
+}
+
+bool HandOverOrigin::WriteBody(RequestId id, std::string_view bytes, base::TimePoint now,
+                               HandOverActions& actions) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) {
+    return true;
+  }
+  Exchange& exchange = found->second;
+  exchange.body.PushBytes(bytes);
+  SendBody(exchange, now, actions);
+  exchange.waits_for_room = !exchange.body.HasRoom();
+  return !exchange.waits_for_room;
+}
+
+void HandOverOrigin::FinishBody(RequestId id, base::TimePoint now, HandOverActions& actions) {
+  const auto found = exchanges_.find(id);
+  if (found != exchanges_.end()) {
+    proto::HandOverFrame frame;
+    frame.set_end(true);
+    found->second.body.Push(std::move(frame));
+    SendBody(found->second, now, actions);
+  }
+}
+
+void HandOverOrigin::SetAnswerPaused(RequestId id, bool is_paused, HandOverActions& actions) {
+  const auto found = exchanges_.find(id);
+  if (found != exchanges_.end()) {
+    found->second.answer.SetPaused(is_paused);
+    SendAcknowledgement(found->second, actions);
+  }
+}
+
+void HandOverOrigin::Cancel(RequestId id, HandOverActions& actions) { End(id, actions); }
+
+HandOverOrigin::Exchange* HandOverOrigin::Find(base::NodeId sender, const HandOverId& id) {
+  const auto number = by_number_.find(id.number);
+  if (number == by_number_.end()) {
+    return nullptr;
+  }
+  Exchange& exchange = exchanges_.at(number->second);
+  const bool is_same = exchange.id == id && sender == id.executor;
+  return is_same || !limits_.mechanisms.check_incarnation ? &exchange : nullptr;
+}
+
+void HandOverOrigin::OnMessage(base::NodeId sender, const proto::HandOverMessage& message,
+                               base::TimePoint now, HandOverActions& actions) {
+  const HandOverId id = DecodeHandOverId(message.id());
+  if (id.origin != self_) {
+    return;
+  }
+  Exchange* const exchange = Find(sender, id);
+  if (exchange == nullptr) {
+    // It ended here, or belonged to a former life: the executor must not go on for it.
+    if (!message.has_gone() && sender == id.executor) {
+      SendClose(id, actions);
+    }
+    return;
+  }
+  exchange->heard_at = now;
+  if (message.has_gone()) {
+    OnLost(*exchange, now, actions);
+  } else if (message.has_answer_frame()) {
+    exchange->is_accepted = true;
+    OnAnswerFrame(*exchange, message.answer_frame(), now, actions);
+  } else if (message.has_request_acknowledgement()) {
+    exchange->is_accepted = true;
+    exchange->body.OnAcknowledgement(message.request_acknowledgement(), now);
+    SendBody(*exchange, now, actions);
+    if (exchange->waits_for_room && exchange->body.HasRoom()) {
+      exchange->waits_for_room = false;
+      actions.origin.push_back({exchange->request.id, BodyWanted{}});
+    }
+  }
+}
+
+void HandOverOrigin::OnAnswerFrame(Exchange& exchange, const proto::HandOverFrame& frame,
+                                   base::TimePoint now, HandOverActions& actions) {
+  const RequestId request = exchange.request.id;
+  const std::uint64_t number = exchange.id.number;
+  if (exchange.answer.Accept(frame.sequence())) {
+    TakeFrame(exchange, frame, now, actions);
+  }
+  const auto found = exchanges_.find(request);
+  if (found != exchanges_.end() && found->second.id.number == number) {
+    SendAcknowledgement(found->second, actions);
+  }
+}
+
+void HandOverOrigin::TakeFrame(Exchange& exchange, const proto::HandOverFrame& frame,
+                               base::TimePoint now, HandOverActions& actions) {
+  const RequestId id = exchange.request.id;
+  const bool is_first = !exchange.has_answer_begun;
+  if (frame.has_refusal() && is_first) {
+    OnRefusal(exchange, DecodeRefusal(frame.refusal()), now, actions);
+  } else if (frame.has_head() && is_first) {
+    exchange.has_answer_begun = true;
+    actions.origin.push_back({id, AnswerHeadCame{frame.head()}});
+  } else if (frame.has_bytes() && !is_first) {
+    actions.origin.push_back({id, AnswerBytesCame{frame.bytes()}});
+  } else if (frame.has_end() && !is_first) {
+    actions.origin.push_back({id, AnswerEnded{}});
+    End(id, actions);
+  } else {
+    // Cut, or frames in an order that makes no answer.
+    OnLost(exchange, now, actions);
+  }
+}
+
+// Only a refusal that says "not run" before any of the body was consumed leaves the request whole.
+void HandOverOrigin::OnRefusal(Exchange& exchange, const Refusal& refusal, base::TimePoint now,
+                               HandOverActions& actions) {
+  const bool was_not_run = refusal.outcome == RequestOutcome::kNotRun;
+  if (was_not_run) {
+    loads_.Refused(exchange.id.executor);
+  }
+  if (was_not_run && OfferElsewhere(exchange, now, actions)) {
+    return;
+  }
+  if (was_not_run && exchange.may_have_run) {
+    RefuseAsLost(exchange.request.id, actions);
+    return;
+  }
+  Refuse(exchange.request.id, refusal, actions);
+}
+
+// The executor is gone, or can't tell: the request may have run.
+void HandOverOrigin::OnLost(Exchange& exchange, base::TimePoint now, HandOverActions& actions) {
+  const RequestId id = exchange.request.id;
+  if (exchange.has_answer_begun) {
+    actions.origin.push_back({id, AnswerCut{}});
+    End(id, actions);
+    return;
+  }
+  exchange.may_have_run = limits_.mechanisms.remember_loss;
+  if (!MayRepeat(exchange, now) || !OfferElsewhere(exchange, now, actions)) {
+    RefuseAsLost(id, actions);
+  }
+}
+
+void HandOverOrigin::RefuseAsLost(RequestId id, HandOverActions& actions) {
+  const RequestOutcome outcome = limits_.mechanisms.silence_is_unknown
+                                     ? RequestOutcome::kOutcomeUnknown
+                                     : RequestOutcome::kNotRun;
+  Refuse(id, {outcome, RefusalReason::kExecutorLost, kRetryAfter}, actions);
+}
+
+bool HandOverOrigin::MayRepeat(const Exchange& exchange, base::TimePoint now) {
+  const bool is_safe = exchange.request.is_safe || !limits_.mechanisms.repeat_only_safe;
+  return is_safe && now < exchange.request.deadline && exchange.body.IsUntouched() &&
+         exchange.tried.size() < limits_.max_offers && retry_budget_.TakeRetry();
+}
+
+bool HandOverOrigin::OfferElsewhere(Exchange& exchange, base::TimePoint now,
+                                    HandOverActions& actions) {
+  const bool may_ask = exchange.tried.size() < limits_.max_offers && exchange.body.IsUntouched() &&
+                       now < exchange.request.deadline;
+  const HandOverId former = exchange.id;
+  if (!may_ask || !OfferTo(exchange, now, actions)) {
+    return false;
+  }
+  by_number_.erase(former.number);
+  loads_.Ended(former.executor);
+  SendClose(former, actions);
+  return true;
+}
+
+void HandOverOrigin::Refuse(RequestId id, const Refusal& refusal, HandOverActions& actions) {
+  actions.origin.push_back({id, HandOverRefused{refusal}});
+  End(id, actions);
+}
+
+void HandOverOrigin::End(RequestId id, HandOverActions& actions) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  SendClose(found->second.id, actions);
+  by_number_.erase(found->second.id.number);
+  loads_.Ended(found->second.id.executor);
+  exchanges_.erase(found);
+}
+
+void HandOverOrigin::OnNewLife(base::NodeId node, base::Incarnation incarnation,
+                               base::TimePoint now, HandOverActions& actions) {
+  std::vector<RequestId> lost;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange.id.executor == node && exchange.id.executor_incarnation < incarnation) {
+      lost.push_back(id);
+    }
+  }
+  for (const RequestId id : lost) {
+    OnLost(exchanges_.at(id), now, actions);
+  }
+}
+
+void HandOverOrigin::OnTimer(base::TimePoint now, HandOverActions& actions) {
+  std::vector<RequestId> overdue;
+  std::vector<RequestId> silent;
+  for (auto& [id, exchange] : exchanges_) {
+    if (!exchange.has_answer_begun && now >= exchange.request.deadline) {
+      overdue.push_back(id);
+      continue;
+    }
+    if (now - exchange.heard_at >= limits_.silence) {
+      silent.push_back(id);
+      continue;
+    }
+    if (!exchange.is_accepted && now >= exchange.offer_at) {
+      SendOffer(exchange, now, actions);
+    }
+    SendBody(exchange, now, actions);
+    if (now >= exchange.heartbeat_at) {
+      exchange.heartbeat_at = now + limits_.heartbeat_interval;
+      SendAcknowledgement(exchange, actions);
+    }
+  }
+  for (const RequestId id : overdue) {
+    Refuse(id,
+           {RequestOutcome::kOutcomeUnknown, RefusalReason::kDeadlineAfterStart, base::Duration(0)},
+           actions);
+  }
+  for (const RequestId id : silent) {
+    OnLost(exchanges_.at(id), now, actions);
+  }
+}
+
+}  // namespace gaugevalve::requests
--- /dev/null
+++ b/proofs/hand_over/request_ledger.h
@@ -0,0 +1,72 @@
+// The oracle of the hand-over proof: what truly became of each request, and what its caller was
+// told.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/requests/request_outcome.h"
+
+namespace gaugevalve::proofs {
+
+// One request as its caller and the endpoints know it.
+struct LedgerEntry {
+  bool is_safe = false;
+  std::string body;
+  std::string answer;  // the endpoint's own
+  base::TimePoint deadline;
+  base::NodeId origin;
+  base::Incarnation origin_incarnation;
+  std::size_t body_given = 0;  // to the origin's core
+  int executions = 0;
+  int moves = 0;  // from agent to agent, tries at other peers aside
+  bool has_head = false;
+  std::string received;
+  bool has_ended = false;
+  bool was_told_not_run = false;
+};
+
+// Follows every request. The first broken promise is kept in words; the proof asks for it after
+// each event.
+class RequestLedger {
+ public:
+  // Adds a request and returns its number. Content follows from the number and these sizes.
+  std::uint64_t Add(bool is_safe, std::size_t body_size, std::size_t answer_size);
+
+  LedgerEntry& Of(std::uint64_t number) { return entries_[number]; }
+  std::size_t Size() const { return entries_.size(); }
+
+  // An endpoint began to run the request.
+  void Executed(std::uint64_t number);
+  // An endpoint was given the body.
+  void EndpointReceived(std::uint64_t number, std::string_view body, bool is_whole);
+  // An agent handed the request to another.
+  void Moved(std::uint64_t number);
+
+  // What the caller was given.
+  void Head(std::uint64_t number);
+  void Bytes(std::uint64_t number, std::string_view bytes);
+  void Whole(std::uint64_t number);
+  void Cut(std::uint64_t number);
+  void Refused(std::uint64_t number, requests::RequestOutcome outcome);
+  // The caller gave it up, or its agent is gone.
+  void GivenUp(std::uint64_t number) { entries_[number].has_ended = true; }
+
+  void Require(bool holds, std::string_view promise);
+
+  // Returns the first broken promise, or nothing.
+  const std::string& Broken() const { return broken_; }
+
+ private:
+  void End(std::uint64_t number);
+
+  std::vector<LedgerEntry> entries_;
+  std::string broken_;
+};
+
+}  // namespace gaugevalve::proofs
