--- a/tools/load/src/http3_flow.cpp
+++ b/tools/load/src/http3_flow.cpp
@@ -102,8 +102,9 @@
 }
 
 void Http3Flow::SubmitBoard() {
-  client_->Client().SubmitRequest(MakeHead("GET", "/board"), {},
-                                  std::make_unique<BoardHandler>(*this));
+  quic::RequestHead head = MakeHead("GET", "/board");
+  head.fields.push_back({"accept", "text/event-stream"});  // or it would wait for a slot
+  client_->Client().SubmitRequest(head, {}, std::make_unique<BoardHandler>(*this));
 }
 
 void Http3Flow::SubmitReservation() {
