--- /dev/null
+++ b/scripts/local/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with real processes: each prints figures, and none is a test."""
