--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import dataclasses
 import json
 import pathlib
 import signal
@@ -19,6 +20,7 @@
 from local import admin, polling, specs  # noqa: E402  the path is set above
 from local.processes import ManagedProcess  # noqa: E402
 from http3_scenario import Http3ScenarioTest  # noqa: E402
+from keyed_scenario import KeyedScenarioTest  # noqa: E402
 from scenario import ScenarioTest, format_rows  # noqa: E402
 
 
@@ -211,6 +213,46 @@
         self.assert_nothing_broke()
 
 
+# Two attempts at once, repeats of answered ones, and endpoints that refuse what comes too thick.
+_REPEATING_CALLERS = ("--requests_per_second=120", "--connections=40", "--attempts=6",
+                      "--echo_share=0.5", "--patience=1s", "--repeat_after=100ms")
+
+
+class KeyedReservations(KeyedScenarioTest):
+    """Agents are killed while callers repeat reservations: none runs twice."""
+
+    spec = dataclasses.replace(
+        specs.with_settings(specs.with_kind(specs.PARTS_PLATFORM, "http3"), slots=3, queue_length=2),
+        backend_flags=("--slots=2", "--queue_limit=0"))
+    caller_flags = _REPEATING_CALLERS
+
+    def test_http3_agents_killed(self) -> None:
+        for endpoint in self.deployment.layout.endpoints_of(self.service)[:3]:
+            self.kill_and_replace_agent(endpoint.name)
+        report, differences = self.end_callers()
+        self.assertEqual([], differences.ran_twice, "reservations that ran twice")
+        self.assertEqual([], differences.ran_though_refused, "'not run' that ran")
+        self.assertEqual([], differences.answered_but_never_ran, "answered and did not run")
+        self.assertEqual([], differences.never_sent, "ran and were not sent")
+        self.assertEqual(0, report["wrong_answers"], "answers of other requests")
+        self.assertGreater(len(report["keys"]["answered"]), 0)
+        self.assertGreater(report["repeats"], 0)
+
+
+class KeyedReservationsControl(KeyedScenarioTest):
+    """The check itself: attempts that come to agents of two services, which know nothing of each
+    other's keys, run twice, and the ledgers must show it."""
+
+    spec = specs.with_kind(specs.PARTS_PLATFORM, "http3")
+    caller_flags = _REPEATING_CALLERS
+    other_services = (specs.PARTS_PLATFORM.services[1].name,)
+
+    def test_control_http3_agents_do_not_agree(self) -> None:
+        polling.wait_until(lambda: self.keys_run_twice() > 0, "a key runs twice")
+        _, differences = self.end_callers()
+        self.assertGreater(len(differences.ran_twice), 0)
+
+
 class CheckerControl(ScenarioTest):
     """The checks themselves: faults that no balancer could mend must be seen."""
 
--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -151,13 +151,15 @@
     def _make_backend(self, endpoint: nodes.Endpoint) -> ManagedProcess:
         command = [self._program("standin-backend"), f"--name={endpoint.name}",
                    f"--service={endpoint.service.name}", f"--datagram={endpoint.datagram_address}",
-                   f"--http={endpoint.http_address}", f"--admin={endpoint.admin_address}"]
+                   f"--http={endpoint.http_address}", f"--admin={endpoint.admin_address}",
+                   *self.spec.backend_flags]
         return ManagedProcess(f"backend-{endpoint.name}", command, self._directory,
                               endpoint.admin_address)
 
     def _make_agent(self, endpoint: nodes.Endpoint) -> ManagedProcess:
         settings = nodes.write_agent_settings(self.layout, endpoint, self._directory)
-        command = [self._program("gaugevalve-agent"), f"--settings={settings}"]
+        command = [self._program("gaugevalve-agent"), f"--settings={settings}",
+                   *self.spec.agent_flags]
         return ManagedProcess(endpoint.agent.name, command, self._directory,
                               endpoint.agent.admin_address)
 
--- a/scripts/local/nodes.py
+++ b/scripts/local/nodes.py
@@ -135,6 +135,7 @@
         "kind": service.kind,
         "virtual_address": layout.virtual_addresses[service.name],
         "bucket_count": service.bucket_count,
+        **dict(service.settings),
         "regions": {layout.spec.region: {"zones": used_zones}},
     }
 
--- a/scripts/local/specs.py
+++ b/scripts/local/specs.py
@@ -5,23 +5,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServiceSpec:
-    """A service and how many endpoints it has."""
+    """A service, how many endpoints it has, and its fields in the tree besides, as (key, value)."""
 
     name: str
     endpoints: int
     kind: str = "datagram"
     bucket_count: int = 256
+    settings: tuple[tuple[str, object], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class DeploymentSpec:
-    """Services, zones and balancers of one deployment."""
+    """Services, zones and balancers of one deployment, and further flags of its programs."""
 
     name: str
     region: str
     zones: tuple[str, ...]
     services: tuple[ServiceSpec, ...]
     balancers: int = 2
+    backend_flags: tuple[str, ...] = ()
+    agent_flags: tuple[str, ...] = ()
 
     def has_http3(self) -> bool:
         """Tells whether any service is HTTP/3."""
@@ -49,4 +52,11 @@
     return dataclasses.replace(spec, services=services)
 
 
+def with_settings(spec: DeploymentSpec, **settings: object) -> DeploymentSpec:
+    """Returns the deployment with these fields in the tree for all its services."""
+    services = tuple(dataclasses.replace(service, settings=tuple(settings.items()))
+                     for service in spec.services)
+    return dataclasses.replace(spec, services=services)
+
+
 BY_NAME = {spec.name: spec for spec in (PARTS_PLATFORM, PORT)}
