--- a/tools/load/src/http3_flow.cpp
+++ b/tools/load/src/http3_flow.cpp
@@ -94,7 +94,7 @@
       Break("stateless_reset");
       break;
     case Kind::kIdle:
-      Break("connection_idle");
+      Break(board_is_known_ ? "connection_idle" : "never_answered");
       break;
     default:
       Break("connection_closed");
