--- a/proofs/membership/src/membership_proof.cpp
+++ b/proofs/membership/src/membership_proof.cpp
@@ -1,13 +1,15 @@
 // Stateful fuzzing of the membership core. Rules at every moment: knowledge never gets older. After
 // the faults end: every view becomes the truth. Refutation and the order of incarnations are each
 // taken away in turn; the rules must then be seen broken.
-#include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
-#include <iostream>
-#include <sstream>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
 
+#include "gaugevalve/testing/proof.h"
 #include "membership_world.h"
 
 namespace gaugevalve::proofs {
@@ -61,13 +63,13 @@
         number_(*rc::gen::inRange(1, kNumbers)) {}
 
   void run(const Model& /*model*/, MembershipWorld& world) const override {  // NOLINT
+    if (world.Violation()) {
+      return;  // told at the end of the case
+    }
     Do(world);
     // Short after most steps, so that faults meet; long enough for verdicts after others.
     const bool is_long = kind_ == StepKind::kRun;
     world.Run(number_ * (is_long ? std::chrono::milliseconds(100) : std::chrono::milliseconds(5)));
-    if (world.Violation()) {
-      RC_FAIL(*world.Violation());
-    }
   }
 
   void show(std::ostream& stream) const override {  // NOLINT: rapidcheck's name
@@ -113,77 +115,66 @@
   int number_;
 };
 
-constexpr std::uint64_t kSeed = 20'261'202;
-constexpr int kCases = 1000;
-constexpr int kLargestSize = 60;  // steps of a case, about
-
-rc::detail::TestResult Explore(const membership::InjectedFaults& faults, MembershipTotals& totals) {
-  rc::detail::TestParams parameters;
-  parameters.seed = kSeed;
-  parameters.maxSuccess = kCases;
-  parameters.maxSize = kLargestSize;
-  const auto property = [&] {
-    MembershipWorld world(*rc::gen::arbitrary<std::uint64_t>(), faults);
-    rc::state::check(Model{}, world, rc::state::gen::execOneOfWithArgs<Perform>());
+// Runs one generated case and returns the first breach of a rule.
+std::optional<std::string> RunCase(const membership::InjectedFaults& faults,
+                                   MembershipTotals& totals) {
+  MembershipWorld world(*rc::gen::arbitrary<std::uint64_t>(), faults);
+  rc::state::check(Model{}, world, rc::state::gen::execOneOfWithArgs<Perform>());
+  if (!world.Violation()) {
     world.Heal();
-    totals.deaths_reported += world.Totals().deaths_reported;
-    totals.recoveries += world.Totals().recoveries;
-    totals.restarts += world.Totals().restarts;
-    totals.told_of_own_death += world.Totals().told_of_own_death;
-    if (world.Violation()) {
-      RC_FAIL(*world.Violation());
-    }
-  };
-  return rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
-}
-
-std::string Describe(const rc::detail::TestResult& result, const MembershipTotals& totals) {
-  std::ostringstream words;
-  rc::detail::printResultMessage(result, words);
-  words << "\nseed " << kSeed << ", deaths reported " << totals.deaths_reported << ", recoveries "
-        << totals.recoveries << ", restarts " << totals.restarts << ", told of own death "
-        << totals.told_of_own_death << '\n';
-  return words.str();
-}
-
-class MembershipProof : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(MembershipProof);
-  CPPUNIT_TEST(ViewsNeverGetOlderAndBecomeTrue);
-  CPPUNIT_TEST(CatchesMissingRefutation);
-  CPPUNIT_TEST(CatchesMissingOrderOfIncarnations);
-  CPPUNIT_TEST_SUITE_END();
-
- public:
-  void ViewsNeverGetOlderAndBecomeTrue() {
-    MembershipTotals totals;
-    const rc::detail::TestResult result = Explore({}, totals);
-    std::cout << Describe(result, totals);
-    CPPUNIT_ASSERT_MESSAGE(Describe(result, totals), result.is<rc::detail::SuccessResult>());
-    CPPUNIT_ASSERT(totals.deaths_reported > 1000);
-    CPPUNIT_ASSERT(totals.recoveries > 100);
-    CPPUNIT_ASSERT(totals.restarts > 100);
-    CPPUNIT_ASSERT(totals.told_of_own_death > 100);
   }
+  totals.deaths_reported += world.Totals().deaths_reported;
+  totals.recoveries += world.Totals().recoveries;
+  totals.restarts += world.Totals().restarts;
+  totals.told_of_own_death += world.Totals().told_of_own_death;
+  return world.Violation();
+}
 
-  void CatchesMissingRefutation() {
-    MustBreak({.never_refute = true}, "views did not become true");
+// Fails when the cases don't hold enough of what the proof is about.
+void ExpectFaultsTookPlace(const MembershipTotals& totals, std::size_t cases) {
+  constexpr std::size_t kEnoughCases = 200;
+  constexpr std::size_t kCasesForEachRecovery = 10;
+  if (cases < kEnoughCases) {
+    return;
   }
+  RC_ASSERT(totals.deaths_reported > cases);
+  RC_ASSERT(totals.recoveries > cases / kCasesForEachRecovery);
+  RC_ASSERT(totals.restarts > cases / kCasesForEachRecovery);
+  RC_ASSERT(totals.told_of_own_death > cases / kCasesForEachRecovery);
+}
 
-  void CatchesMissingOrderOfIncarnations() {
-    MustBreak({.accept_older_incarnations = true}, "knowledge got older");
+void ViewsNeverGetOlderAndBecomeTrue() {
+  static MembershipTotals totals;
+  static std::size_t cases = 0;
+  const std::optional<std::string> violation = RunCase({}, totals);
+  if (violation) {
+    RC_FAIL(*violation);
   }
+  ExpectFaultsTookPlace(totals, ++cases);
+}
 
- private:
-  static void MustBreak(const membership::InjectedFaults& faults, const std::string& words) {
+// Returns a property that fails by this rule only: other breaches don't show that it is looked at.
+std::function<void()> Breaks(const membership::InjectedFaults& faults, std::string rule) {
+  return [faults, rule = std::move(rule)] {
     MembershipTotals totals;
-    const rc::detail::TestResult result = Explore(faults, totals);
-    const std::string description = Describe(result, totals);
-    CPPUNIT_ASSERT_MESSAGE(description, result.is<rc::detail::FailureResult>());
-    CPPUNIT_ASSERT_MESSAGE(description, description.find(words) != std::string::npos);
-  }
-};
+    const std::optional<std::string> violation = RunCase(faults, totals);
+    if (violation && violation->find(rule) != std::string::npos) {
+      RC_FAIL(*violation);
+    }
+  };
+}
 
-CPPUNIT_TEST_SUITE_REGISTRATION(MembershipProof);
+using testing::ProofKind;
+
+const testing::RegisteredProof views_proof("views_never_get_older_and_become_true",
+                                           ProofKind::kHolds, ViewsNeverGetOlderAndBecomeTrue);
+const testing::RegisteredProof no_refutation_proof("without_refutation", ProofKind::kMutantIsCaught,
+                                                   Breaks({.never_refute = true},
+                                                          "views did not become true"));
+const testing::RegisteredProof no_order_proof("without_order_of_incarnations",
+                                              ProofKind::kMutantIsCaught,
+                                              Breaks({.accept_older_incarnations = true},
+                                                     "knowledge got older"));
 
 }  // namespace
 }  // namespace gaugevalve::proofs
