--- a/libs/membership/benchmarks/membership_benchmark.cpp
+++ b/libs/membership/benchmarks/membership_benchmark.cpp
@@ -1,6 +1,8 @@
 // Measures the membership protocol with hollow nodes in simulated time.
 //
-// Usage: membership-benchmark --members=4460 --scenario=steady|kill|zone_loss|region_split|join
+// Usage: membership-benchmark --members=4460
+// --scenario=steady|kill|rack|zone_loss|region_split|join|
+//        day|memory
 // Prints one line of key=value pairs. Bytes are those of envelopes and nng's framing, sent by a
 // node; network bytes add an estimate of TCP's and IP's headers and of opening connections.
 
@@ -21,8 +23,11 @@
 #include "gaugevalve/membership_simulation/hollow_group.h"
 
 ABSL_FLAG(std::uint32_t, members, 500, "Number of hollow nodes");
-ABSL_FLAG(std::string, scenario, "steady", "steady, kill, zone_loss, region_split, join or memory");
+ABSL_FLAG(std::string, scenario, "steady",
+          "steady, kill, rack, zone_loss, region_split, join, day or memory");
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the run");
+ABSL_FLAG(std::uint32_t, day_seconds, 230,
+          "Length of a day of 17 deaths and 440 replacements, in simulated seconds");
 ABSL_FLAG(std::uint32_t, split_seconds, 180, "Length of the region split, in simulated seconds");
 
 namespace gaugevalve::membership_simulation {
@@ -71,6 +76,7 @@
   std::vector<std::uint64_t> messages;
   std::vector<std::uint64_t> bytes;
   std::vector<std::uint64_t> connections;
+  std::vector<bool> in_service;  // runs and has joined
 };
 
 // Traffic of single nodes in one second.
@@ -95,6 +101,10 @@
       Kill();
     } else if (scenario == "zone_loss") {
       ZoneLoss();
+    } else if (scenario == "rack") {
+      Rack();
+    } else if (scenario == "day") {
+      Day();
     } else if (scenario == "region_split") {
       RegionSplit();
     } else if (scenario == "join") {
@@ -123,16 +133,44 @@
 
   void OnEvent(simulation::NodeIndex /*observer*/, const membership::MembershipEvent& event) {
     ++events_[event.kind];
-    if (event.kind == membership::EventKind::kFailed) {
-      const auto killed = killed_at_.find(event.member.node);
-      if (killed == killed_at_.end()) {
-        ++false_failures_;
-      } else {
-        detection_.push_back(Seconds(simulator_.Now() - killed->second));
-      }
+    const auto killed = killed_at_.find(event.member.node);
+    const bool is_failure = event.kind == membership::EventKind::kFailed;
+    if (killed == killed_at_.end()) {
+      false_failures_ += is_failure ? 1 : 0;
+      return;
+    }
+    if (event.kind == membership::EventKind::kSuspected) {
+      first_suspected_at_.try_emplace(event.member.node, simulator_.Now());
+    } else if (is_failure) {
+      detection_.push_back(Seconds(simulator_.Now() - killed->second));
+      const auto [first, is_new] =
+          first_declared_at_.try_emplace(event.member.node, simulator_.Now());
+      spread_.push_back(Seconds(simulator_.Now() - first->second));
     }
   }
 
+  // Prints the stages of the deaths: first suspicion and first verdict anywhere since the death,
+  // and each node's hearing of it since the first verdict.
+  void PrintStages() const {
+    std::vector<double> suspected;
+    std::vector<double> declared;
+    for (const auto& [node, at] : first_suspected_at_) {
+      suspected.push_back(Seconds(at - killed_at_.at(node)));
+    }
+    for (const auto& [node, at] : first_declared_at_) {
+      declared.push_back(Seconds(at - killed_at_.at(node)));
+    }
+    PrintDistribution("first_suspected", suspected);
+    PrintDistribution("first_declared", declared);
+    PrintDistribution("heard_after", spread_);
+  }
+
+  static void PrintDistribution(const std::string& name, const std::vector<double>& values) {
+    std::cout << " " << name << "_p50_s=" << Percentile(values, 0.5) << " " << name
+              << "_p99_s=" << Percentile(values, 0.99) << " " << name
+              << "_max_s=" << Percentile(values, 1.0);
+  }
+
   void KillMember(std::size_t member) {
     killed_at_[group_->Node(member)] = simulator_.Now();
     group_->Kill(member);
@@ -145,6 +183,7 @@
         traffic.messages.push_back(0);
         traffic.bytes.push_back(0);
         traffic.connections.push_back(0);
+        traffic.in_service.push_back(false);
         continue;
       }
       const auto& counters = group_->Life(member).Counters();
@@ -152,11 +191,12 @@
       traffic.messages.push_back(kind.sent_messages);
       traffic.bytes.push_back(kind.sent_bytes);
       traffic.connections.push_back(counters.connections_opened);
+      traffic.in_service.push_back(group_->Life(member).Core().IsJoined());
     }
     return traffic;
   }
 
-  // Runs for `duration` and returns the rates of the members that run at its end.
+  // Runs for `duration` and returns the rates of the members in service at its start and end.
   TrafficRates Measure(base::Duration duration) {
     const Traffic before = Snapshot();
     simulator_.RunFor(duration);
@@ -165,7 +205,8 @@
     TrafficRates rates;
     double running = 0;
     for (std::size_t member = 0; member < members_; ++member) {
-      if (!group_->IsRunning(member)) {
+      const bool has_restarted = after.bytes[member] < before.bytes[member];
+      if (!before.in_service[member] || !after.in_service[member] || has_restarted) {
         continue;
       }
       ++running;
@@ -262,10 +303,66 @@
     }
     std::cout << " killed=" << killed;
     RunUntilConverged("", 300);
-    std::cout << " detection_p50_s=" << Percentile(detection_, 0.5)
-              << " detection_p99_s=" << Percentile(detection_, 0.99)
-              << " detection_max_s=" << Percentile(detection_, 1.0)
-              << " false_failures=" << false_failures_;
+    PrintDistribution("detection", detection_);
+    PrintStages();
+    std::cout << " false_failures=" << false_failures_;
+  }
+
+  // 20 neighbours of one zone die at once.
+  void Rack() {
+    MakeGroup(true);
+    simulator_.RunFor(seconds(30));
+    constexpr std::size_t kRackSize = 20;
+    const std::size_t zones = MakeTargetNetwork().Zones().size();
+    for (std::size_t machine = 0; machine < kRackSize; ++machine) {
+      KillMember((2 + machine * zones) % members_);
+    }
+    std::cout << " killed=" << kRackSize;
+    RunUntilConverged("", 300);
+    PrintDistribution("detection", detection_);
+    PrintStages();
+    std::cout << " false_failures=" << false_failures_;
+  }
+
+  // 17 machines die and 440 are replaced, evenly over the run: a replaced one says farewell, ends a
+  // second later and is back in a new life after another.
+  void Day() {
+    constexpr int kDeaths = 17;
+    constexpr int kReplacements = 440;
+    constexpr int kEvents = kDeaths + kReplacements;
+    MakeGroup(true);
+    simulator_.RunFor(seconds(30));
+    const auto length = static_cast<int>(absl::GetFlag(FLAGS_day_seconds));
+    int deaths = 0;
+    for (int event = 0; event < kEvents; ++event) {
+      const base::Duration delay = seconds(length) * event / kEvents;
+      const std::size_t member = 1 + static_cast<std::size_t>(event) * (members_ / kEvents);
+      const bool is_death = (event + 1) * kDeaths / kEvents > deaths;
+      deaths += is_death ? 1 : 0;
+      if (is_death) {
+        simulator_.Schedule(delay, [this, member] { KillMember(member); });
+        continue;
+      }
+      simulator_.Schedule(delay, [this, member] { group_->Leave(member); });
+      simulator_.Schedule(delay + seconds(1), [this, member] { group_->Kill(member); });
+      simulator_.Schedule(delay + seconds(2), [this, member] { group_->Restart(member); });
+    }
+    std::cout << " deaths=" << deaths << " replaced=" << kEvents - deaths;
+    TrafficRates peak;
+    double largest = 0;
+    double bytes = 0;
+    for (int second = 0; second < length + 2; ++second) {
+      const TrafficRates rates = Measure(seconds(1));
+      bytes += rates.bytes;
+      peak = rates.bytes > peak.bytes ? rates : peak;
+      largest = std::max(largest, rates.largest_bytes);
+    }
+    std::cout << " mean_bytes_per_s=" << bytes / (length + 2);
+    Print("peak_second_", peak);
+    std::cout << " largest_node_second_bytes=" << largest;
+    RunUntilConverged("after_", 120);
+    PrintDistribution("detection", detection_);
+    std::cout << " reports=" << detection_.size() << " false_failures=" << false_failures_;
   }
 
   void RegionSplit() {
@@ -334,7 +431,10 @@
   std::unique_ptr<HollowGroup> group_;
   std::map<base::NodeId, base::TimePoint> killed_at_;
   std::map<membership::EventKind, std::uint64_t> events_;
+  std::map<base::NodeId, base::TimePoint> first_suspected_at_;  // of those killed, by anybody
+  std::map<base::NodeId, base::TimePoint> first_declared_at_;
   std::vector<double> detection_;
+  std::vector<double> spread_;  // since the first verdict, for each node and death
   std::uint64_t false_failures_ = 0;
 };
 
