--- a/libs/membership/include/gaugevalve/membership/membership_options.h
+++ b/libs/membership/include/gaugevalve/membership/membership_options.h
@@ -13,6 +13,7 @@
 struct InjectedFaults {
   bool never_refute = false;
   bool accept_older_incarnations = false;
+  bool trust_any_group_base = false;
 };
 
 struct MembershipOptions {
@@ -36,6 +37,9 @@
   base::Duration gossip_peer_change_interval = std::chrono::seconds(30);
   double retransmit_factor = 3.0;  // sends of an update = factor times log10 of the members
   std::size_t update_bytes_per_message = 700;
+  // From so many members of a group in one state on, a summary of the group goes out in place of a
+  // fingerprint for each; it takes as many bytes as seven fingerprints.
+  std::size_t fewest_members_in_summary = 7;
   double update_bytes_per_second = 2000;  // over all messages
   double update_burst_bytes = 2000;
 
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -121,6 +121,7 @@
 
 void MemberTable::Count(const Member& member) {
   fingerprints_.Add(member);
+  groups_.Add(member);
   if (IsLive(member.state)) {
     ++live_count_;
     digest_.Toggle(member);
@@ -129,6 +130,7 @@
 
 void MemberTable::Uncount(const Member& member) {
   fingerprints_.Remove(member);
+  groups_.Remove(member);
   if (IsLive(member.state)) {
     --live_count_;
     digest_.Toggle(member);
--- a/libs/membership/src/member_table.h
+++ b/libs/membership/src/member_table.h
@@ -8,6 +8,7 @@
 #include "absl/container/btree_map.h"
 #include "fingerprint_index.h"
 #include "gaugevalve/membership/member.h"
+#include "member_groups.h"
 #include "member_record.h"
 #include "table_digest.h"
 
@@ -59,6 +60,7 @@
   const Map& Members() const { return members_; }
   const TableDigest& Digest() const { return digest_; }
   const FingerprintIndex& Fingerprints() const { return fingerprints_; }
+  const MemberGroups& Groups() const { return groups_; }
   std::size_t LiveCount() const { return live_count_; }
   std::size_t DeadCount() const { return members_.size() - live_count_; }
 
@@ -66,7 +68,7 @@
   MergeResult Add(const MemberRecord& record, base::TimePoint now);
   MergeResult Change(Member& member, const MemberRecord& record, base::TimePoint now);
   bool MakeRoom();
-  // Keeps count, digest and fingerprints: each change of a member is between the two.
+  // Keeps count, digest, fingerprints and groups: each change of a member is between the two.
   void Uncount(const Member& member);
   void Count(const Member& member);
 
@@ -74,6 +76,7 @@
   Map members_;
   TableDigest digest_;
   FingerprintIndex fingerprints_;
+  MemberGroups groups_;
   std::size_t live_count_ = 0;
 };
 
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -7,6 +7,7 @@
 
 #include "failure_detector.h"
 #include "gossip_peers.h"
+#include "group_summary.h"
 #include "local_health.h"
 #include "member_table.h"
 #include "outbox.h"
@@ -202,6 +203,12 @@
         ++counters_.malformed_messages;
       }
     }
+    for (const proto::GroupSummary& summary : message.summaries()) {
+      for (const MemberRecord& record :
+           DecodeSummary(table_, summary, options_.faults.trust_any_group_base)) {
+        TakeRecord(record);
+      }
+    }
     for (const Fingerprint fingerprint : message.dead()) {
       TakeShortUpdate(fingerprint, MemberState::kDead);
     }
--- a/libs/membership/src/outbox.cpp
+++ b/libs/membership/src/outbox.cpp
@@ -3,7 +3,21 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/container/btree_map.h"
+
 namespace gaugevalve::membership {
+namespace {
+
+constexpr std::size_t kFieldHeaderBytes = 3;  // tag and length before each record
+
+// Whether a member's news has a short form: receivers have its metadata already.
+bool IsDeathOrRefutation(const Member& member) {
+  const bool is_refutation = member.state == MemberState::kAlive &&  //
+                             member.incarnation > member.metadata_version;
+  return member.state == MemberState::kDead || is_refutation;
+}
+
+}  // namespace
 
 Outbox::Outbox(base::NodeId self, const MembershipOptions& options, const MemberTable& table,
                UpdateQueue& queue)
@@ -33,7 +47,9 @@
 bool Outbox::SendUpdates(const Member& member) {
   proto::MembershipMessage message;
   AddUpdates(message);
-  if (message.updates_size() + message.dead_size() + message.refuted_size() == 0) {
+  if (message.updates_size() + message.dead_size() + message.refuted_size() +
+          message.summaries_size() ==
+      0) {
     return false;
   }
   Post(member.metadata->control_address, message);
@@ -58,11 +74,25 @@
   const std::size_t limit =
       std::min<std::size_t>(options_.update_bytes_per_message, budget_.Available(now_));
   std::size_t used = 0;
+  absl::btree_map<SummaryKey, bool> tried;  // whether the message holds the summary
   queue_.Take(RetransmitLimit(), [&](base::NodeId node, AccuserTag accuser) {
     const Member* member = table_.Find(node);
     if (member == nullptr) {
       return true;  // forgotten meanwhile: nothing to send, the entry wears off
     }
+    if (IsDeathOrRefutation(*member)) {
+      const auto [place, is_new] = tried.try_emplace(SummaryOf(*member), false);
+      const std::size_t size = is_new ? AddSummary(place->first, message) : 0;
+      if (size > limit - used) {
+        message.mutable_summaries()->RemoveLast();
+        return false;
+      }
+      used += size;
+      place->second = place->second || size > 0;
+      if (place->second) {
+        return true;
+      }
+    }
     const std::size_t size = AddUpdate(*member, accuser, limit - used, message);
     used += size;
     return size > 0;
@@ -70,14 +100,22 @@
   budget_.TryTake(used, now_);
 }
 
+std::size_t Outbox::AddSummary(const SummaryKey& key, proto::MembershipMessage& message) const {
+  proto::GroupSummary& summary = *message.add_summaries();
+  if (EncodeSummary(table_, key, summary) < options_.fewest_members_in_summary) {
+    message.mutable_summaries()->RemoveLast();
+    return 0;
+  }
+  return summary.ByteSizeLong() + kFieldHeaderBytes;
+}
+
 std::size_t Outbox::AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
                               proto::MembershipMessage& message) const {
   const FingerprintIndex& index = table_.Fingerprints();
   const Fingerprint now_at = FingerprintIndex::Of(member);
   const bool has_short_form = index.Find(now_at) == member.node;
-  const bool is_refutation = member.state == MemberState::kAlive &&  //
-                             member.incarnation > member.metadata_version;
-  if (has_short_form && (member.state == MemberState::kDead || is_refutation)) {
+  const bool is_refutation = member.state == MemberState::kAlive;
+  if (has_short_form && IsDeathOrRefutation(member)) {
     if (room < sizeof(Fingerprint)) {
       return 0;
     }
@@ -89,7 +127,6 @@
     }
     return sizeof(Fingerprint);
   }
-  constexpr std::size_t kFieldHeaderBytes = 3;  // tag and length before each record
   proto::MemberRecord& record = *message.add_updates();
   EncodeRecord(member, RecordDetail::kUpdate, accuser, record);
   const std::size_t size = record.ByteSizeLong() + kFieldHeaderBytes;
--- a/libs/membership/src/outbox.h
+++ b/libs/membership/src/outbox.h
@@ -5,6 +5,7 @@
 #include "gaugevalve/membership/membership_actions.h"
 #include "gaugevalve/membership/membership_options.h"
 #include "gaugevalve/transport/token_bucket.h"
+#include "group_summary.h"
 #include "member_table.h"
 #include "update_queue.h"
 
@@ -37,6 +38,8 @@
 
  private:
   void AddUpdates(proto::MembershipMessage& message);
+  // Adds a summary of a group if it names enough members; returns its size, 0 when it wasn't added.
+  std::size_t AddSummary(const SummaryKey& key, proto::MembershipMessage& message) const;
   // Adds a member's record in its shortest form if it takes at most `room` bytes; returns its size,
   // 0 when it doesn't fit.
   std::size_t AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
--- a/proofs/membership/src/membership_proof.cpp
+++ b/proofs/membership/src/membership_proof.cpp
@@ -175,6 +175,10 @@
                                               ProofKind::kMutantIsCaught,
                                               Breaks({.accept_older_incarnations = true},
                                                      "knowledge got older"));
+const testing::RegisteredProof any_base_proof("without_comparing_the_bases_of_groups",
+                                              ProofKind::kMutantIsCaught,
+                                              Breaks({.trust_any_group_base = true},
+                                                     "an incarnation that the member never had"));
 
 }  // namespace
 }  // namespace gaugevalve::proofs
--- a/proofs/membership/src/membership_world.cpp
+++ b/proofs/membership/src/membership_world.cpp
@@ -22,6 +22,9 @@
   membership_simulation::HollowGroupSettings settings;
   settings.members = kMembers;
   settings.options.faults = faults;
+  if (seed % 2 == 0) {
+    settings.options.fewest_members_in_summary = 1;  // else a group this small never gets one
+  }
   settings.listener = [this](simulation::NodeIndex, const membership::MembershipEvent& event) {
     OnEvent(event);
   };
