--- a/daemons/common/include/gaugevalve/daemon/control_task.h
+++ b/daemons/common/include/gaugevalve/daemon/control_task.h
@@ -84,6 +84,7 @@
   void OnTimer();
   void ReviewStoreAccess();
   void OpenStore();
+  void RunTransaction(const settings::StoreTransaction& transaction);
   void Perform(control::ControlActions& actions);
   void Log(const control::ControlActions& actions) const;
   void OfferView();
--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -5,13 +5,14 @@
 #include <utility>
 
 #include "gaugevalve/control/status_document.h"
+#include "gaugevalve/control/store_transaction_codec.h"
+#include "gaugevalve/settings/field_schema.h"
 #include "gaugevalve/settings/store_layout.h"
 #include "gaugevalve/telemetry/event.h"
 
 namespace gaugevalve::daemon {
 namespace {
 
-constexpr char kLeaseKey[] = "/gaugevalve/coordinator";
 // How often the task looks whether the store is its to read.
 constexpr base::Duration kReviewInterval = std::chrono::seconds(1);
 // A node keeps its access to the store for this long after another has become a reader, so that
@@ -20,6 +21,7 @@
 // Time for a farewell to be heard.
 constexpr base::Duration kFarewellTime = std::chrono::milliseconds(500);
 constexpr base::Duration kLongestSleep = std::chrono::seconds(1);
+constexpr base::Duration kTransactionTimeout = std::chrono::seconds(5);
 constexpr base::Duration kViewRetry = std::chrono::milliseconds(20);
 constexpr const char* kJson = "application/json";
 constexpr int kNotFound = 404;
@@ -46,6 +48,7 @@
   metadata.control_address = identity.control_address;
   metadata.data_address = task.data_address;
   metadata.versions = identity.versions;
+  metadata.settings_schema = settings::kSchemaVersion;
   metadata.life = task.life;
   if (node.agent.has_value()) {
     metadata.role = membership::Role::kAgent;
@@ -190,7 +193,7 @@
   watch.range_end = store::PrefixEnd(watch.key);
   store_->watch = store_->client->StartWatch(watch, *this);
   lease::LeaseSettings lease_settings;
-  lease_settings.key = kLeaseKey;
+  lease_settings.key = std::string(settings::kCoordinatorLeaseKey);
   lease_settings.holder = settings_.name;
   store_->lease =
       std::make_unique<lease::LeaseTask>(loop_, *store_->client, clock_, lease_settings, seed + 1,
@@ -216,7 +219,7 @@
 
 void ControlTask::OnLease(const lease::LeaseView& view) {
   telemetry::Event(telemetry::Level::kInfo, "lease_changed")
-      .Field("key", std::string_view(kLeaseKey))
+      .Field("key", settings::kCoordinatorLeaseKey)
       .Field("status", LeaseWords(view))
       .Field("token", view.token.value())
       .Field("renewal_fails", view.renewal_fails);
@@ -229,7 +232,28 @@
   Perform(actions);
 }
 
+void ControlTask::RunTransaction(const settings::StoreTransaction& transaction) {
+  if (!store_.has_value()) {
+    node_->OnStoreAnswerLost(clock_.Now());
+    return;
+  }
+  store_->client->Submit(
+      control::MakeRequest(transaction), kTransactionTimeout, [this](const store::Result& result) {
+        if (!result.IsOk()) {
+          node_->OnStoreAnswerLost(clock_.Now());
+          return;
+        }
+        control::ControlActions actions;
+        node_->OnStoreAnswer(control::MakeAnswer(result.Get<store::TxnResponse>()), clock_.Now(),
+                             actions);
+        Perform(actions);
+      });
+}
+
 void ControlTask::Perform(control::ControlActions& actions) {
+  if (actions.store_transaction.has_value()) {
+    RunTransaction(*actions.store_transaction);
+  }
   for (control::OutgoingEnvelope& envelope : actions.envelopes) {
     // A message that isn't taken is as good as lost; the protocols above cope with that.
     transport_->Send(envelope.destination, envelope.kind, std::move(envelope.payload));
--- a/libs/control/include/gaugevalve/control/control_actions.h
+++ b/libs/control/include/gaugevalve/control/control_actions.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/control/node_view.h"
 #include "gaugevalve/membership/membership_actions.h"
+#include "gaugevalve/settings/store_transaction.h"
 #include "gaugevalve/transport/envelope.h"
 
 namespace gaugevalve::control {
@@ -45,6 +47,8 @@
   std::vector<OutgoingEnvelope> envelopes;
   std::vector<membership::MembershipEvent> member_events;  // for the log; already taken in
   std::vector<ControlEvent> events;
+  // To be run on the store; the node must be told the answer, or that it is lost.
+  std::optional<settings::StoreTransaction> store_transaction;
   std::shared_ptr<const NodeView> view;  // the newest, when it changed; otherwise null
 };
 
--- a/libs/control/include/gaugevalve/control/control_node.h
+++ b/libs/control/include/gaugevalve/control/control_node.h
@@ -23,6 +23,7 @@
 #include "gaugevalve/control/settings_activator.h"
 #include "gaugevalve/dissemination/dissemination_core.h"
 #include "gaugevalve/membership/membership.h"
+#include "gaugevalve/settings/capability_keeper.h"
 #include "gaugevalve/store/watch_session.h"
 #include "gaugevalve/transport/envelope.h"
 
@@ -36,6 +37,7 @@
   membership::MembershipOptions membership;
   dissemination::DisseminationOptions dissemination;  // self, zone and interest are filled in
   CoordinatorOptions coordinator;
+  settings::CapabilityKeeperOptions capabilities;
   PlannerHostOptions planners;
   AgentReporterOptions reports;
   // Balancers of each region that read the store and seek the coordinator's lease.
@@ -81,6 +83,12 @@
   // What became of the coordinator's lease; `epoch` is its fencing token.
   void OnLeaseHeld(std::uint64_t epoch, base::TimePoint now, ControlActions& actions);
   void OnLeaseLost(base::TimePoint now, ControlActions& actions);
+
+  // What became of ControlActions::store_transaction.
+  void OnStoreAnswer(const settings::StoreTransactionAnswer& answer, base::TimePoint now,
+                     ControlActions& actions);
+  void OnStoreAnswerLost(base::TimePoint now) { capabilities_.OnAnswerLost(now); }
+
   // True when the lease should be given back.
   bool MustResignLease() const { return coordinator_.MustResign(); }
 
@@ -129,6 +137,8 @@
                         ControlActions& actions);
   void Settle(base::TimePoint now, ControlActions& actions);
   void AdvanceSettings(ControlActions& actions);
+  bool MayGoInService() const;
+  std::uint32_t LeastSettingsSchema() const;
   void RunCoordinator(base::TimePoint now, ControlActions& actions);
   void RunPlanners(base::TimePoint now, ControlActions& actions);
   void SendReport(base::TimePoint now, ControlActions& actions);
@@ -145,6 +155,7 @@
   SettingsActivator activator_;           // balancers
   ServiceSettingsReader service_reader_;  // agents
   Coordinator coordinator_;
+  settings::CapabilityKeeper capabilities_;
   PlannerHost planners_;
   AgentReporter reporter_;
   Roster roster_;
--- a/libs/control/include/gaugevalve/control/coordinator.h
+++ b/libs/control/include/gaugevalve/control/coordinator.h
@@ -39,9 +39,13 @@
   // The lease is lost or given back.
   void OnLeaseLost();
 
-  // Returns a roster to publish when one is due. `newest` is the newest roster known.
+  // Returns a roster to publish when one is due. `newest` is the newest roster known;
+  // `settings_schema` what the roster is to ask of balancers, nothing to leave that as it is.
   std::optional<Roster> Tick(const MemberDirectory& directory, const Roster& newest,
-                             base::TimePoint now);
+                             std::optional<std::uint32_t> settings_schema, base::TimePoint now);
+
+  // True when the lease is held and what there is to know had time to arrive.
+  bool IsSettled(base::TimePoint now) const { return HoldsLease() && now >= settled_at_; }
 
   bool HoldsLease() const { return epoch_ != 0; }
   std::uint64_t Epoch() const { return epoch_; }
--- a/libs/control/include/gaugevalve/control/roster.h
+++ b/libs/control/include/gaugevalve/control/roster.h
@@ -29,6 +29,8 @@
   std::uint64_t epoch = 0;  // store revision of the coordinator's lease: the fencing token
   std::uint32_t sequence = 0;
   std::vector<RosterMember> members;
+  // Settings schema that a balancer must understand to go in service; 0 while it isn't known.
+  std::uint32_t settings_schema = 0;
 
   // Returns the member with this node, or null.
   const RosterMember* Find(base::NodeId node) const;
--- a/libs/control/include/gaugevalve/control/settings_activator.h
+++ b/libs/control/include/gaugevalve/control/settings_activator.h
@@ -11,6 +11,7 @@
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/dissemination/record_store.h"
 #include "gaugevalve/settings/effective_settings.h"
+#include "gaugevalve/settings/field_schema.h"
 #include "gaugevalve/settings/root_document.h"
 
 namespace gaugevalve::control {
@@ -41,7 +42,10 @@
 // While a part is missing, or is already a later revision's, the revision in force stays.
 class SettingsActivator {
  public:
-  explicit SettingsActivator(const InjectedFaults& faults = {}) : faults_(faults) {}
+  // `schema_version` is the newest settings schema that this node understands.
+  explicit SettingsActivator(const InjectedFaults& faults = {},
+                             std::uint32_t schema_version = settings::kSchemaVersion)
+      : faults_(faults), schema_version_(schema_version) {}
 
   // Activates the newest root's revision if it is newer than the one in force and whole. Call when
   // the root or a subtree changed; a call costs little when neither did.
@@ -61,12 +65,13 @@
     settings::Branch branch;
   };
 
-  bool ReadRoot(const dissemination::Record& record);
+  void ReadRoot(const dissemination::Record& record);
   bool ReadSubtree(const dissemination::RecordStore& records,
                    const settings::SubtreeReference& reference);
   void Activate();
 
   InjectedFaults faults_;
+  std::uint32_t schema_version_;
   ActiveSettings active_;
   base::Revision newest_known_;
   base::Revision refused_;
--- a/libs/control/include/gaugevalve/control_simulation/hollow_deployment.h
+++ b/libs/control/include/gaugevalve/control_simulation/hollow_deployment.h
@@ -19,7 +19,7 @@
   std::size_t services = 0;
   std::size_t agents_per_service = 0;
   std::size_t buckets_per_service = 64;
-  bool is_preloaded = true;             // members know each other from the start
+  bool is_preloaded = true;  // members know each other from the start
   control::ControlNodeOptions options;  // of every node; name, metadata and seeds are filled in
 };
 
@@ -43,6 +43,11 @@
   // Starts a new life that knows only the seeds.
   void Restart(std::size_t node);
 
+  // From its next life on the node runs a release that understands this settings schema.
+  void SetSettingsSchema(std::size_t node, std::uint32_t schema) {
+    entries_[node].options.metadata.settings_schema = schema;
+  }
+
   // Commits an edit of one service: its endpoints get this weight.
   base::Revision Edit(std::size_t service, std::uint32_t weight);
 
--- a/libs/control/include/gaugevalve/control_simulation/hollow_node.h
+++ b/libs/control/include/gaugevalve/control_simulation/hollow_node.h
@@ -41,6 +41,7 @@
   static constexpr base::Duration kLeaseTtl = std::chrono::seconds(5);
 
   void Perform(control::ControlActions& actions);
+  void RunTransaction(const settings::StoreTransaction& transaction);
   void RunShell();
   void UseStore(control::ControlActions& actions);
   void UpdateReport(control::ControlActions& actions);
--- a/libs/control/include/gaugevalve/control_simulation/simulated_store.h
+++ b/libs/control/include/gaugevalve/control_simulation/simulated_store.h
@@ -9,9 +9,11 @@
 
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/settings/capabilities.h"
 #include "gaugevalve/settings/effective_settings.h"
 #include "gaugevalve/settings/root_document.h"
 #include "gaugevalve/settings/settings_tree.h"
+#include "gaugevalve/settings/store_transaction.h"
 #include "gaugevalve/store/watch_session.h"
 
 namespace gaugevalve::control_simulation {
@@ -22,7 +24,7 @@
   // Commits a whole tree as the next revision; works also while the store is away for the nodes.
   base::Revision Commit(const settings::SettingsTree& tree);
 
-  // While the store is away reads, watches and the lease fail.
+  // While the store is away reads, watches, transactions and the lease fail.
   void SetAvailable(bool available) { available_ = available; }
   bool IsAvailable() const { return available_; }
 
@@ -35,6 +37,13 @@
   std::optional<std::uint64_t> HoldLease(base::NodeId node, base::Duration ttl,
                                          base::TimePoint now);
 
+  // Runs a transaction on the capabilities; returns nothing while the store is away.
+  std::optional<settings::StoreTransactionAnswer> Run(
+      const settings::StoreTransaction& transaction);
+
+  // Returns the capabilities stored, if any.
+  std::optional<settings::Capabilities> StoredCapabilities() const;
+
   // Returns the text of every committed revision's effective settings.
   const std::map<base::Revision, settings::EffectiveSettings>& Committed() const {
     return committed_;
@@ -49,6 +58,7 @@
   std::optional<settings::RootDocument> root_;
   std::map<std::string, store::KeyValue> key_values_;
   std::map<base::Revision, settings::EffectiveSettings> committed_;
+  std::optional<settings::StoredEntry> capabilities_;
   base::NodeId lease_holder_;
   std::uint64_t lease_token_ = 0;
   base::TimePoint lease_expires_{};
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -9,6 +9,7 @@
 #include "gaugevalve/control/settings_publisher.h"
 #include "gaugevalve/control/view_builder.h"
 #include "gaugevalve/routing/table_codec.h"
+#include "gaugevalve/settings/store_layout.h"
 
 namespace gaugevalve::control {
 namespace {
@@ -61,9 +62,10 @@
       random_(options.seed),
       membership_(self_, options.metadata, options.membership, options.seed + 1),
       dissemination_(DisseminationOptionsOf(options), random_),
-      activator_(options.faults),
+      activator_(options.faults, options.metadata.settings_schema),
       service_reader_(options.service_name),
       coordinator_(options.coordinator),
+      capabilities_(options.capabilities),
       planners_(self_, options.planners),
       reporter_(options.reports) {}
 
@@ -218,6 +220,7 @@
       }
       roster_ = std::move(*roster);
       election_stale_ = true;
+      settings_stale_ = true;  // it says which balancers may go in service
       break;
     }
     case RecordKind::kTable:
@@ -296,11 +299,26 @@
 
 void ControlNode::OnLeaseHeld(std::uint64_t epoch, base::TimePoint now, ControlActions& actions) {
   coordinator_.OnLeaseHeld(epoch, now);
+  capabilities_.OnLeaseHeld(
+      {std::string(settings::kCoordinatorLeaseKey), settings::ModRevision(epoch)});
   Settle(now, actions);
 }
 
 void ControlNode::OnLeaseLost(base::TimePoint now, ControlActions& actions) {
   coordinator_.OnLeaseLost();
+  capabilities_.OnLeaseLost();
+  Settle(now, actions);
+}
+
+void ControlNode::OnStoreAnswer(const settings::StoreTransactionAnswer& answer, base::TimePoint now,
+                                ControlActions& actions) {
+  try {
+    capabilities_.OnAnswer(answer, now);
+  } catch (const base::FindingsError& error) {
+    actions.events.push_back(
+        {ControlEventKind::kStoreUnreadable, 0, base::FormatFindings(error.findings())});
+  }
+  next_duty_ = now;
   Settle(now, actions);
 }
 
@@ -376,6 +394,9 @@
     }
     return;
   }
+  if (!MayGoInService()) {
+    return;
+  }
   const base::Revision known = activator_.NewestKnown();
   const ActivationResult result = activator_.Advance(dissemination_.Records());
   if (result == ActivationResult::kActivated) {
@@ -392,12 +413,34 @@
   }
 }
 
+// A balancer that understands less than edits may need by now waits until the coordinator has seen
+// it and stored that. Once in service it is counted, so that nothing can be asked of it any more.
+bool ControlNode::MayGoInService() const {
+  return activator_.Active().settings != nullptr ||
+         options_.metadata.settings_schema >= roster_.settings_schema;
+}
+
+std::uint32_t ControlNode::LeastSettingsSchema() const {
+  std::uint32_t least = options_.metadata.settings_schema;
+  for (const base::NodeId node : directory_.Balancers()) {
+    least = std::min(least, directory_.Find(node)->metadata->settings_schema);
+  }
+  return least;
+}
+
 void ControlNode::RunCoordinator(base::TimePoint now, ControlActions& actions) {
   if (now < next_duty_) {
     return;
   }
   next_duty_ = now + kDutyInterval;
-  const std::optional<Roster> roster = coordinator_.Tick(directory_, roster_, now);
+  if (coordinator_.IsSettled(now)) {
+    std::optional<settings::StoreTransaction> due = capabilities_.Tick(LeastSettingsSchema(), now);
+    if (due.has_value()) {
+      actions.store_transaction = std::move(due);
+    }
+  }
+  const std::optional<Roster> roster =
+      coordinator_.Tick(directory_, roster_, capabilities_.Bound(), now);
   if (roster.has_value()) {
     actions.events.push_back({ControlEventKind::kRosterPublished, roster->epoch,
                               std::to_string(roster->members.size()) + " members"});
--- a/libs/control/src/coordinator.cpp
+++ b/libs/control/src/coordinator.cpp
@@ -42,8 +42,9 @@
 }
 
 std::optional<Roster> Coordinator::Tick(const MemberDirectory& directory, const Roster& newest,
+                                        std::optional<std::uint32_t> settings_schema,
                                         base::TimePoint now) {
-  if (!HoldsLease() || now < settled_at_) {
+  if (!IsSettled(now)) {
     return std::nullopt;
   }
   if (newest.epoch > epoch_) {
@@ -52,15 +53,18 @@
   }
   const bool first = published_.epoch != epoch_;
   // A new epoch goes on with the members it finds, so that few services change their planner.
-  Roster next{epoch_, published_.sequence, {}};
-  for (const RosterMember& member : first ? newest.members : published_.members) {
+  const Roster& last = first ? newest : published_;
+  Roster next{epoch_, published_.sequence, {}, settings_schema.value_or(last.settings_schema)};
+  for (const RosterMember& member : last.members) {
     if (!IsOverdue(member, directory, now)) {
       const std::uint32_t slot = first ? next_slot_++ : member.slot;
       next.members.push_back({member.node, member.life, slot});
     }
   }
   FillVacancies(directory, next);
-  if (must_resign_ || next.members == published_.members) {
+  const bool unchanged =
+      next.members == published_.members && next.settings_schema == published_.settings_schema;
+  if (must_resign_ || unchanged) {
     return std::nullopt;
   }
   ++next.sequence;
--- a/libs/control/src/roster.cpp
+++ b/libs/control/src/roster.cpp
@@ -22,6 +22,7 @@
     entry.set_life(member.life.value());
     entry.set_slot(member.slot);
   }
+  message.set_settings_schema(roster.settings_schema);
   return message.SerializeAsString();
 }
 
@@ -31,7 +32,7 @@
   if (!parsed || message.members_size() > static_cast<int>(kMaxRosterMembers)) {
     return std::nullopt;
   }
-  Roster roster{message.epoch(), message.sequence(), {}};
+  Roster roster{message.epoch(), message.sequence(), {}, message.settings_schema()};
   for (const proto::RosterMember& entry : message.members()) {
     roster.members.push_back(
         {base::NodeId(entry.node()), base::Incarnation(entry.life()), entry.slot()});
--- a/libs/control/src/settings_activator.cpp
+++ b/libs/control/src/settings_activator.cpp
@@ -41,8 +41,8 @@
     return ActivationResult::kRefused;
   }
   try {
-    if (newest > newest_known_ && !ReadRoot(*record)) {
-      return ActivationResult::kRefused;
+    if (newest > newest_known_) {
+      ReadRoot(*record);
     }
     if (newest_known_ <= active_.revision) {
       return ActivationResult::kNothingNewer;
@@ -63,12 +63,17 @@
   return ActivationResult::kActivated;
 }
 
-bool SettingsActivator::ReadRoot(const dissemination::Record& record) {
+void SettingsActivator::ReadRoot(const dissemination::Record& record) {
   root_ = settings::ParseRootDocument(*record.value);
   newest_known_ = root_.revision;
   findings_.clear();
   std::erase_if(subtrees_, [&](const auto& entry) { return root_.Find(entry.first) == nullptr; });
-  return true;
+  if (root_.schema_version > schema_version_) {
+    throw base::FindingsError(
+        {{{"root", 0, 0, ""},
+          "needs settings schema " + std::to_string(root_.schema_version) +
+              "; this release understands " + std::to_string(schema_version_)}});
+  }
 }
 
 // Makes the parsed subtree the one the root names; false when that isn't held.
--- a/libs/control/src/simulation/hollow_node.cpp
+++ b/libs/control/src/simulation/hollow_node.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 namespace gaugevalve::control_simulation {
-
 HollowNode::HollowNode(HollowNodeSettings settings) : settings_(std::move(settings)) {}
 
 void HollowNode::OnStart(simulation::NodeContext& context) {
@@ -57,9 +56,23 @@
       activations_.emplace_back(event.number);
     }
   }
+  if (actions.store_transaction.has_value()) {
+    RunTransaction(*actions.store_transaction);
+  }
   ArmTimer();
 }
 
+void HollowNode::RunTransaction(const settings::StoreTransaction& transaction) {
+  const std::optional<settings::StoreTransactionAnswer> answer = settings_.store->Run(transaction);
+  if (!answer.has_value()) {
+    core_->OnStoreAnswerLost(context_->Now());
+    return;
+  }
+  control::ControlActions actions;
+  core_->OnStoreAnswer(*answer, context_->Now(), actions);
+  Perform(actions);
+}
+
 void HollowNode::RunShell() {
   next_shell_run_ = context_->Now() + kShellInterval;
   control::ControlActions actions;
--- a/libs/control/src/simulation/simulated_store.cpp
+++ b/libs/control/src/simulation/simulated_store.cpp
@@ -33,6 +33,36 @@
   return snapshot;
 }
 
+std::optional<settings::StoreTransactionAnswer> SimulatedStore::Run(
+    const settings::StoreTransaction& transaction) {
+  if (!available_) {
+    return std::nullopt;
+  }
+  const settings::ModRevision held =
+      capabilities_ ? capabilities_->mod_revision : settings::ModRevision(0);
+  for (const settings::KeyCondition& condition : transaction.conditions) {
+    const settings::ModRevision present = condition.key == settings::kCoordinatorLeaseKey
+                                              ? settings::ModRevision(lease_token_)
+                                              : held;
+    if (present != condition.mod_revision) {
+      settings::StoreTransactionAnswer failed;
+      if (capabilities_) {
+        failed.reads.push_back(*capabilities_);
+      }
+      return failed;
+    }
+  }
+  for (const settings::KeyWrite& write : transaction.writes) {
+    capabilities_ = {write.key, write.value, settings::ModRevision(++store_revision_)};
+  }
+  return settings::StoreTransactionAnswer{true, {}};
+}
+
+std::optional<settings::Capabilities> SimulatedStore::StoredCapabilities() const {
+  return capabilities_ ? std::optional(settings::ParseCapabilities(capabilities_->value))
+                       : std::nullopt;
+}
+
 std::optional<std::uint64_t> SimulatedStore::HoldLease(base::NodeId node, base::Duration ttl,
                                                        base::TimePoint now) {
   if (!available_) {
--- a/libs/control/tests/control_node_test.cpp
+++ b/libs/control/tests/control_node_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
+
 #include "gaugevalve/control_simulation/hollow_deployment.h"
 
 namespace gaugevalve::control {
@@ -12,17 +14,18 @@
 
 // Two regions with three zones, six balancers and two services of three agents.
 struct Deployment {
-  explicit Deployment(std::uint64_t seed)
+  explicit Deployment(std::uint64_t seed, std::uint32_t settings_schema = 1)
       : simulator(seed, simulation::NetworkModel(
                             {{"north", "n1"}, {"north", "n2"}, {"south", "s1"}}, {})),
-        nodes(simulator, MakeSettings()) {}
+        nodes(simulator, MakeSettings(settings_schema)) {}
 
-  static HollowDeploymentSettings MakeSettings() {
+  static HollowDeploymentSettings MakeSettings(std::uint32_t settings_schema) {
     HollowDeploymentSettings settings;
     settings.balancers = 6;
     settings.services = 2;
     settings.agents_per_service = 3;
     settings.is_preloaded = false;
+    settings.options.metadata.settings_schema = settings_schema;
     return settings;
   }
 
@@ -59,8 +62,36 @@
   CPPUNIT_TEST(AnotherPlannerTakesOver);
   CPPUNIT_TEST(JoinsWhileTheStoreIsAway);
   CPPUNIT_TEST(RegionsSplitAndHeal);
+  CPPUNIT_TEST(OlderReleaseIsCountedBeforeItIsInService);
   CPPUNIT_TEST_SUITE_END();
 
+  // The schema of the other balancers is 2, and of the older release 1, which the tree needs.
+  void OlderReleaseIsCountedBeforeItIsInService() {
+    constexpr std::size_t kOlder = 5;
+    Deployment deployment(8, 2);
+    HollowDeployment& nodes = deployment.nodes;
+    const auto stored = [&](std::uint32_t schema) {
+      return nodes.Store().StoredCapabilities() == settings::Capabilities{schema};
+    };
+    const auto run_until = [&](const std::function<bool()>& condition) {
+      return deployment.simulator.RunUntil(condition, std::chrono::minutes(3));
+    };
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
+    CPPUNIT_ASSERT(run_until([&] { return stored(2); }));
+    nodes.SetSettingsSchema(kOlder, 1);
+    nodes.Restart(kOlder);
+    bool counted_first = false;
+    const auto in_service = [&] {
+      const bool serves = nodes.Life(kOlder).Core().Settings().Active().settings != nullptr;
+      counted_first = counted_first || (!serves && stored(1));
+      return serves;
+    };
+    CPPUNIT_ASSERT(run_until(in_service));
+    CPPUNIT_ASSERT(counted_first);
+    nodes.Kill(kOlder);
+    CPPUNIT_ASSERT(run_until([&] { return stored(2); }));
+  }
+
   void StartsFromNothing() {
     Deployment deployment(1);
     CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
--- a/libs/control/tests/coordinator_test.cpp
+++ b/libs/control/tests/coordinator_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(RestartedMemberGetsANewSlot);
   CPPUNIT_TEST(NewEpochKeepsTheMembers);
   CPPUNIT_TEST(ResignsWhenANewerEpochIsKnown);
+  CPPUNIT_TEST(PublishesWhatBalancersMustUnderstand);
   CPPUNIT_TEST(ElectionFallsBackToAllBalancers);
   CPPUNIT_TEST(GenerationsOfTwoPlannersDiffer);
   CPPUNIT_TEST(RosterReadsBack);
@@ -29,6 +30,7 @@
  public:
   void setUp() override {
     directory_ = {};
+    schema_.reset();
     for (std::uint64_t node = 1; node <= 9; ++node) {
       directory_.Upsert(MakeBalancer(node, node <= 5 ? "east" : (node <= 8 ? "west" : "south")));
     }
@@ -38,7 +40,7 @@
  private:
   Roster Publish(Coordinator& coordinator, const Roster& newest) {
     now_ += std::chrono::seconds(2);
-    const std::optional<Roster> roster = coordinator.Tick(directory_, newest, now_);
+    const std::optional<Roster> roster = coordinator.Tick(directory_, newest, schema_, now_);
     CPPUNIT_ASSERT(roster.has_value());
     return *roster;
   }
@@ -51,15 +53,16 @@
 
   void PublishesOnlyWithTheLease() {
     Coordinator coordinator(FiveMembers());
-    CPPUNIT_ASSERT(!coordinator.Tick(directory_, {}, now_).has_value());
+    CPPUNIT_ASSERT(!coordinator.Tick(directory_, {}, schema_, now_).has_value());
     coordinator.OnLeaseHeld(kEpoch, now_);
     const Roster roster = Publish(coordinator, {});
     CPPUNIT_ASSERT_EQUAL(kEpoch, roster.epoch);
-    CPPUNIT_ASSERT(!coordinator.Tick(directory_, roster, now_).has_value());  // nothing new
+    CPPUNIT_ASSERT(
+        !coordinator.Tick(directory_, roster, schema_, now_).has_value());  // nothing new
     coordinator.OnLeaseLost();
     directory_.Remove(roster.members[0].node);
     now_ += std::chrono::minutes(1);
-    CPPUNIT_ASSERT(!coordinator.Tick(directory_, roster, now_).has_value());
+    CPPUNIT_ASSERT(!coordinator.Tick(directory_, roster, schema_, now_).has_value());
   }
 
   void SpreadsOverZones() {
@@ -82,7 +85,7 @@
     const Roster first = Publish(coordinator, {});
     const base::NodeId dead = first.members[2].node;
     directory_.Remove(dead);
-    CPPUNIT_ASSERT(!coordinator.Tick(directory_, first, now_).has_value());
+    CPPUNIT_ASSERT(!coordinator.Tick(directory_, first, schema_, now_).has_value());
     now_ += std::chrono::seconds(4);
     const Roster second = Publish(coordinator, first);
     CPPUNIT_ASSERT_EQUAL(first.sequence + 1, second.sequence);
@@ -128,10 +131,25 @@
     now_ += std::chrono::seconds(2);
     Roster newer;
     newer.epoch = kEpoch + 5;
-    CPPUNIT_ASSERT(!coordinator.Tick(directory_, newer, now_).has_value());
+    CPPUNIT_ASSERT(!coordinator.Tick(directory_, newer, schema_, now_).has_value());
     CPPUNIT_ASSERT(coordinator.MustResign());
   }
 
+  void PublishesWhatBalancersMustUnderstand() {
+    Coordinator first(FiveMembers());
+    first.OnLeaseHeld(kEpoch, now_);
+    schema_ = 3;
+    const Roster old = Publish(first, {});
+    CPPUNIT_ASSERT_EQUAL(3U, old.settings_schema);
+    schema_ = 2;
+    CPPUNIT_ASSERT_EQUAL(2U, Publish(first, old).settings_schema);
+    schema_.reset();
+    Coordinator second(FiveMembers());
+    second.OnLeaseHeld(kEpoch + 1, now_);
+    CPPUNIT_ASSERT_EQUAL(3U,
+                         Publish(second, old).settings_schema);  // as long as it knows no better
+  }
+
   void ElectionFallsBackToAllBalancers() {
     Roster roster;
     roster.members.push_back({base::NodeId(77), base::Incarnation(1), 0});
@@ -155,7 +173,7 @@
   }
 
   void RosterReadsBack() {
-    Roster roster{kEpoch, 3, {{base::NodeId(5), base::Incarnation(6), 7}}};
+    Roster roster{kEpoch, 3, {{base::NodeId(5), base::Incarnation(6), 7}}, 2};
     CPPUNIT_ASSERT(DecodeRoster(EncodeRoster(roster)) == roster);
     CPPUNIT_ASSERT(!DecodeRoster("\xff\xff").has_value());
     roster.members.assign(kMaxRosterMembers + 1, roster.members[0]);
@@ -163,6 +181,7 @@
   }
 
   MemberDirectory directory_;
+  std::optional<std::uint32_t> schema_;
   base::TimePoint now_;
 };
 
--- a/libs/control/tests/settings_activator_test.cpp
+++ b/libs/control/tests/settings_activator_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(PartOfALaterRevisionHoldsTheOlderBack);
   CPPUNIT_TEST(OnlyWhatChangedIsPublished);
   CPPUNIT_TEST(MalformedRootIsRefusedAndTheOldStays);
+  CPPUNIT_TEST(RevisionOfANewerSchemaIsRefused);
   CPPUNIT_TEST(AgentReadsItsService);
   CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +53,22 @@
     records.Publish(record.key, record.version, record.value);
   }
 
+  void RevisionOfANewerSchemaIsRefused() {
+    control_simulation::SimulatedStore store;
+    store.Commit(TreeWithWeight("5"));
+    dissemination::RecordStore records(kLimits);
+    for (const PublishedRecord& record : AllRecords(store)) {
+      Put(records, record);
+    }
+    SettingsActivator older({}, settings::kSchemaVersion - 1);
+    CPPUNIT_ASSERT(older.Advance(records) == ActivationResult::kRefused);
+    CPPUNIT_ASSERT(older.Findings().front().message.find("needs settings schema") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(older.Active().settings == nullptr);
+    SettingsActivator present;
+    CPPUNIT_ASSERT(present.Advance(records) == ActivationResult::kActivated);
+  }
+
   void ActivatesOnlyWhenWhole() {
     control_simulation::SimulatedStore store;
     store.Commit(TreeWithWeight("5"));
--- a/libs/membership/include/gaugevalve/membership/member.h
+++ b/libs/membership/include/gaugevalve/membership/member.h
@@ -40,7 +40,8 @@
   base::ServiceId service;              // of an agent
   std::string endpoint_name;            // of an agent
   transport::ProtocolVersionRange versions;
-  base::Incarnation life;  // incarnation at the start of the process
+  std::uint32_t settings_schema = 1;  // newest settings schema it understands
+  base::Incarnation life;             // incarnation at the start of the process
 
   friend bool operator==(const MemberMetadata&, const MemberMetadata&) = default;
 };
--- a/libs/membership/src/member_record.cpp
+++ b/libs/membership/src/member_record.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t kIpv4Bytes = 4;
 constexpr std::size_t kIpv6Bytes = 16;
+// A release that doesn't say what it understands is the first.
+constexpr std::uint32_t kFirstSettingsSchema = 1;
 
 void EncodeMetadata(const MemberMetadata& metadata, proto::Metadata& encoded) {
   encoded.set_role(static_cast<proto::Role>(metadata.role));
@@ -21,6 +23,7 @@
   encoded.set_minimum_protocol_version(metadata.versions.minimum);
   encoded.set_maximum_protocol_version(metadata.versions.maximum);
   encoded.set_life(metadata.life.value());
+  encoded.set_settings_schema(metadata.settings_schema);
 }
 
 bool IsWellFormed(const proto::Metadata& encoded) {
@@ -50,6 +53,7 @@
   metadata->endpoint_name = encoded.endpoint_name();
   metadata->versions = {encoded.minimum_protocol_version(), encoded.maximum_protocol_version()};
   metadata->life = base::Incarnation(encoded.life());
+  metadata->settings_schema = std::max(encoded.settings_schema(), kFirstSettingsSchema);
   return metadata;
 }
 
--- a/libs/settings/include/gaugevalve/settings/store_layout.h
+++ b/libs/settings/include/gaugevalve/settings/store_layout.h
@@ -20,6 +20,9 @@
 // A HistoryEntry lies at this prefix and its revision in fixed width, so keys sort by revision.
 inline constexpr std::string_view kHistoryPrefix = "/gaugevalve/settings-history/";
 
+// The lease of the coordinator, which alone writes the capabilities.
+inline constexpr std::string_view kCoordinatorLeaseKey = "/gaugevalve/coordinator";
+
 // The Capabilities.
 inline constexpr std::string_view kCapabilitiesKey = "/gaugevalve/capabilities";
 
--- a/proofs/settings_edits/editing_run.cpp
+++ b/proofs/settings_edits/editing_run.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include <array>
+#include <optional>
 
 #include "gaugevalve/settings/store_layout.h"
 #include "gaugevalve/settings/tree_editor.h"
@@ -42,8 +43,11 @@
 }  // namespace
 
 EditingRun::EditingRun(Mutation mutation)
-    : oracle_(FirstValues()), operators_(kOperatorCount, OperatorProcess(oracle_, mutation)) {
+    : oracle_(FirstValues()),
+      operators_(kOperatorCount, OperatorProcess(oracle_, mutation)),
+      fleet_(store_, mutation) {
   store_.Run(FirstTransaction());
+  fleet_.Start();
   Check();
 }
 
@@ -60,13 +64,15 @@
   Check();
 }
 
-void EditingRun::Send(std::size_t who) {
+bool EditingRun::Send(std::size_t who) {
   if (operators_[who].IsIdle() || network_.size() >= kMaxRequestsOnTheWay) {
-    return;
+    return false;
   }
   for (settings::StoreTransaction& transaction : operators_[who].Transactions()) {
-    network_.push_back({who, operators_[who].AttemptId(), std::move(transaction)});
+    network_.push_back(
+        {Sender::kOperator, who, operators_[who].AttemptId(), std::move(transaction)});
   }
+  return true;
 }
 
 EditingRun::Request EditingRun::Take(std::size_t position) {
@@ -81,6 +87,15 @@
     return;
   }
   const Request request = Take(position);
+  if (request.sender == Sender::kOperator) {
+    DeliverEdit(request, fate);
+  } else {
+    DeliverCapabilities(request, fate);
+  }
+  Check();
+}
+
+void EditingRun::DeliverEdit(const Request& request, AnswerFate fate) {
   OperatorProcess& sender = operators_[request.who];
   const bool is_awaited = !sender.IsIdle() && sender.AttemptId() == request.attempt_id;
   if (is_store_away_) {
@@ -90,12 +105,64 @@
     return;
   }
   const settings::StoreTransactionAnswer answer = store_.Run(request.transaction);
+  RC_ASSERT(!answer.succeeded || fleet_.Understands(kNewerRelease));
   if (is_awaited && fate == AnswerFate::kArrives) {
     sender.OnAnswer(answer);
   } else if (is_awaited) {
     sender.OnAnswerLost(&store_);
   }
+}
+
+void EditingRun::DeliverCapabilities(const Request& request, AnswerFate fate) {
+  std::string& awaited = awaited_[request.who];
+  const bool is_awaited = awaited == request.attempt_id;
+  std::optional<settings::StoreTransactionAnswer> answer;
+  if (!is_store_away_) {
+    answer = store_.Run(request.transaction);
+  }
+  if (!is_awaited) {
+    return;
+  }
+  awaited.clear();
+  if (answer && fate == AnswerFate::kArrives) {
+    fleet_.OnAnswer(request.who, *answer);
+  } else {
+    fleet_.OnAnswerLost(request.who, is_store_away_ ? nullptr : &store_);
+  }
+}
+
+void EditingRun::MoveLease(std::size_t who) {
+  if (!is_store_away_) {
+    awaited_[who].clear();
+    fleet_.MoveLease(who);
+    Check();
+  }
+}
+
+bool EditingRun::Count(std::size_t who) {
+  if (network_.size() >= kMaxRequestsOnTheWay) {
+    return false;
+  }
+  std::optional<settings::StoreTransaction> transaction = fleet_.Work(who);
+  if (transaction) {
+    awaited_[who] = "count " + std::to_string(++counts_);
+    network_.push_back({Sender::kCoordinator, who, awaited_[who], std::move(*transaction)});
+  }
   Check();
+  return transaction.has_value();
+}
+
+void EditingRun::TimeOutCoordinator(std::size_t who) {
+  if (!awaited_[who].empty()) {
+    awaited_[who].clear();
+    fleet_.OnAnswerLost(who, is_store_away_ ? nullptr : &store_);
+    Check();
+  }
+}
+
+void EditingRun::Check() {
+  steps_with_older_ += fleet_.HasOlderInService() ? 1 : 0;
+  oracle_.Check(store_);
 }
 
 void EditingRun::Drop(std::size_t position) {
@@ -122,8 +189,8 @@
 
 void EditingRun::RewriteCapabilities() {
   if (!is_store_away_) {
-    store_.Put(std::string(settings::kCapabilitiesKey),
-               settings::FormatCapabilities({settings::kSchemaVersion}));
+    const std::string key(settings::kCapabilitiesKey);
+    store_.Put(key, store_.Read({key}).front().value);
   }
 }
 
--- a/proofs/settings_edits/operator_process.cpp
+++ b/proofs/settings_edits/operator_process.cpp
@@ -39,6 +39,11 @@
   if (mutation_ == Mutation::kNoCompare) {
     whole.conditions.clear();
   }
+  if (mutation_ == Mutation::kNoCapabilityCompare) {
+    std::erase_if(whole.conditions, [](const settings::KeyCondition& condition) {
+      return condition.key == settings::kCapabilitiesKey;
+    });
+  }
   if (mutation_ != Mutation::kSeparateWrites) {
     return {whole};
   }
--- a/proofs/settings_edits/settings_edits_proof.cpp
+++ b/proofs/settings_edits/settings_edits_proof.cpp
@@ -1,7 +1,8 @@
 // Operators edit the tree at once while the store goes away, answers are lost after the write took
 // effect, and requests arrive late or twice. What must hold is in EditOracle: nothing is ever
 // half-applied, each edit is applied at most once and never reverted, an edit told as committed is
-// in the tree, an edit told as not applied never will be.
+// in the tree, an edit told as not applied never will be. Meanwhile balancers of two releases come
+// and go, and coordinators count them: no edit is applied that one in service doesn't understand.
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
@@ -20,6 +21,7 @@
 constexpr std::size_t kPositions = 8;
 
 std::size_t AnyOperator() { return *rc::gen::inRange<std::size_t>(0, kOperatorCount); }
+std::size_t AnyCoordinator() { return *rc::gen::inRange<std::size_t>(0, kCoordinatorCount); }
 std::size_t AnyPosition() { return *rc::gen::inRange<std::size_t>(0, kPositions); }
 
 class Begin : public Command {
@@ -39,11 +41,18 @@
 
 class Send : public Command {
  public:
-  void run(const Model& /*model*/, EditingRun& run) const override { run.Send(who_); }
-  void show(std::ostream& stream) const override { stream << "Send(" << who_ << ")"; }
+  void run(const Model& /*model*/, EditingRun& run) const override {
+    if (run.Send(who_) && is_answered_at_once_) {
+      run.DeliverNewest();
+    }
+  }
+  void show(std::ostream& stream) const override {
+    stream << "Send(" << who_ << (is_answered_at_once_ ? ", answered at once)" : ")");
+  }
 
  private:
   std::size_t who_ = AnyOperator();
+  bool is_answered_at_once_ = *rc::gen::arbitrary<bool>();
 };
 
 class Deliver : public Command {
@@ -96,6 +105,68 @@
   bool away_ = *rc::gen::weightedElement<bool>({{1, true}, {3, false}});
 };
 
+class Join : public Command {
+ public:
+  void run(const Model& /*model*/, EditingRun& run) const override {
+    run.Join(is_older_ ? kOlderRelease : kNewerRelease);
+  }
+  void show(std::ostream& stream) const override {
+    stream << "Join(" << (is_older_ ? "older)" : "newer)");
+  }
+
+ private:
+  bool is_older_ = *rc::gen::weightedElement<bool>({{3, true}, {1, false}});
+};
+
+class Leave : public Command {
+ public:
+  void run(const Model& /*model*/, EditingRun& run) const override { run.Leave(place_); }
+  void show(std::ostream& stream) const override { stream << "Leave(" << place_ << ")"; }
+
+ private:
+  std::size_t place_ = AnyPosition();
+};
+
+class MoveLease : public Command {
+ public:
+  void run(const Model& /*model*/, EditingRun& run) const override { run.MoveLease(who_); }
+  void show(std::ostream& stream) const override { stream << "MoveLease(" << who_ << ")"; }
+
+ private:
+  std::size_t who_ = AnyCoordinator();
+};
+
+// A coordinator works for a while undisturbed, or puts one request on the network.
+class Count : public Command {
+ public:
+  void run(const Model& /*model*/, EditingRun& run) const override {
+    for (int round = 0; round < rounds_; ++round) {
+      if (run.Count(who_)) {
+        run.DeliverNewest();
+      }
+    }
+    if (rounds_ == 0) {
+      run.Count(who_);
+    }
+  }
+  void show(std::ostream& stream) const override {
+    stream << "Count(" << who_ << ", rounds " << rounds_ << ")";
+  }
+
+ private:
+  std::size_t who_ = AnyCoordinator();
+  int rounds_ = *rc::gen::weightedElement<int>({{3, 0}, {1, 1}, {1, 2}, {1, 5}});
+};
+
+class TimeOutCoordinator : public Command {
+ public:
+  void run(const Model& /*model*/, EditingRun& run) const override { run.TimeOutCoordinator(who_); }
+  void show(std::ostream& stream) const override { stream << "TimeOutCoordinator(" << who_ << ")"; }
+
+ private:
+  std::size_t who_ = AnyCoordinator();
+};
+
 class RewriteCapabilities : public Command {
  public:
   void run(const Model& /*model*/, EditingRun& run) const override { run.RewriteCapabilities(); }
@@ -104,11 +175,14 @@
 
 void EditsAreAppliedOnceOrNever(Mutation mutation) {
   EditingRun run(mutation);
-  const auto commands = rc::state::gen::execOneOfWithArgs<Begin, Send, Deliver, Drop, TimeOut,
-                                                          LookUp, StoreAway, RewriteCapabilities>();
+  const auto commands =
+      rc::state::gen::execOneOfWithArgs<Begin, Send, Deliver, Drop, TimeOut, LookUp, StoreAway,
+                                        RewriteCapabilities, Join, Leave, MoveLease, Count,
+                                        TimeOutCoordinator>();
   rc::state::check(Model{}, run, commands);
   run.Settle();
   RC_CLASSIFY(run.Oracle().Applied().size() >= 3, "three edits or more applied");
+  RC_CLASSIFY(run.StepsWithOlderBalancer() > 0, "a balancer of the older release in service");
 }
 
 using testing::ProofKind;
@@ -135,5 +209,21 @@
                                         EditsAreAppliedOnceOrNever(Mutation::kSeparateWrites);
                                       });
 
+const RegisteredProof no_capability_compare("no compare of the capabilities",
+                                            ProofKind::kMutantIsCaught, [] {
+                                              EditsAreAppliedOnceOrNever(
+                                                  Mutation::kNoCapabilityCompare);
+                                            });
+const RegisteredProof serve_uncounted("an older balancer in service before it is counted",
+                                      ProofKind::kMutantIsCaught, [] {
+                                        EditsAreAppliedOnceOrNever(Mutation::kServeUncounted);
+                                      });
+const RegisteredProof unfenced("a coordinator without its lease writes the capabilities",
+                               ProofKind::kMutantIsCaught,
+                               [] { EditsAreAppliedOnceOrNever(Mutation::kUnfencedCoordinator); });
+const RegisteredProof trust_look_up("a lost write of the capabilities taken for not applied",
+                                    ProofKind::kMutantIsCaught,
+                                    [] { EditsAreAppliedOnceOrNever(Mutation::kTrustLookUp); });
+
 }  // namespace
 }  // namespace gaugevalve::proofs
