--- a/tools/lab/src/callers.cpp
+++ b/tools/lab/src/callers.cpp
@@ -94,6 +94,9 @@
 
 void Callers::SendPacket(std::uint64_t flow_id, Flow& flow, bool is_request,
                          base::Duration service_time) {
+  if (!flow.home) {
+    flow.asked_at = flow.asked_at.value_or(world_.Now());
+  }
   Packet packet;
   packet.flow = flow_id;
   packet.generation = flow.generation;
@@ -118,7 +121,19 @@
   }
 }
 
-void Callers::SettleAt(Flow& flow, AgentHost& agent) {
+void Callers::NoteWait(Flow& flow, const Packet& packet) {
+  const base::Duration wait = world_.Now() - flow.asked_at.value_or(world_.Now());
+  flow.asked_at.reset();
+  ServiceResults& results = world_.results[flow.service];
+  results.longest_open_wait = std::max(results.longest_open_wait, wait);
+  if (packet.attempt > 0) {
+    ++results.flows_opened_late;
+    results.late_opens_wait += wait;
+  }
+}
+
+void Callers::SettleAt(Flow& flow, AgentHost& agent, const Packet& packet) {
+  NoteWait(flow, packet);
   flow.home = agent.index;
   ++agent.open_flows;
   ServiceResults& results = world_.results[flow.service];
@@ -168,7 +183,7 @@
     return;
   }
   if (!flow->home) {
-    SettleAt(*flow, agent);
+    SettleAt(*flow, agent, packet);
   } else if (flow->home != agent.index) {
     Break(packet.flow, *flow, "reached_another_agent");
     return;
--- a/tools/lab/src/callers.h
+++ b/tools/lab/src/callers.h
@@ -45,7 +45,8 @@
     base::RandomSource random;
     double requests_per_second = 1.0;
     std::uint32_t generation = 0;
-    std::optional<std::size_t> home;  // the agent that holds it
+    std::optional<std::size_t> home;          // the agent that holds it
+    std::optional<base::TimePoint> asked_at;  // first datagram that is to open it
   };
 
   void Arrive(std::size_t service);
@@ -55,7 +56,8 @@
   void End(std::uint64_t flow_id);
   void Break(std::uint64_t flow_id, Flow& flow, const std::string& cause);
   void LeaveHome(Flow& flow);
-  void SettleAt(Flow& flow, AgentHost& agent);
+  void SettleAt(Flow& flow, AgentHost& agent, const Packet& packet);
+  void NoteWait(Flow& flow, const Packet& packet);
   static wire::FlowKey KeyOf(std::uint64_t flow_id, const Flow& flow);
   Flow* Find(const Packet& packet);
 
--- a/tools/lab/src/hosts.h
+++ b/tools/lab/src/hosts.h
@@ -11,6 +11,7 @@
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/control/agent_reporter.h"
 #include "gaugevalve/flow/flow_core.h"
 #include "gaugevalve/forwarding/forwarding_core.h"
 #include "gaugevalve/routing/bucket_table.h"
@@ -48,7 +49,7 @@
   std::unique_ptr<flow::FlowCore> core;
   std::unique_ptr<Endpoint> endpoint;
   routing::BucketTable table;
-  base::TimePoint confirmed_at{};
+  control::AgentReporter reporter{control::AgentReporterOptions()};
   base::Duration table_delay{};
   base::TimePoint last_table_arrival{};
   ControlCounters control;
--- a/tools/lab/src/planner_host.cpp
+++ b/tools/lab/src/planner_host.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::uint64_t kEpoch = 1;
 constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
-constexpr base::Duration kHeartbeatInterval = std::chrono::seconds(1);
+// How often an agent measures itself and looks whether a report is due.
+constexpr base::Duration kMeasureInterval = std::chrono::milliseconds(200);
 constexpr base::Duration kWelcomeDelay = std::chrono::milliseconds(10);
 
 void ClearChains(routing::TableDelta& delta) {
@@ -74,8 +75,8 @@
     }
   }
   world_.Schedule(kTickInterval, [this] { Tick(); });
-  world_.Schedule(kHeartbeatInterval, [this] { Heartbeat(); });
-  for (const AgentHost* agent : Agents()) {
+  for (AgentHost* agent : Agents()) {
+    agent->core->UpdateTable(agent->table, world_.Now());  // as if a report had been answered
     const std::size_t index = agent->index;
     world_.Schedule(world_.network_random.NextJitter(world_.scenario.lag.report_interval),
                     [this, index] { Report(index); });
@@ -120,8 +121,7 @@
     if (peer != nullptr && joined.table.version < peer->tables[service_].version) {
       joined.table = peer->tables[service_];
       joined.control.Add(routing::EncodeTable(joined.table).size());
-      joined.confirmed_at = world_.Now();
-      joined.core->UpdateTable(joined.table, joined.confirmed_at);
+      joined.core->UpdateTable(joined.table, joined.reporter.ConfirmedAt());
     }
     Report(index);
   });
@@ -255,8 +255,7 @@
     return;
   }
   agent.control.Add(ApplyUpdate(agent.table, *update));
-  agent.confirmed_at = world_.Now();
-  agent.core->UpdateTable(agent.table, agent.confirmed_at);
+  agent.core->UpdateTable(agent.table, agent.reporter.ConfirmedAt());
 }
 
 void PlannerHost::ShowTable(BalancerHost& balancer) const {
@@ -273,29 +272,29 @@
   balancer.core->SetView(std::move(view));
 }
 
-// The planner's sign of life, which in the product rides on membership's messages.
-void PlannerHost::Heartbeat() {
-  world_.Schedule(kHeartbeatInterval, [this] { Heartbeat(); });
-  const bool planner_runs = world_.balancers[balancer_]->IsRunning();
-  for (AgentHost* agent : Agents()) {
-    if (!planner_runs || !agent->alive) {
-      continue;
-    }
-    const std::size_t index = agent->index;
-    world_.Schedule(agent->table_delay, [this, index] {
-      AgentHost& confirmed = *world_.agents[index];
-      confirmed.confirmed_at = world_.Now();
-      confirmed.core->UpdateTable(confirmed.table, confirmed.confirmed_at);
-    });
-  }
-}
-
 void PlannerHost::Report(std::size_t index) {
   AgentHost& agent = *world_.agents[index];
   if (!agent.alive) {
     return;
   }
-  agent.core->CloseIdle(world_.Now());
+  world_.Schedule(kMeasureInterval, [this, index] { Report(index); });
+  agent.core->Tick(world_.Now());
+  agent.reporter.Update(Measure(agent));
+  const std::optional<control::NumberedReport> numbered = agent.reporter.Tick(world_.Now());
+  if (!numbered) {
+    return;
+  }
+  agent.reported_busy_seconds = agent.endpoint->BusySlotSeconds();
+  agent.reported_at = world_.Now();
+  const std::size_t bytes = control::EncodeReport(*numbered).size();
+  agent.control.Add(bytes);
+  const base::Duration way =
+      world_.scenario.lag.report + world_.Latency(agent.zone, world_.balancers[balancer_]->zone);
+  world_.Schedule(way,
+                  [this, sent = SentReport{index, *numbered, bytes}] { ArriveAtPlanner(sent); });
+}
+
+routing::AgentReport PlannerHost::Measure(AgentHost& agent) const {
   routing::AgentReport report;
   agent.core->FillReport(report);
   report.busy_slots = agent.endpoint->BusySlots();
@@ -305,22 +304,59 @@
   report.busy_slot_time = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(busy_seconds - agent.reported_busy_seconds));
   report.measured_time = world_.Now() - agent.reported_at;
-  agent.reported_busy_seconds = busy_seconds;
-  agent.reported_at = world_.Now();
   constexpr base::Duration kLongAgo = std::chrono::hours(24);
   report.age_of_service = agent.warm_start ? kLongAgo : world_.Now() - agent.started_at;
-  const std::size_t bytes = routing::EncodeReport(report).size();
-  agent.control.Add(bytes);
-  const base::Duration way =
-      world_.scenario.lag.report + world_.Latency(agent.zone, world_.balancers[balancer_]->zone);
-  world_.Schedule(way, [this, report, bytes] {
-    BalancerHost& balancer = *world_.balancers[balancer_];
-    if (balancer.IsRunning()) {
-      balancer.control.Add(bytes);
-      planner_->TakeReport(report, world_.Now());
-    }
-  });
-  world_.Schedule(world_.scenario.lag.report_interval, [this, index] { Report(index); });
+  return report;
+}
+
+void PlannerHost::ArriveAtPlanner(const SentReport& sent) {
+  BalancerHost& balancer = *world_.balancers[balancer_];
+  if (!balancer.IsRunning()) {
+    return;
+  }
+  balancer.control.Add(sent.bytes);
+  const routing::AgentReport& report = sent.numbered.report;
+  if (!routing::ServicePlanner::MayAnswer(planner_->TakeReport(report, world_.Now()))) {
+    return;
+  }
+  planner_->NoteAnswered(report.node, report.incarnation, world_.Now());
+  const control::ReportAnswer answer{sent.numbered.sequence, planner_->Table().version};
+  balancer.control.Add(control::EncodeAnswer(answer).size());
+  const std::size_t index = sent.agent;
+  world_.Schedule(world_.Latency(balancer.zone, world_.agents[index]->zone),
+                  [this, index, answer] { ArriveAnswer(index, answer); });
+}
+
+void PlannerHost::ArriveAnswer(std::size_t index, const control::ReportAnswer& answer) {
+  AgentHost& agent = *world_.agents[index];
+  if (!agent.alive) {
+    return;
+  }
+  agent.control.Add(control::EncodeAnswer(answer).size());
+  agent.reporter.TakeAnswer(answer, agent.table.version);
+  agent.core->UpdateTable(agent.table, agent.reporter.ConfirmedAt());
+  if (answer.table_version > agent.table.version) {
+    const base::Duration round_trip =
+        2 * world_.Latency(agent.zone, world_.balancers[balancer_]->zone);
+    world_.Schedule(round_trip, [this, index] { FetchTable(index); });
+  }
+}
+
+// The agent compares its records with the planner's node, which sends what it lacks.
+void PlannerHost::FetchTable(std::size_t index) {
+  AgentHost& agent = *world_.agents[index];
+  const routing::BucketTable& newest = planner_->Table();
+  const bool planner_runs = world_.balancers[balancer_]->IsRunning();
+  if (!agent.alive || !planner_runs || newest.version <= agent.table.version) {
+    return;
+  }
+  routing::BucketTable whole = newest;
+  if (!world_.mechanisms.chain_walk) {
+    ClearChains(whole);
+  }
+  Merge(agent.table, whole);
+  agent.control.Add(routing::EncodeTable(whole).size());
+  agent.core->UpdateTable(agent.table, agent.reporter.ConfirmedAt());
 }
 
 }  // namespace gaugevalve::lab
--- a/tools/lab/src/planner_host.h
+++ b/tools/lab/src/planner_host.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "gaugevalve/control/control_message.h"
 #include "gaugevalve/routing/service_planner.h"
 #include "world.h"
 
@@ -46,9 +47,19 @@
     std::unique_ptr<routing::ServicePlanner> planner;
   };
 
+  // A report on its way.
+  struct SentReport {
+    std::size_t agent = 0;
+    control::NumberedReport numbered;
+    std::size_t bytes = 0;
+  };
+
   void Tick();
-  void Heartbeat();
   void Report(std::size_t agent);
+  routing::AgentReport Measure(AgentHost& agent) const;
+  void ArriveAtPlanner(const SentReport& sent);
+  void ArriveAnswer(std::size_t agent, const control::ReportAnswer& answer);
+  void FetchTable(std::size_t agent);
   void CheckPlanner();
   void TakeOver(BalancerHost& balancer);
   void Step(routing::ServicePlanner& planner);
--- a/tools/lab/src/results.cpp
+++ b/tools/lab/src/results.cpp
@@ -26,4 +26,9 @@
                          [](std::uint64_t sum, const auto& entry) { return sum + entry.second; });
 }
 
+base::Duration ServiceResults::MeanLateWait() const {
+  return flows_opened_late == 0 ? base::Duration::zero()
+                                : late_opens_wait / static_cast<std::int64_t>(flows_opened_late);
+}
+
 }  // namespace gaugevalve::lab
--- a/tools/lab/src/results.h
+++ b/tools/lab/src/results.h
@@ -42,7 +42,10 @@
 struct ServiceResults {
   std::string name;
   std::uint64_t flows_opened = 0;
-  std::uint64_t flows_refused = 0;     // first datagram never served; nothing was open yet
+  std::uint64_t flows_refused = 0;      // first datagram never served; nothing was open yet
+  std::uint64_t flows_opened_late = 0;  // only after the caller had sent again
+  base::Duration late_opens_wait{};     // from the first datagram on, all of them together
+  base::Duration longest_open_wait{};
   std::uint64_t requests_offered = 0;  // sent by callers for the first time
   std::uint64_t requests = 0;          // that reached an agent; the last may be under way
   std::uint64_t handed_over = 0;
@@ -59,6 +62,9 @@
   std::vector<WaitSample> waits;
 
   std::uint64_t BrokenInAll() const;
+
+  // Returns the mean wait of the flows that were opened late; 0 when there were none.
+  base::Duration MeanLateWait() const;
 };
 
 // Control traffic of the nodes of one role, payloads only.
--- a/tools/lab/src/scenario_reader.cpp
+++ b/tools/lab/src/scenario_reader.cpp
@@ -145,6 +145,7 @@
     map.Read("bucket_count", bucket_count);
     planner.bucket_count = bucket_count;
     map.Read("step_interval", planner.step_interval);
+    map.Read("dead_agent_hold", planner.dead_agent_hold);
     map.Read("max_moves_per_step", planner.max_moves_per_step);
     map.Read("max_moves_per_minute", planner.max_moves_per_minute);
     map.Read("smoothing_time", planner.smoothing_time);
--- a/tools/lab/src/world.cpp
+++ b/tools/lab/src/world.cpp
@@ -95,6 +95,9 @@
   agent->warm_start = warm_start;
   agent->table_delay = DrawTableDelay();
   agent->table.service = service_ids[service];
+  control::AgentReporterOptions reports;
+  reports.interval = scenario.lag.report_interval;
+  agent->reporter = control::AgentReporter(reports);
 
   flow::FlowCoreSettings core_settings;
   core_settings.table.capacity = settings.flow_capacity;
