--- a/tools/lab/src/callers.cpp
+++ b/tools/lab/src/callers.cpp
@@ -138,6 +138,7 @@
   ++agent.open_flows;
   ServiceResults& results = world_.results[flow.service];
   ++results.flows_opened;
+  results.flows_opened_unlisted += world_.policy == Policy::kGaugevalve && !agent.listed ? 1 : 0;
   if (agent.draining) {
     results.last_new_flow_after_drain =
         std::max(results.last_new_flow_after_drain, world_.Now() - agent.draining_since);
@@ -185,7 +186,8 @@
   if (!flow->home) {
     SettleAt(*flow, agent, packet);
   } else if (flow->home != agent.index) {
-    Break(packet.flow, *flow, "reached_another_agent");
+    const bool taken_for_dead = world_.agents[*flow->home]->was_taken_for_dead;
+    Break(packet.flow, *flow, taken_for_dead ? "agent_taken_for_dead" : "reached_another_agent");
     return;
   } else if (opened && world_.policy == Policy::kGaugevalve) {
     Break(packet.flow, *flow, "closed_by_its_agent");
--- a/tools/lab/src/data_path.cpp
+++ b/tools/lab/src/data_path.cpp
@@ -54,6 +54,17 @@
   }
 }
 
+void DataPath::Thaw(AgentHost& agent) {
+  const std::vector<HeldAtAgent> held = std::exchange(held_at_agents_, {});
+  for (const HeldAtAgent& entry : held) {
+    if (entry.agent != agent.index) {
+      held_at_agents_.push_back(entry);
+    } else if (world_.policy == Policy::kGaugevalve) {
+      DecideAtAgent(agent, entry.packet, entry.header);
+    }
+  }
+}
+
 void DataPath::Forward(BalancerHost& balancer, const Packet& packet) {
   switch (world_.policy) {
     case Policy::kGaugevalve:
@@ -133,6 +144,12 @@
     listener_.OnLost(packet, "dead_agent");
     return;
   }
+  if (agent->frozen) {
+    held_at_agents_.push_back({agent->index, packet, header});
+    held_at_agents_.back().packet.is_late_copy = true;
+    listener_.OnLost(packet, "frozen_agent");
+    return;
+  }
   if (world_.policy == Policy::kGaugevalve) {
     DecideAtAgent(*agent, packet, header);
   } else {
--- a/tools/lab/src/data_path.h
+++ b/tools/lab/src/data_path.h
@@ -25,7 +25,16 @@
   // Sends out what a balancer held while it was frozen.
   void Thaw(BalancerHost& balancer);
 
+  // Hands an agent what came while it was frozen.
+  void Thaw(AgentHost& agent);
+
  private:
+  struct HeldAtAgent {
+    std::size_t agent;
+    Packet packet;
+    wire::ForwardingHeader header;
+  };
+
   struct Held {
     std::size_t balancer;
     Packet packet;
@@ -45,6 +54,7 @@
   PacketListener& listener_;
   std::vector<std::size_t> fabric_;  // balancers it sprays on
   std::vector<Held> held_;
+  std::vector<HeldAtAgent> held_at_agents_;
 };
 
 }  // namespace gaugevalve::lab
--- a/tools/lab/src/experiment.cpp
+++ b/tools/lab/src/experiment.cpp
@@ -121,6 +121,12 @@
     case FaultKind::kKillAgent:
       KillAgent(AgentOf(fault));
       return;
+    case FaultKind::kFreezeAgent:
+      FreezeAgent(AgentOf(fault), fault.length);
+      return;
+    case FaultKind::kCutOffAgent:
+      CutOffAgent(AgentOf(fault), fault.length);
+      return;
     case FaultKind::kDrainAgent:
       DrainAgent(AgentOf(fault));
       return;
@@ -196,6 +202,25 @@
   NoteAgent(agent);
 }
 
+void Experiment::FreezeAgent(AgentHost& agent, base::Duration length) {
+  agent.frozen = true;
+  NoteAgent(agent);
+  world_.Schedule(length, [this, &agent] {
+    agent.frozen = false;
+    data_path_.Thaw(agent);
+    NoteAgent(agent);
+  });
+}
+
+void Experiment::CutOffAgent(AgentHost& agent, base::Duration length) {
+  agent.cut_off = true;
+  NoteAgent(agent);
+  world_.Schedule(length, [this, &agent] {
+    agent.cut_off = false;
+    NoteAgent(agent);
+  });
+}
+
 void Experiment::DrainAgent(AgentHost& agent) {
   agent.draining = true;
   agent.draining_since = world_.Now();
--- a/tools/lab/src/experiment.h
+++ b/tools/lab/src/experiment.h
@@ -40,6 +40,8 @@
   void FreezeBalancer(std::size_t index, base::Duration length);
   void ThawBalancer(std::size_t index);
   void KillAgent(AgentHost& agent);
+  void FreezeAgent(AgentHost& agent, base::Duration length);
+  void CutOffAgent(AgentHost& agent, base::Duration length);
   void DrainAgent(AgentHost& agent);
   void StartAgent(std::size_t service, const std::string& zone, const base::SocketAddress* address);
   void LoseZone(const std::string& zone);
--- a/tools/lab/src/hosts.h
+++ b/tools/lab/src/hosts.h
@@ -43,6 +43,10 @@
   base::TimePoint started_at{};
   bool warm_start = false;  // there from the beginning: no ramp
   bool alive = true;
+  bool frozen = false;
+  bool cut_off = false;             // from control
+  bool listed = false;              // by the planner's newest table
+  bool was_taken_for_dead = false;  // at some time, while it ran
   bool draining = false;
   base::TimePoint draining_since{};
   std::uint64_t open_flows = 0;  // of policies without a flow core
@@ -56,7 +60,8 @@
   double reported_busy_seconds = 0.0;  // BusySlotSeconds() at the last report
   base::TimePoint reported_at{};
 
-  bool IsServing() const { return alive && !draining; }
+  bool IsServing() const { return alive && !draining && !frozen; }
+  bool HasControl() const { return alive && !frozen && !cut_off; }
 };
 
 // One balancer.
--- a/tools/lab/src/packet.h
+++ b/tools/lab/src/packet.h
@@ -21,7 +21,7 @@
   bool is_request = false;  // otherwise a keep-alive
   base::Duration service_time{};
   std::uint32_t attempt = 0;
-  bool is_late_copy = false;  // came out of a frozen balancer after the caller sent it again
+  bool is_late_copy = false;  // came out of a frozen process after the caller sent it again
 };
 
 // What became of packets. Called by the data path.
--- a/tools/lab/src/planner_host.cpp
+++ b/tools/lab/src/planner_host.cpp
@@ -67,6 +67,7 @@
   const std::optional<routing::TableDelta> first = planner_->Step(world_.Now());
   if (first) {
     const SharedUpdate update = MakeUpdate(*first, planner_->Table());
+    NoteListed();
     for (const std::unique_ptr<BalancerHost>& balancer : world_.balancers) {
       ArriveAtBalancer(balancer->index, update);
     }
@@ -83,21 +84,40 @@
   }
 }
 
-void PlannerHost::NoteAgent(const AgentHost& agent) {
+// Membership notices a fault only if it lasts until then, and a return likewise.
+void PlannerHost::NoteAgent(const AgentHost& noted) {
+  const std::size_t index = noted.index;
+  const bool had_control = noted.HasControl();
+  world_.Schedule(world_.scenario.lag.membership, [this, index, had_control] {
+    const AgentHost& agent = *world_.agents[index];
+    if (agent.HasControl() == had_control) {
+      TellPlanner(agent);
+    }
+  });
+}
+
+void PlannerHost::TellPlanner(const AgentHost& agent) {
   routing::AgentStatus status;
   status.entry = {agent.node, agent.incarnation, agent.address, agent.zone};
   status.weight = agent.weight;
   status.flow_capacity = world_.scenario.services[service_].flow_capacity;
-  status.standing = !agent.alive     ? routing::AgentStanding::kDead
-                    : agent.draining ? routing::AgentStanding::kLeaving
-                                     : routing::AgentStanding::kLive;
-  world_.Schedule(world_.scenario.lag.membership, [this, status] {
-    std::erase_if(known_, [&](const routing::AgentStatus& other) {
-      return other.entry.node == status.entry.node;
-    });
-    known_.push_back(status);
-    planner_->SetAgents(known_, world_.Now());
+  status.standing = !agent.HasControl() ? routing::AgentStanding::kDead
+                    : agent.draining    ? routing::AgentStanding::kLeaving
+                                        : routing::AgentStanding::kLive;
+  std::erase_if(known_, [&](const routing::AgentStatus& other) {
+    return other.entry.node == status.entry.node;
   });
+  known_.push_back(status);
+  planner_->SetAgents(known_, world_.Now());
+}
+
+void PlannerHost::NoteListed() {
+  for (AgentHost* agent : Agents()) {
+    const bool was_listed =
+        std::exchange(agent->listed, planner_->Table().FindAgent(agent->node) != nullptr);
+    const bool is_given_up = was_listed && !agent->listed && agent->alive;
+    agent->was_taken_for_dead = agent->was_taken_for_dead || is_given_up;
+  }
 }
 
 void PlannerHost::Welcome(BalancerHost& balancer) {
@@ -191,6 +211,7 @@
   ++results.deltas;
   results.moved_buckets += after.forced_moves - before.forced_moves;
   results.moved_buckets += after.optional_moves - before.optional_moves;
+  NoteListed();
   Distribute(MakeUpdate(*delta, planner.Table()));
 }
 
@@ -251,8 +272,8 @@
 
 void PlannerHost::ArriveAtAgent(std::size_t index, const SharedUpdate& update) {
   AgentHost& agent = *world_.agents[index];
-  if (!agent.alive) {
-    return;
+  if (!agent.HasControl()) {
+    return;  // a frozen one fetches the table when it is back
   }
   agent.control.Add(ApplyUpdate(agent.table, *update));
   agent.core->UpdateTable(agent.table, agent.reporter.ConfirmedAt());
@@ -278,6 +299,9 @@
     return;
   }
   world_.Schedule(kMeasureInterval, [this, index] { Report(index); });
+  if (agent.frozen) {
+    return;
+  }
   agent.core->Tick(world_.Now());
   agent.reporter.Update(Measure(agent));
   const std::optional<control::NumberedReport> numbered = agent.reporter.Tick(world_.Now());
@@ -288,6 +312,9 @@
   agent.reported_at = world_.Now();
   const std::size_t bytes = control::EncodeReport(*numbered).size();
   agent.control.Add(bytes);
+  if (agent.cut_off) {
+    return;
+  }
   const base::Duration way =
       world_.scenario.lag.report + world_.Latency(agent.zone, world_.balancers[balancer_]->zone);
   world_.Schedule(way,
@@ -329,7 +356,7 @@
 
 void PlannerHost::ArriveAnswer(std::size_t index, const control::ReportAnswer& answer) {
   AgentHost& agent = *world_.agents[index];
-  if (!agent.alive) {
+  if (!agent.HasControl()) {
     return;
   }
   agent.control.Add(control::EncodeAnswer(answer).size());
@@ -347,7 +374,7 @@
   AgentHost& agent = *world_.agents[index];
   const routing::BucketTable& newest = planner_->Table();
   const bool planner_runs = world_.balancers[balancer_]->IsRunning();
-  if (!agent.alive || !planner_runs || newest.version <= agent.table.version) {
+  if (!agent.HasControl() || !planner_runs || newest.version <= agent.table.version) {
     return;
   }
   routing::BucketTable whole = newest;
--- a/tools/lab/src/planner_host.h
+++ b/tools/lab/src/planner_host.h
@@ -54,6 +54,8 @@
     std::size_t bytes = 0;
   };
 
+  void TellPlanner(const AgentHost& agent);
+  void NoteListed();
   void Tick();
   void Report(std::size_t agent);
   routing::AgentReport Measure(AgentHost& agent) const;
--- a/tools/lab/src/report_writer.cpp
+++ b/tools/lab/src/report_writer.cpp
@@ -36,21 +36,22 @@
 }
 
 void WriteFlowTable(const std::vector<RunResults>& runs, std::ostream& stream) {
-  stream << "| policy | service | flows opened | broken | by cause | never opened | opened late |"
+  stream << "| policy | service | flows opened | broken | by cause | opened unlisted | never "
+            "opened | opened late |"
             " mean wait of these, s | longest, s | wrong service | requests | handed over | "
             "buckets moved | last new flow after drain, s |"
             " last request after drain, s |\n"
-            "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+            "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const RunResults& run : runs) {
     for (const ServiceResults& service : run.services) {
       stream << "| " << run.policy << " | " << service.name << " | " << service.flows_opened
              << " | " << service.BrokenInAll() << " | " << CausesOf(service.broken) << " | "
-             << service.flows_refused << " | " << service.flows_opened_late << " | "
-             << Fixed(Seconds(service.MeanLateWait())) << " | "
-             << Fixed(Seconds(service.longest_open_wait)) << " | " << service.wrong_service << " | "
-             << service.requests << " | " << service.handed_over << " | " << service.moved_buckets
-             << " | " << Fixed(Seconds(service.last_new_flow_after_drain)) << " | "
-             << Fixed(Seconds(service.last_request_after_drain)) << " |\n";
+             << service.flows_opened_unlisted << " | " << service.flows_refused << " | "
+             << service.flows_opened_late << " | " << Fixed(Seconds(service.MeanLateWait()))
+             << " | " << Fixed(Seconds(service.longest_open_wait)) << " | " << service.wrong_service
+             << " | " << service.requests << " | " << service.handed_over << " | "
+             << service.moved_buckets << " | " << Fixed(Seconds(service.last_new_flow_after_drain))
+             << " | " << Fixed(Seconds(service.last_request_after_drain)) << " |\n";
     }
   }
 }
@@ -105,6 +106,7 @@
   nlohmann::json json = {
       {"service", service.name},
       {"flows_opened", service.flows_opened},
+      {"flows_opened_unlisted", service.flows_opened_unlisted},
       {"flows_refused", service.flows_refused},
       {"flows_opened_late", service.flows_opened_late},
       {"mean_late_wait_seconds", Seconds(service.MeanLateWait())},
--- a/tools/lab/src/results.h
+++ b/tools/lab/src/results.h
@@ -42,9 +42,10 @@
 struct ServiceResults {
   std::string name;
   std::uint64_t flows_opened = 0;
-  std::uint64_t flows_refused = 0;      // first datagram never served; nothing was open yet
-  std::uint64_t flows_opened_late = 0;  // only after the caller had sent again
-  base::Duration late_opens_wait{};     // from the first datagram on, all of them together
+  std::uint64_t flows_opened_unlisted = 0;  // by an agent whose buckets had been given away
+  std::uint64_t flows_refused = 0;          // first datagram never served; nothing was open yet
+  std::uint64_t flows_opened_late = 0;      // only after the caller had sent again
+  base::Duration late_opens_wait{};         // from the first datagram on, all of them together
   base::Duration longest_open_wait{};
   std::uint64_t requests_offered = 0;  // sent by callers for the first time
   std::uint64_t requests = 0;          // that reached an agent; the last may be under way
--- a/tools/lab/src/scenario.h
+++ b/tools/lab/src/scenario.h
@@ -57,6 +57,8 @@
   kJoinBalancer,
   kFreezeBalancer,
   kKillAgent,
+  kFreezeAgent,  // its process stands still for `length`; its endpoint goes on
+  kCutOffAgent,  // for `length` it reaches no planner and no member, but balancers and agents
   kDrainAgent,
   kStartAgent,
   kSetWeight,
@@ -74,7 +76,7 @@
   std::string zone;         // of what joins or starts
   double weight = 1.0;      // kSetWeight
   double factor = 1.0;      // kSlowEndpoint
-  base::Duration length{};  // kFreezeBalancer
+  base::Duration length{};  // of a freeze or a cut
 };
 
 // A part of the run for which the results are given separately.
--- a/tools/lab/src/scenario_reader.cpp
+++ b/tools/lab/src/scenario_reader.cpp
@@ -17,6 +17,8 @@
                                    {"join_balancer", FaultKind::kJoinBalancer},
                                    {"freeze_balancer", FaultKind::kFreezeBalancer},
                                    {"kill_agent", FaultKind::kKillAgent},
+                                   {"freeze_agent", FaultKind::kFreezeAgent},
+                                   {"cut_off_agent", FaultKind::kCutOffAgent},
                                    {"drain_agent", FaultKind::kDrainAgent},
                                    {"start_agent", FaultKind::kStartAgent},
                                    {"set_weight", FaultKind::kSetWeight},
--- a/tools/lab/tests/experiment_test.cpp
+++ b/tools/lab/tests/experiment_test.cpp
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(WithoutTheChainWalkFlowsBreak);
   CPPUNIT_TEST(KilledAgentLosesOnlyItsOwnFlows);
   CPPUNIT_TEST(RecycledAddressServesNoOtherService);
+  CPPUNIT_TEST(AgentCutOffFromControlOpensNothingThatOthersOpen);
+  CPPUNIT_TEST(ShortFreezeBreaksNothing);
   CPPUNIT_TEST(OfferedLoadIsTheSameUnderEveryPolicy);
   CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +127,33 @@
     CPPUNIT_ASSERT(RunPolicy(scenario, Policy::kModulo).services[1].wrong_service > 0);
   }
 
+  // Balancers go on sending to it, and membership's news come while its table is fresh.
+  void AgentCutOffFromControlOpensNothingThatOthersOpen() {
+    Scenario scenario = MakeScenario();
+    scenario.lag.membership = milliseconds(1400);
+    scenario.services[0].flow_arrivals_per_second = 60;
+    scenario.faults = {MakeFault(seconds(60), FaultKind::kCutOffAgent, "first-1"),
+                       MakeFault(seconds(85), FaultKind::kCutOffAgent, "first-2")};
+    const ServiceResults ours = RunPolicy(scenario, Policy::kGaugevalve).services[0];
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ours.flows_opened_unlisted);
+    CPPUNIT_ASSERT(ours.broken.at("agent_taken_for_dead") > 0);
+    CPPUNIT_ASSERT_EQUAL(ours.broken.at("agent_taken_for_dead"), ours.BrokenInAll());
+    scenario.services[0].planner.dead_agent_hold = seconds(0);
+    CPPUNIT_ASSERT(RunPolicy(scenario, Policy::kGaugevalve).services[0].flows_opened_unlisted > 0);
+  }
+
+  void ShortFreezeBreaksNothing() {
+    Scenario scenario = MakeScenario();
+    scenario.faults = {MakeFault(seconds(60), FaultKind::kFreezeAgent, "first-1")};
+    scenario.faults[0].length = milliseconds(1500);
+    const ServiceResults results = RunPolicy(scenario, Policy::kGaugevalve).services[0];
+    CPPUNIT_ASSERT(results.retries.contains("frozen_agent"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, results.BrokenInAll());
+    scenario.faults[0].length = seconds(10);
+    const ServiceResults longer = RunPolicy(scenario, Policy::kGaugevalve).services[0];
+    CPPUNIT_ASSERT_EQUAL(longer.broken.at("agent_taken_for_dead"), longer.BrokenInAll());
+  }
+
   void OfferedLoadIsTheSameUnderEveryPolicy() {
     Scenario scenario = MakeScenario();
     scenario.faults = PlannedChanges();
