--- a/proofs/at_most_once/at_most_once_proof.cpp
+++ b/proofs/at_most_once/at_most_once_proof.cpp
@@ -9,6 +9,11 @@
 #include <rapidcheck/state.h>
 
 #include <array>
+#include <cstdint>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <utility>
 
 #include "cluster.h"
 #include "gaugevalve/testing/proof.h"
@@ -20,9 +25,72 @@
 
 struct NoModel {};
 
+enum class EventKind : std::uint8_t {
+  kNewRequest,
+  kRepeatRequest,
+  kFinishRun,
+  kAbandonRequest,
+  kLoseMessage,
+  kDoubleMessage,
+  kMoveBucket,
+  kKill,
+  kRestart,
+  kFreeze,
+  kWake,
+  kRemoveFromTable,
+  kPassLongTime,
+  kPassShortTime,
+  kGiveTable,
+  kDeliverAll,
+  kDeliverMessage,
+};
+
+// How often each kind comes, out of the sum.
+struct EventWeight {
+  EventKind kind;
+  std::uint32_t weight;
+};
+
+constexpr std::array<EventWeight, 17> kEventWeights{{{EventKind::kNewRequest, 2},
+                                                     {EventKind::kRepeatRequest, 3},
+                                                     {EventKind::kFinishRun, 1},
+                                                     {EventKind::kAbandonRequest, 1},
+                                                     {EventKind::kLoseMessage, 1},
+                                                     {EventKind::kDoubleMessage, 1},
+                                                     {EventKind::kMoveBucket, 1},
+                                                     {EventKind::kKill, 1},
+                                                     {EventKind::kRestart, 1},
+                                                     {EventKind::kFreeze, 1},
+                                                     {EventKind::kWake, 1},
+                                                     {EventKind::kRemoveFromTable, 1},
+                                                     {EventKind::kPassLongTime, 1},
+                                                     {EventKind::kPassShortTime, 2},
+                                                     {EventKind::kGiveTable, 3},
+                                                     {EventKind::kDeliverAll, 2},
+                                                     {EventKind::kDeliverMessage, 3}}};
+
+constexpr std::uint32_t SumOfWeights() {
+  std::uint32_t sum = 0;
+  for (const EventWeight& entry : kEventWeights) {
+    sum += entry.weight;
+  }
+  return sum;
+}
+
+// Returns the kind that a number below the sum of weights stands for.
+EventKind KindOf(std::uint32_t number) {
+  for (const EventWeight& entry : kEventWeights) {
+    if (number < entry.weight) {
+      return entry.kind;
+    }
+    number -= entry.weight;
+  }
+  return EventKind::kDeliverMessage;
+}
+
 // One event, chosen by number so that shrinking finds a short and simple history.
 struct Event : rc::state::Command<NoModel, Cluster> {
-  std::uint32_t kind = *rc::gen::inRange<std::uint32_t>(0, 26);
+  std::uint32_t number = *rc::gen::inRange<std::uint32_t>(0, SumOfWeights());
   std::uint32_t first = *rc::gen::inRange<std::uint32_t>(0, 64);
   std::uint32_t second = *rc::gen::inRange<std::uint32_t>(0, 64);
 
@@ -32,109 +100,105 @@
   }
 
   void show(std::ostream& stream) const override {
-    stream << "event " << kind << " (" << first << ", " << second << ")";
+    stream << "event " << static_cast<int>(KindOf(number)) << " (" << first << ", " << second
+           << ")";
   }
 
   void Apply(Cluster& cluster) const {
     constexpr std::uint32_t kShortStep = 40;
     constexpr std::uint32_t kLongStep = 700;
-    switch (kind) {
-      case 0:
-      case 1:
+    switch (KindOf(number)) {
+      case EventKind::kNewRequest:
         return cluster.Request(first, second, true);
-      case 2:
-      case 3:
-      case 4:
+      case EventKind::kRepeatRequest:
         return cluster.Request(first, second, false);
-      case 5:
+      case EventKind::kFinishRun:
         return cluster.FinishRun(first, second);
-      case 6:
+      case EventKind::kAbandonRequest:
         return cluster.AbandonRequest(first);
-      case 7:
+      case EventKind::kLoseMessage:
         return cluster.LoseMessage(first);
-      case 8:
+      case EventKind::kDoubleMessage:
         return cluster.DoubleMessage(first);
-      case 9:
+      case EventKind::kMoveBucket:
         return cluster.MoveBucket(first, second);
-      case 10:
+      case EventKind::kKill:
         return cluster.Kill(first);
-      case 11:
+      case EventKind::kRestart:
         return cluster.Restart(first);
-      case 12:
+      case EventKind::kFreeze:
         return cluster.Freeze(first);
-      case 13:
+      case EventKind::kWake:
         return cluster.Wake(first);
-      case 14:
+      case EventKind::kRemoveFromTable:
         return cluster.RemoveFromTable(first);
-      case 15:
+      case EventKind::kPassLongTime:
         return cluster.PassTime(first * kLongStep);
-      case 16:
-      case 17:
+      case EventKind::kPassShortTime:
         return cluster.PassTime(first * kShortStep);
-      case 18:
-      case 19:
-      case 20:
+      case EventKind::kGiveTable:
         return cluster.GiveTable(first);
-      case 21:
-      case 22:
+      case EventKind::kDeliverAll:
         return cluster.DeliverAll();
-      default:
+      case EventKind::kDeliverMessage:
         return cluster.DeliverMessage(first);
     }
   }
 };
 
-void RunsAtMostOnce(const AtMostOnceMechanisms& mechanisms) {
+void RunsAtMostOnce(const AtMostOnceMechanisms& mechanisms, ClusterCounts& totals) {
   Cluster cluster(mechanisms);
   rc::state::check(NoModel(), cluster, [](const NoModel& /*model*/) {
     return rc::gen::exec([] {
       return std::shared_ptr<const rc::state::Command<NoModel, Cluster>>(std::make_shared<Event>());
     });
   });
+  const ClusterCounts& counts = cluster.Counts();
+  totals.requests += counts.requests;
+  totals.repeats += counts.repeats;
+  totals.runs += counts.runs;
+  totals.kills += counts.kills;
 }
 
-const testing::RegisteredProof runs_at_most_once("keyed_request_runs_at_most_once",
-                                                 testing::ProofKind::kHolds,
-                                                 [] { RunsAtMostOnce(AtMostOnceMechanisms()); });
-
-const testing::RegisteredProof mutant_copy_before_running("without_copy_before_running",
-                                                          testing::ProofKind::kMutantIsCaught, [] {
-                                                            AtMostOnceMechanisms mechanisms;
-                                                            mechanisms.copy_before_running = false;
-                                                            RunsAtMostOnce(mechanisms);
-                                                          });
-
-const testing::RegisteredProof mutant_collect_before_deciding("without_collect_before_deciding",
-                                                              testing::ProofKind::kMutantIsCaught,
-                                                              [] {
-                                                                AtMostOnceMechanisms mechanisms;
-                                                                mechanisms.collect_before_deciding =
-                                                                    false;
-                                                                RunsAtMostOnce(mechanisms);
-                                                              });
-
-const testing::RegisteredProof mutant_answer_only_with_table("without_answer_only_with_table",
-                                                             testing::ProofKind::kMutantIsCaught,
-                                                             [] {
-                                                               AtMostOnceMechanisms mechanisms;
-                                                               mechanisms.answer_only_with_table =
-                                                                   false;
-                                                               RunsAtMostOnce(mechanisms);
-                                                             });
-
-const testing::RegisteredProof mutant_forget_after_second_loss(
-    "without_forget_after_second_loss", testing::ProofKind::kMutantIsCaught, [] {
-      AtMostOnceMechanisms mechanisms;
-      mechanisms.forget_after_second_loss = false;
-      RunsAtMostOnce(mechanisms);
-    });
+testing::Coverage CoverageOf(const ClusterCounts& totals) {
+  constexpr std::size_t kEnough = 1000;
+  std::ostringstream counts;
+  counts << "requests " << totals.requests << ", repeats " << totals.repeats << ", runs "
+         << totals.runs << ", agents killed " << totals.kills;
+  return {totals.repeats > kEnough && totals.runs > kEnough && totals.kills > kEnough,
+          counts.str()};
+}
+
+testing::RegisteredProof MustHold(std::string name) {
+  const auto totals = std::make_shared<ClusterCounts>();
+  return {std::move(name),
+          testing::ProofKind::kHolds,
+          [totals] { RunsAtMostOnce(AtMostOnceMechanisms(), *totals); },
+          {.counter_example = "", .coverage = [totals] { return CoverageOf(*totals); }}};
+}
+
+// Registers the property without one mechanism.
+testing::RegisteredProof IsCaughtWithout(std::string name, bool AtMostOnceMechanisms::*mechanism) {
+  return {std::move(name), testing::ProofKind::kMutantIsCaught, [mechanism] {
+            AtMostOnceMechanisms mechanisms;
+            mechanisms.*mechanism = false;
+            ClusterCounts unused;
+            RunsAtMostOnce(mechanisms, unused);
+          }};
+}
 
-const testing::RegisteredProof mutant_restore_copies("without_restore_copies",
-                                                     testing::ProofKind::kMutantIsCaught, [] {
-                                                       AtMostOnceMechanisms mechanisms;
-                                                       mechanisms.restore_copies = false;
-                                                       RunsAtMostOnce(mechanisms);
-                                                     });
+const testing::RegisteredProof runs_at_most_once = MustHold("keyed_request_runs_at_most_once");
+
+const testing::RegisteredProof without_copy =
+    IsCaughtWithout("without_copy_before_running", &AtMostOnceMechanisms::copy_before_running);
+const testing::RegisteredProof without_collection = IsCaughtWithout(
+    "without_collect_before_deciding", &AtMostOnceMechanisms::collect_before_deciding);
+const testing::RegisteredProof without_table = IsCaughtWithout(
+    "without_answer_only_with_table", &AtMostOnceMechanisms::answer_only_with_table);
+const testing::RegisteredProof without_forgetting = IsCaughtWithout(
+    "without_forget_after_second_loss", &AtMostOnceMechanisms::forget_after_second_loss);
+const testing::RegisteredProof without_restoring =
+    IsCaughtWithout("without_restore_copies", &AtMostOnceMechanisms::restore_copies);
 
 }  // namespace
 }  // namespace gaugevalve::proofs
--- a/proofs/at_most_once/cluster.cpp
+++ b/proofs/at_most_once/cluster.cpp
@@ -79,6 +79,8 @@
     key = static_cast<std::uint32_t>(number);
   }
   key %= static_cast<std::uint32_t>(keys_.size());
+  ++counts_.requests;
+  counts_.repeats += keys_[key].executions > 0 ? 1 : 0;
   requests::KeyedRequest request;
   request.id = requests::RequestId(next_request_);
   ++next_request_;
@@ -129,6 +131,7 @@
     const std::uint32_t key = key_of_request_.at(id);
     runs_.push_back({node, agents_.at(node).incarnation, id, key});
     ++keys_[key].executions;
+    ++counts_.runs;
     ran_twice_ = ran_twice_ || keys_[key].executions > 1;
   }
 }
@@ -212,6 +215,7 @@
   }
   RemoveFromTable(agent);
   agents_.erase(node);
+  ++counts_.kills;
 }
 
 void Cluster::Restart(std::uint32_t agent) {
--- a/proofs/at_most_once/cluster.h
+++ b/proofs/at_most_once/cluster.h
@@ -11,6 +11,14 @@
 
 namespace gaugevalve::proofs {
 
+// What happened to a cluster, to show that a property wasn't about nothing.
+struct ClusterCounts {
+  std::size_t requests = 0;  // that reached a live agent
+  std::size_t repeats = 0;   // of these, with a key that ran or may have run
+  std::size_t runs = 0;      // executions that an agent began
+  std::size_t kills = 0;     // of agents that lived
+};
+
 // The system under test. Every method is one event that may come at any moment; the numbers choose
 // among what is there. Execution counts are checked as they happen.
 class Cluster {
@@ -47,6 +55,8 @@
   // Returns whether a key ran more than once.
   bool RanTwice() const { return ran_twice_; }
 
+  const ClusterCounts& Counts() const { return counts_; }
+
  private:
   // One life of an agent, as long as its memory exists.
   struct Agent {
@@ -96,6 +106,7 @@
   std::map<requests::RequestId, base::NodeId> agent_of_request_;
   base::TimePoint last_loss_at_;
   bool ran_twice_ = false;
+  ClusterCounts counts_;
 };
 
 }  // namespace gaugevalve::proofs
