--- a/standins/backend/src/endpoint_faults.cpp
+++ b/standins/backend/src/endpoint_faults.cpp
@@ -1,6 +1,5 @@
 #include "endpoint_faults.h"
 
-#include <chrono>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -25,14 +24,10 @@
   value = static_cast<ReportFault>(index);
 }
 
-std::int64_t Milliseconds(base::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace
 
 std::string FaultsToJson(const EndpointFaults& faults) {
-  const nlohmann::json document = {{"answer_delay_ms", Milliseconds(faults.answer_delay)},
+  const nlohmann::json document = {{"answer_delay_ms", InMilliseconds(faults.answer_delay)},
                                    {"cut_fraction", faults.cut_fraction},
                                    {"refuse_connections", faults.refuse_connections},
                                    {"hang", faults.hang},
@@ -40,7 +35,7 @@
                                    {"ignore_datagrams", faults.ignore_datagrams},
                                    {"load_report", NameOf(faults.load_report)},
                                    {"health_report", NameOf(faults.health_report)},
-                                   {"report_lag_ms", Milliseconds(faults.report_lag)}};
+                                   {"report_lag_ms", InMilliseconds(faults.report_lag)}};
   return document.dump();
 }
 
--- a/standins/machine_list/src/lagging_machine_list.cpp
+++ b/standins/machine_list/src/lagging_machine_list.cpp
@@ -18,8 +18,8 @@
 }
 
 std::string MachineListFaultsToJson(const MachineListFaults& faults) {
-  const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(faults.lag);
-  return nlohmann::json{{"lag_ms", lag.count()}, {"unavailable", faults.unavailable}}.dump();
+  return nlohmann::json{{"lag_ms", InMilliseconds(faults.lag)}, {"unavailable", faults.unavailable}}
+      .dump();
 }
 
 void LaggingMachineList::SetMachines(std::vector<machines::Machine> machines, base::TimePoint now) {
--- a/standins/store/src/fault_settings.cpp
+++ b/standins/store/src/fault_settings.cpp
@@ -31,9 +31,8 @@
 }
 
 std::string FaultsToJson(const FaultSettings& faults) {
-  const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(faults.delay);
   return nlohmann::json{{"outage", OutageNames().at(static_cast<std::size_t>(faults.outage))},
-                        {"delay_ms", delay.count()},
+                        {"delay_ms", InMilliseconds(faults.delay)},
                         {"requests_per_second", faults.requests_per_second},
                         {"lost_answers", faults.lost_answers},
                         {"stale_watches", faults.stale_watches}}
--- a/standins/support/include/gaugevalve/standins/json_fields.h
+++ b/standins/support/include/gaugevalve/standins/json_fields.h
@@ -13,6 +13,9 @@
 
 namespace gaugevalve::standins {
 
+// Returns the whole milliseconds in a duration, as JsonFields::ReadMilliseconds() takes them.
+std::int64_t InMilliseconds(base::Duration duration);
+
 // Takes one field after the other into variables, which keep their value when the field is absent,
 // and collects everything that is wrong. Call Finish() at the end.
 class JsonFields {
--- a/standins/support/src/json_fields.cpp
+++ b/standins/support/src/json_fields.cpp
@@ -11,6 +11,10 @@
 
 }  // namespace
 
+std::int64_t InMilliseconds(base::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 JsonFields::JsonFields(std::string subject, std::string_view text)
     : subject_(std::move(subject)),
       document_(nlohmann::json::parse(text.begin(), text.end(), nullptr, kAllowExceptions)) {
@@ -56,10 +60,9 @@
 }
 
 void JsonFields::ReadMilliseconds(const std::string& name, base::Duration& value) {
-  using std::chrono::milliseconds;
-  auto count = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(value).count());
+  auto count = static_cast<std::uint32_t>(InMilliseconds(value));
   ReadCount(name, count);
-  value = milliseconds(count);
+  value = std::chrono::milliseconds(count);
 }
 
 void JsonFields::ReadChoice(const std::string& name, const std::vector<std::string>& names,
