--- a/libs/control/include/gaugevalve/control/agent_reporter.h
+++ b/libs/control/include/gaugevalve/control/agent_reporter.h
@@ -34,10 +34,14 @@
   // Returns when Tick() is next due.
   base::TimePoint NextDeadline() const;
 
-  // Takes the planner's answer. When the agent's table is as new as the planner's, the time at
-  // which the report was sent is proven fresh.
+  // Takes the planner's answer. Once the agent's table is as new as the planner's was then, the
+  // time at which the report was sent is proven fresh: at once, or by NoteTable() later.
   void TakeAnswer(const ReportAnswer& answer, const routing::TableVersion& own_table);
 
+  // Notes which table the agent has now. An answer may overtake the table that it names, and while
+  // the planner changes the table with each report there is always a newer one on its way.
+  void NoteTable(const routing::TableVersion& own_table);
+
   // Returns the latest time at which the agent's table was the planner's newest.
   base::TimePoint ConfirmedAt() const { return confirmed_at_; }
 
@@ -45,8 +49,12 @@
   struct SentReport {
     std::uint64_t sequence = 0;
     base::TimePoint sent_at;
+    std::optional<routing::TableVersion> answered;  // the planner's table when it answered
   };
 
+  // Covers routing::kFreshnessLimit at the fast interval: older reports' answers prove nothing.
+  static constexpr std::size_t kRememberedReports = 16;
+
   bool HasChangedMuch() const;
 
   AgentReporterOptions options_;
@@ -54,7 +62,7 @@
   std::optional<routing::AgentReport> reported_;
   base::TimePoint reported_at_{};
   std::uint64_t next_sequence_ = 1;
-  std::array<SentReport, 8> sent_{};  // a ring: older reports' answers prove nothing
+  std::array<SentReport, kRememberedReports> sent_{};  // a ring
   base::TimePoint confirmed_at_{};
 };
 
--- a/libs/control/src/agent_reporter.cpp
+++ b/libs/control/src/agent_reporter.cpp
@@ -12,7 +12,7 @@
   reported_ = latest_;
   reported_at_ = now;
   const std::uint64_t sequence = next_sequence_++;
-  sent_[sequence % sent_.size()] = {sequence, now};
+  sent_[sequence % sent_.size()] = {sequence, now, std::nullopt};
   return NumberedReport{sequence, *reported_};
 }
 
@@ -36,9 +36,20 @@
 }
 
 void AgentReporter::TakeAnswer(const ReportAnswer& answer, const routing::TableVersion& own_table) {
-  const SentReport& sent = sent_[answer.sequence % sent_.size()];
-  if (sent.sequence == answer.sequence && answer.table_version <= own_table) {
-    confirmed_at_ = std::max(confirmed_at_, sent.sent_at);
+  SentReport& sent = sent_[answer.sequence % sent_.size()];
+  if (sent.sequence != answer.sequence) {
+    return;
+  }
+  // A doubled report is answered twice; each answer proves the same time.
+  sent.answered = std::min(sent.answered.value_or(answer.table_version), answer.table_version);
+  NoteTable(own_table);
+}
+
+void AgentReporter::NoteTable(const routing::TableVersion& own_table) {
+  for (const SentReport& sent : sent_) {
+    if (sent.answered.has_value() && *sent.answered <= own_table) {
+      confirmed_at_ = std::max(confirmed_at_, sent.sent_at);
+    }
   }
 }
 
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -234,6 +234,9 @@
   try {
     auto table = std::make_shared<const routing::BucketTable>(routing::DecodeTable(bytes));
     planners_.OnForeignTable(service, table->version, now);
+    if (service == options_.metadata.service) {
+      reporter_.NoteTable(table->version);
+    }
     tables_[service] = std::move(table);
     view_stale_ = true;
   } catch (const routing::DecodeError& error) {
--- a/libs/control/tests/agent_reporter_test.cpp
+++ b/libs/control/tests/agent_reporter_test.cpp
@@ -9,6 +9,8 @@
   CPPUNIT_TEST_SUITE(AgentReporterTest);
   CPPUNIT_TEST(ReportsAtABoundedRate);
   CPPUNIT_TEST(OnlyAnAnswerForAsNewATableConfirms);
+  CPPUNIT_TEST(AnAnswerThatOvertookItsTableConfirmsWhenTheTableComes);
+  CPPUNIT_TEST(ATableThatChangesWithEachReportStaysConfirmed);
   CPPUNIT_TEST(MessagesReadBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +50,35 @@
     CPPUNIT_ASSERT(reporter.ConfirmedAt() == At(1000));  // when it was sent, not when answered
   }
 
+  void AnAnswerThatOvertookItsTableConfirmsWhenTheTableComes() {
+    AgentReporter reporter({});
+    reporter.Update({});
+    const std::uint64_t first = reporter.Tick(At(1000))->sequence;
+    reporter.TakeAnswer({first, {2, 1, 5}}, {2, 1, 4});
+    reporter.NoteTable({2, 1, 4});
+    CPPUNIT_ASSERT(reporter.ConfirmedAt() == base::TimePoint{});
+    reporter.NoteTable({2, 1, 6});
+    CPPUNIT_ASSERT(reporter.ConfirmedAt() == At(1000));
+  }
+
+  // The planner's table is always one step ahead of the agent's, as while many endpoints drain.
+  void ATableThatChangesWithEachReportStaysConfirmed() {
+    constexpr int kIntervalMilliseconds = 200;
+    AgentReporter reporter({});
+    routing::AgentReport report;
+    for (std::uint32_t step = 1; step <= 100; ++step) {
+      const base::TimePoint now = At(static_cast<int>(step) * kIntervalMilliseconds);
+      reporter.NoteTable({2, 1, step});
+      report.table_version = {2, 1, step};
+      reporter.Update(report);
+      const auto numbered = reporter.Tick(now);
+      CPPUNIT_ASSERT(numbered.has_value());
+      reporter.TakeAnswer({numbered->sequence, {2, 1, step + 1}}, {2, 1, step});
+      CPPUNIT_ASSERT(step == 1 || reporter.ConfirmedAt() >=
+                                      now - std::chrono::milliseconds(2 * kIntervalMilliseconds));
+    }
+  }
+
   void MessagesReadBack() {
     NumberedReport report;
     report.sequence = 9;
--- a/tools/lab/src/planner_host.cpp
+++ b/tools/lab/src/planner_host.cpp
@@ -141,7 +141,7 @@
     if (peer != nullptr && joined.table.version < peer->tables[service_].version) {
       joined.table = peer->tables[service_];
       joined.control.Add(routing::EncodeTable(joined.table).size());
-      joined.core->UpdateTable(joined.table, joined.reporter.ConfirmedAt());
+      ShowTable(joined);
     }
     Report(index);
   });
@@ -276,6 +276,11 @@
     return;  // a frozen one fetches the table when it is back
   }
   agent.control.Add(ApplyUpdate(agent.table, *update));
+  ShowTable(agent);
+}
+
+void PlannerHost::ShowTable(AgentHost& agent) const {
+  agent.reporter.NoteTable(agent.table.version);
   agent.core->UpdateTable(agent.table, agent.reporter.ConfirmedAt());
 }
 
@@ -383,7 +388,7 @@
   }
   Merge(agent.table, whole);
   agent.control.Add(routing::EncodeTable(whole).size());
-  agent.core->UpdateTable(agent.table, agent.reporter.ConfirmedAt());
+  ShowTable(agent);
 }
 
 }  // namespace gaugevalve::lab
--- a/tools/lab/src/planner_host.h
+++ b/tools/lab/src/planner_host.h
@@ -71,6 +71,7 @@
   void ArriveAtBalancer(std::size_t balancer, const SharedUpdate& update);
   void ArriveAtAgent(std::size_t agent, const SharedUpdate& update);
   static std::size_t ApplyUpdate(routing::BucketTable& table, const Update& update);
+  void ShowTable(AgentHost& agent) const;
   void ShowTable(BalancerHost& balancer) const;
   BalancerHost* FirstRunning() const;
   std::vector<AgentHost*> Agents() const;
