--- a/daemons/agent/src/admitted_request.cpp
+++ b/daemons/agent/src/admitted_request.cpp
@@ -39,8 +39,9 @@
 }  // namespace
 
 AdmittedRequest::AdmittedRequest(requests::RequestId id, const quic::RequestHead& head,
-                                 quic::ResponseWriter& writer, RequestOwner& owner)
-    : id_(id), head_(head), writer_(writer), owner_(owner) {
+                                 quic::ResponseWriter& writer, RequestOwner& owner,
+                                 RefusalSink* refusals)
+    : id_(id), head_(head), writer_(writer), owner_(owner), refusals_(refusals) {
   const std::string_view accept = quic::FindField(head.fields, "accept");
   is_stream_ = accept.find("text/event-stream") != std::string_view::npos;
   const bool has_key = !quic::FindField(head.fields, requests::kIdempotencyKeyHeader).empty();
@@ -63,7 +64,8 @@
 
 std::uint64_t AdmittedRequest::Fingerprint() const {
   const std::uint64_t target = base::HashText(head_.path, base::HashText(head_.method));
-  return base::HashText(early_body_, target);
+  // How much beyond it has come depends on how the body was cut into datagrams or frames.
+  return base::HashText(std::string_view(early_body_).substr(0, kMaxEarlyBodyBytes), target);
 }
 
 // A keyed request is decided on once its body is whole, or as much of it is here as is compared.
@@ -75,11 +77,12 @@
   }
 }
 
-bool AdmittedRequest::Start(EndpointClient& client, std::optional<base::Duration> time_left) {
+bool AdmittedRequest::Start(const ExchangeStarter& starter,
+                            std::optional<base::Duration> time_left) {
   if (time_left) {
     SetField(head_.fields, requests::kTimeoutHeader, requests::FormatTimeout(*time_left));
   }
-  exchange_ = client.Start(head_, *this);
+  exchange_ = starter(head_, *this);
   if (exchange_ == nullptr) {
     return false;
   }
@@ -94,6 +97,10 @@
 
 void AdmittedRequest::Refuse(const requests::Refusal& refusal) {
   is_decided_ = true;
+  if (refusals_ != nullptr) {
+    refusals_->Refuse(refusal);
+    return;
+  }
   quic::HeaderFields fields{
       {std::string(requests::kOutcomeHeader), std::string(requests::OutcomeName(refusal.outcome))}};
   if (const std::int64_t seconds = requests::RetryAfterSeconds(refusal); seconds > 0) {
--- a/daemons/agent/src/admitted_request.h
+++ b/daemons/agent/src/admitted_request.h
@@ -39,6 +39,13 @@
   virtual void OnCancelled(requests::RequestId id) = 0;
 };
 
+// Takes the refusals of a request that came from another agent: that agent answers its caller.
+class RefusalSink {
+ public:
+  virtual ~RefusalSink() = default;
+  virtual void Refuse(const requests::Refusal& refusal) = 0;
+};
+
 // Holds the body back until the request is started, with at most kMaxEarlyBodyBytes consumed: the
 // caller's flow control does the rest. Passes the answer on as it comes; one that is cut is reset,
 // so that it can't pass for whole.
@@ -47,17 +54,19 @@
   // Body bytes taken before the request is started. A keyed request's fingerprint covers these.
   static constexpr std::size_t kMaxEarlyBodyBytes = 64 * 1024;
 
+  // `refusals` is null for a request of this agent's own caller, who gets refusals as answers.
   AdmittedRequest(requests::RequestId id, const quic::RequestHead& head,
-                  quic::ResponseWriter& writer, RequestOwner& owner);
+                  quic::ResponseWriter& writer, RequestOwner& owner,
+                  RefusalSink* refusals = nullptr);
   ~AdmittedRequest() override;
 
   // Starts to take the request in: tells the owner once all that is needed has come.
   void Begin();
 
   // The owner's decisions.
-  // Sends the request to the endpoint with this time left (nothing for a stream). Returns false
-  // when nothing could be sent.
-  bool Start(EndpointClient& client, std::optional<base::Duration> time_left);
+  // Sends the request to whoever `starter` reaches, with this time left (nothing for a stream).
+  // Returns false when nothing could be sent.
+  bool Start(const ExchangeStarter& starter, std::optional<base::Duration> time_left);
   void Refuse(const requests::Refusal& refusal);
   void Repeat(const requests::StoredAnswer& answer);
   void RefuseMalformed(const std::string& words);
@@ -67,8 +76,10 @@
   const quic::RequestHead& Head() const { return head_; }
   bool IsKeyed() const { return is_keyed_; }
   bool IsStream() const { return is_stream_; }
+  // It came from another agent.
+  bool WasHandedOver() const { return refusals_ != nullptr; }
 
-  // Returns the hash of method, path and the body so far.
+  // Returns the hash of method, path and the first kMaxEarlyBodyBytes of the body.
   std::uint64_t Fingerprint() const;
 
   // quic::RequestHandler
@@ -92,6 +103,7 @@
   quic::RequestHead head_;
   quic::ResponseWriter& writer_;
   RequestOwner& owner_;
+  RefusalSink* refusals_;
   bool is_keyed_ = false;
   bool is_stream_ = false;
   bool has_arrived_ = false;  // the owner was told
@@ -103,7 +115,7 @@
   bool is_answer_too_long_ = false;      // to be kept for repeats
   std::string early_body_;               // until it is started
   std::size_t unconsumed_ = 0;           // body bytes the caller has no credit for yet
-  std::unique_ptr<EndpointExchange> exchange_;
+  std::unique_ptr<Exchange> exchange_;
   requests::StoredAnswer stored_answer_;
 };
 
--- a/daemons/agent/src/endpoint_client.h
+++ b/daemons/agent/src/endpoint_client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "exchange.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/quic/http.h"
@@ -53,24 +54,15 @@
 
 // One request at the endpoint. Destroying it before its answer is whole cancels it: its connection
 // is closed, so a late answer reaches nobody. Otherwise the connection may serve another exchange.
-class EndpointExchange {
+class EndpointExchange final : public Exchange {
  public:
   explicit EndpointExchange(EndpointConnection& connection) : connection_(&connection) {}
-  ~EndpointExchange();
-  EndpointExchange(const EndpointExchange&) = delete;
-  EndpointExchange& operator=(const EndpointExchange&) = delete;
+  ~EndpointExchange() override;
 
-  // Writes a part of the request's body. Returns false when much of it still waits to be sent: wait
-  // for OnRequestWritable().
-  bool WriteBody(std::span<const std::uint8_t> bytes);
-
-  // The request is whole. Nothing is sent before the first WriteBody() or this.
-  void FinishBody();
-
-  // Stops and restarts the reading of the answer, so that the endpoint has to wait. A few parts
-  // that were read already may still come.
-  void PauseReading();
-  void ResumeReading();
+  bool WriteBody(std::span<const std::uint8_t> bytes) override;
+  void FinishBody() override;
+  void PauseReading() override;
+  void ResumeReading() override;
 
  private:
   friend class EndpointConnection;
--- /dev/null
+++ b/daemons/agent/src/hand_over_service.cpp
@@ -0,0 +1,280 @@
+#include "hand_over_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "gaugevalve/requests/request_headers.h"
+#include "gaugevalve/telemetry/event.h"
+#include "handed_over_exchange.h"
+#include "run_for_peer.h"
+
+namespace gaugevalve::agent {
+namespace {
+
+using requests::proto::HandOverRequestHead;
+
+// How a request that left ended, for the metric.
+enum class AwayEnd : std::uint8_t { kAnswered, kNotRun, kOutcomeUnknown, kCut, kCancelled };
+
+std::string_view AsText(std::span<const std::uint8_t> bytes) {
+  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+std::span<const std::uint8_t> AsBytes(const std::string& text) {
+  return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+bool IsSafe(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "TRACE";
+}
+
+template <class Fields>
+quic::HeaderFields DecodeFields(const Fields& fields) {
+  quic::HeaderFields decoded;
+  for (const requests::proto::HandOverField& field : fields) {
+    decoded.push_back({field.name(), field.value()});
+  }
+  return decoded;
+}
+
+HandOverRequestHead EncodeHead(const quic::RequestHead& head) {
+  HandOverRequestHead message;
+  message.set_method(head.method);
+  message.set_scheme(head.scheme);
+  message.set_authority(head.authority);
+  message.set_path(head.path);
+  for (const quic::HeaderField& field : head.fields) {
+    requests::proto::HandOverField* const entry = message.add_fields();
+    entry->set_name(field.name);
+    entry->set_value(field.value);
+  }
+  return message;
+}
+
+// The time left is the offer's, by the executor's clock: the field was written when it left.
+quic::RequestHead DecodeHead(const requests::RunOffered& offer) {
+  quic::RequestHead head{offer.head.method(), offer.head.scheme(), offer.head.authority(),
+                         offer.head.path(), DecodeFields(offer.head.fields())};
+  std::erase_if(head.fields, [](const quic::HeaderField& field) {
+    return field.name == requests::kTimeoutHeader;
+  });
+  head.fields.push_back(
+      {std::string(requests::kTimeoutHeader), requests::FormatTimeout(offer.time_left)});
+  return head;
+}
+
+AwayEnd AwayEndOf(const requests::Refusal& refusal) {
+  return refusal.outcome == requests::RequestOutcome::kNotRun ? AwayEnd::kNotRun
+                                                              : AwayEnd::kOutcomeUnknown;
+}
+
+prometheus::Gauge* MakeGauge(prometheus::Registry& registry, const std::string& side) {
+  return &prometheus::BuildGauge()
+              .Name("gaugevalve_agent_hand_overs")
+              .Help("Requests handed over that haven't ended: away at others, or here for others.")
+              .Register(registry)
+              .Add({{"side", side}});
+}
+
+}  // namespace
+
+HandOverService::HandOverService(event_base* loop, const flow::AgentIdentity& identity,
+                                 HandOverOwner& owner, PeerSender peer_sender,
+                                 base::RandomSource& random, prometheus::Registry& registry)
+    : owner_(owner),
+      peer_sender_(std::move(peer_sender)),
+      core_(identity.node, identity.incarnation, limits_, random),
+      ended_(registry, "gaugevalve_agent_hand_overs_ended_total",
+             "Requests handed over to other agents, by how they ended.",
+             {"answered", "not-run", "unknown", "cut", "cancelled"}),
+      taken_(prometheus::BuildCounter()
+                 .Name("gaugevalve_agent_hand_overs_taken_total")
+                 .Help("Requests offered by other agents and given to admission here.")
+                 .Register(registry)
+                 .Add({})),
+      away_(MakeGauge(registry, "away")),
+      here_(MakeGauge(registry, "here")),
+      deferred_(loop, [this] {
+        HandleEvents();
+        SweepRuns();
+      }) {}
+
+HandOverService::~HandOverService() = default;
+
+bool HandOverService::Offer(AdmittedRequest& request, requests::HandOverNeed need,
+                            base::TimePoint deadline) {
+  const base::TimePoint now = clock_.Now();
+  const auto starter = [&](const quic::RequestHead& head,
+                           EndpointEvents& events) -> std::unique_ptr<Exchange> {
+    requests::HandOverRequest offered;
+    offered.id = request.Id();
+    offered.head = EncodeHead(head);
+    offered.deadline = deadline;
+    offered.is_safe = IsSafe(head.method);
+    offered.was_handed_over = request.WasHandedOver();
+    requests::HandOverActions actions;
+    if (!core_.Origin().Offer(offered, need, now, actions)) {
+      return nullptr;
+    }
+    left_[request.Id()] = &events;
+    Perform(actions);
+    return std::make_unique<HandedOverExchange>(request.Id(), *this);
+  };
+  const bool has_left = request.Start(starter, deadline - now);
+  if (has_left) {
+    telemetry::Event(telemetry::Level::kDebug, "request_handed_over")
+        .Field("request", request.Id());
+  }
+  return has_left;
+}
+
+void HandOverService::SetTable(const std::shared_ptr<const routing::BucketTable>& table) {
+  PerformAndHandle(core_.SetTable(table, clock_.Now()));
+}
+
+void HandOverService::OnMessage(base::NodeId sender,
+                                const requests::proto::HandOverMessage& message) {
+  PerformAndHandle(core_.OnMessage(sender, message, clock_.Now()));
+}
+
+void HandOverService::OnTimer(const requests::OwnLoad& load) {
+  PerformAndHandle(core_.OnTimer(load, clock_.Now()));
+}
+
+void HandOverService::PublishCounters() {
+  ended_.Publish();
+  taken_.Publish();
+  away_->Set(static_cast<double>(core_.Origin().Size()));
+  here_->Set(static_cast<double>(core_.Executor().Size()));
+}
+
+bool HandOverService::WriteBody(requests::RequestId id, std::span<const std::uint8_t> bytes) {
+  requests::HandOverActions actions;
+  const bool has_room = core_.Origin().WriteBody(id, AsText(bytes), clock_.Now(), actions);
+  Perform(actions);
+  return has_room;
+}
+
+void HandOverService::FinishBody(requests::RequestId id) {
+  requests::HandOverActions actions;
+  core_.Origin().FinishBody(id, clock_.Now(), actions);
+  Perform(actions);
+}
+
+void HandOverService::SetAnswerPaused(requests::RequestId id, bool is_paused) {
+  requests::HandOverActions actions;
+  core_.Origin().SetAnswerPaused(id, is_paused, actions);
+  Perform(actions);
+}
+
+void HandOverService::Cancel(requests::RequestId id) {
+  if (left_.erase(id) == 0) {
+    return;  // it has ended
+  }
+  ended_.Add(AwayEnd::kCancelled);
+  requests::HandOverActions actions;
+  core_.Origin().Cancel(id, actions);
+  Perform(actions);
+}
+
+void HandOverService::Perform(const requests::HandOverActions& actions) {
+  for (const requests::OutgoingMessage& outgoing : actions.send) {
+    peer_sender_(outgoing.destination, outgoing.message.SerializeAsString());
+  }
+  events_.insert(events_.end(), actions.origin.begin(), actions.origin.end());
+  events_.insert(events_.end(), actions.executor.begin(), actions.executor.end());
+  if (!events_.empty()) {
+    deferred_.StartOnce(base::Duration{0});
+  }
+}
+
+void HandOverService::PerformAndHandle(const requests::HandOverActions& actions) {
+  Perform(actions);
+  HandleEvents();
+}
+
+void HandOverService::HandleEvents() {
+  if (is_handling_) {
+    return;
+  }
+  is_handling_ = true;
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    std::visit([this](const auto& what) { Handle(what); }, event);
+  }
+  is_handling_ = false;
+}
+
+void HandOverService::Handle(const requests::OriginEvent& event) {
+  const auto found = left_.find(event.request);
+  if (found == left_.end()) {
+    return;  // cancelled meanwhile
+  }
+  EndpointEvents& events = *found->second;
+  if (std::holds_alternative<requests::BodyWanted>(event.what)) {
+    events.OnRequestWritable();
+  } else if (const auto* const head = std::get_if<requests::AnswerHeadCame>(&event.what)) {
+    events.OnAnswerHead({static_cast<int>(head->head.status()), DecodeFields(head->head.fields())});
+  } else if (const auto* const bytes = std::get_if<requests::AnswerBytesCame>(&event.what)) {
+    events.OnAnswerBody(AsBytes(bytes->bytes));
+  } else if (const auto* const refused = std::get_if<requests::HandOverRefused>(&event.what)) {
+    left_.erase(found);
+    ended_.Add(AwayEndOf(refused->refusal));
+    owner_.OnRefusedElsewhere(event.request, refused->refusal);
+  } else if (std::holds_alternative<requests::AnswerEnded>(event.what)) {
+    left_.erase(found);
+    ended_.Add(AwayEnd::kAnswered);
+    events.OnAnswerEnd();
+  } else {
+    left_.erase(found);
+    ended_.Add(AwayEnd::kCut);
+    events.OnExchangeFailed(
+        {ExchangeFailure::Kind::kCutAnswer, "the agent that ran it is gone or its answer was cut"});
+  }
+}
+
+void HandOverService::Handle(const requests::ExecutorEvent& event) {
+  if (const auto* const offer = std::get_if<requests::RunOffered>(&event.what)) {
+    BeginRun(event.run, *offer);
+    return;
+  }
+  const auto found = runs_.find(event.run);
+  if (found == runs_.end()) {
+    return;
+  }
+  RunForPeer& run = *found->second;
+  if (const auto* const bytes = std::get_if<requests::BodyBytesCame>(&event.what)) {
+    run.TakeBody(AsBytes(bytes->bytes));
+  } else if (std::holds_alternative<requests::BodyEnded>(event.what)) {
+    run.TakeBodyEnd();
+  } else if (std::holds_alternative<requests::AnswerWanted>(event.what)) {
+    run.TakeRoom();
+  } else {
+    run.TakeCancel();
+  }
+}
+
+void HandOverService::BeginRun(const requests::HandOverId& id, const requests::RunOffered& offer) {
+  taken_.Add();
+  auto run =
+      std::make_unique<RunForPeer>(id, owner_.NextRequestId(), DecodeHead(offer), *this, owner_);
+  RunForPeer& begun = *run;
+  runs_[id] = std::move(run);
+  begun.Begin();
+}
+
+void HandOverService::OnRunOver(const requests::HandOverId& run) {
+  over_.push_back(run);
+  deferred_.StartOnce(base::Duration{0});
+}
+
+void HandOverService::SweepRuns() {
+  for (const requests::HandOverId& id : std::exchange(over_, {})) {
+    runs_.erase(id);
+  }
+}
+
+}  // namespace gaugevalve::agent
--- a/daemons/agent/src/request_service.cpp
+++ b/daemons/agent/src/request_service.cpp
@@ -1,11 +1,13 @@
 #include "request_service.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "gaugevalve/requests/hand_over_codec.h"
 #include "gaugevalve/requests/request_headers.h"
 #include "gaugevalve/telemetry/event.h"
 #include "http1_request.h"
@@ -17,6 +19,10 @@
 constexpr base::Duration kTimerPeriod = std::chrono::milliseconds(20);
 constexpr base::Duration kDefaultTimeout = std::chrono::seconds(10);
 
+// After a connection that couldn't be made, requests go to others for this long; the next one then
+// tries the endpoint again.
+constexpr base::Duration kEndpointDownTime = std::chrono::seconds(1);
+
 // How a request ended, for the metric.
 enum class EndCount : std::uint8_t {
   kAnswered,
@@ -100,7 +106,8 @@
                            .Help("1 when a new idempotency key is known as new, 0 when it isn't.")
                            .Register(registry)
                            .Add({})),
-      timer_(loop, [this] { Perform(pipeline_.OnTimer(clock_.Now())); }) {
+      hand_over_(loop, settings.identity, *this, peer_sender_, random_, registry),
+      timer_(loop, [this] { OnTimer(); }) {
   timer_.StartPeriodic(kTimerPeriod);
 }
 
@@ -108,9 +115,7 @@
                                                                 const quic::Path&,
                                                                 quic::ResponseWriter& writer) {
   RequestOwner& owner = *this;
-  auto request =
-      std::make_unique<AdmittedRequest>(requests::RequestId(next_id_), head, writer, owner);
-  ++next_id_;
+  auto request = std::make_unique<AdmittedRequest>(NextRequestId(), head, writer, owner);
   request->Begin();
   return request;
 }
@@ -143,17 +148,103 @@
     arrived.key = request_key;
   }
   const base::TimePoint now = clock_.Now();
-  known_[request.Id()] = {&request, now + arrived.timeout.value_or(default_timeout_)};
+  const base::TimePoint deadline = now + arrived.timeout.value_or(default_timeout_);
+  if (HandOver(request, deadline, now)) {
+    return;
+  }
+  known_[request.Id()] = {&request, deadline};
   Perform(pipeline_.Arrive(arrived, now));
 }
 
+// Lets another agent's endpoint run the request, when there is need and a peer that will.
+bool RequestService::HandOver(AdmittedRequest& request, base::TimePoint deadline,
+                              base::TimePoint now) {
+  requests::LocalSituation situation;
+  situation.was_handed_over = request.WasHandedOver();
+  situation.is_stream = request.IsStream();
+  situation.is_draining = IsDraining();
+  situation.is_endpoint_down = now < endpoint_down_until_;
+  situation.estimated_wait = pipeline_.Admission().EstimatedWait();
+  const auto need = is_hand_over_on_ ? hand_over_.NeedOf(situation) : std::nullopt;
+  if (!need || !hand_over_.Offer(request, *need, deadline)) {
+    return false;
+  }
+  known_[request.Id()] = {&request, deadline, true};
+  return true;
+}
+
+// No byte left this agent: any peer may run it. A keyed request stays, since its grant is for this
+// agent; its end is told here.
+bool RequestService::HandOverUnsent(requests::RequestId id, requests::EndpointEnd end) {
+  const auto found = known_.find(id);
+  if (end != requests::EndpointEnd::kNotSent || found == known_.end()) {
+    return false;
+  }
+  const Known known = found->second;
+  if (known.request->IsKeyed() || !HandOver(*known.request, known.deadline, clock_.Now())) {
+    return false;
+  }
+  Perform(pipeline_.Cancel(id, clock_.Now()));
+  return true;
+}
+
+void RequestService::OnRefusedElsewhere(requests::RequestId id, const requests::Refusal& refusal) {
+  if (const auto found = known_.find(id); found != known_.end()) {
+    found->second.request->Abandon();
+    Refuse({id, refusal});
+  }
+}
+
+void RequestService::NoteEndpoint(requests::EndpointEnd end, base::TimePoint now) {
+  const bool is_unreached =
+      end == requests::EndpointEnd::kNotSent || end == requests::EndpointEnd::kBodyGone;
+  endpoint_down_until_ = is_unreached ? now + kEndpointDownTime : now;
+}
+
+requests::OwnLoad RequestService::Load(base::TimePoint now) const {
+  const requests::AdmissionQueue& admission = pipeline_.Admission();
+  const auto running = static_cast<std::uint32_t>(admission.RunningCount());
+  const auto waiting = static_cast<std::uint32_t>(admission.WaitingCount());
+  requests::OwnLoad load;
+  load.free_slots = limits_.slots - std::min(limits_.slots, running);
+  load.queue_room = limits_.queue_length - std::min(limits_.queue_length, waiting);
+  load.takes_requests = is_hand_over_on_ && !IsDraining() && now >= endpoint_down_until_;
+  return load;
+}
+
+void RequestService::OnTimer() {
+  const base::TimePoint now = clock_.Now();
+  Perform(pipeline_.OnTimer(now));
+  hand_over_.OnTimer(Load(now));
+}
+
+void RequestService::StartDraining() {
+  is_draining_ = true;
+  UpdateDraining();
+}
+
+// Without hand-over, a draining endpoint goes on with the connections it has; with it, their
+// requests run elsewhere or are refused.
+void RequestService::UpdateDraining() {
+  pipeline_.SetDraining(is_draining_ || (is_endpoint_draining_ && is_hand_over_on_));
+}
+
 void RequestService::OnEnded(requests::RequestId id, requests::EndpointEnd end,
                              const requests::StoredAnswer& answer) {
+  const auto found = known_.find(id);
+  const bool is_away = found != known_.end() && found->second.is_away;
+  if (!is_away) {
+    NoteEndpoint(end, clock_.Now());
+    if (HandOverUnsent(id, end)) {
+      ++failures_since_report_;
+      return;
+    }
+  }
   const bool is_whole =
       end == requests::EndpointEnd::kAnswered || end == requests::EndpointEnd::kRefused;
   if (is_whole) {
     ended_.Add(end == requests::EndpointEnd::kAnswered ? EndCount::kAnswered : EndCount::kNotRun);
-  } else {
+  } else if (!is_away) {
     ++failures_since_report_;
   }
   Perform(pipeline_.EndAtEndpoint(id, end, answer, clock_.Now()));
@@ -213,7 +304,10 @@
   if (!request.IsStream()) {
     time_left = found->second.deadline - clock_.Now();
   }
-  if (!request.Start(client_, time_left)) {
+  const auto starter = [this](const quic::RequestHead& head, EndpointEvents& events) {
+    return std::unique_ptr<Exchange>(client_.Start(head, events));
+  };
+  if (!request.Start(starter, time_left)) {
     OnEnded(id, requests::EndpointEnd::kNotSent, {});
   }
 }
@@ -234,6 +328,7 @@
 
 void RequestService::SetView(const control::ServiceView& service, base::TimePoint confirmed_at) {
   Perform(pipeline_.SetTable(service.table, confirmed_at, clock_.Now()));
+  hand_over_.SetTable(service.table);
 }
 
 void RequestService::SetEndpoint(const settings::EndpointSettings& endpoint) {
@@ -243,16 +338,21 @@
   limits_.brown_out_enter = endpoint.brownout_enter;
   limits_.brown_out_leave = endpoint.brownout_leave;
   default_timeout_ = endpoint.request_deadline;
+  is_hand_over_on_ = endpoint.hand_over == settings::HandOverSwitch::kOn;
+  is_endpoint_draining_ = endpoint.state == settings::AdministrativeState::kDraining;
+  UpdateDraining();
   Perform(pipeline_.SetLimits(limits_, default_timeout_, clock_.Now()));
 }
 
 void RequestService::HandlePeerMessage(base::NodeId sender, std::string_view payload) {
-  requests::proto::AtMostOnceMessage message;
-  if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+  const auto message = requests::DecodePeerMessage(payload);
+  if (!message) {
     malformed_messages_.Add();
-    return;
+  } else if (message->has_hand_over()) {
+    hand_over_.OnMessage(sender, message->hand_over());
+  } else {
+    Perform(pipeline_.OnMessage(sender, *message, clock_.Now()));
   }
-  Perform(pipeline_.OnMessage(sender, message, clock_.Now()));
 }
 
 void RequestService::FillReport(routing::AgentReport& report) {
@@ -269,6 +369,7 @@
   ended_.Publish();
   refused_.Publish();
   malformed_messages_.Publish();
+  hand_over_.PublishCounters();
   running_->Set(static_cast<double>(admission.RunningCount()));
   waiting_->Set(static_cast<double>(admission.WaitingCount()));
   streams_->Set(static_cast<double>(admission.StreamCount()));
--- a/daemons/agent/src/request_service.h
+++ b/daemons/agent/src/request_service.h
@@ -17,6 +17,7 @@
 #include "gaugevalve/flow/bucket_ownership.h"
 #include "gaugevalve/requests/request_pipeline.h"
 #include "gaugevalve/tasks/timer.h"
+#include "hand_over_service.h"
 #include "prometheus/gauge.h"
 #include "request_backend.h"
 
@@ -37,11 +38,8 @@
 
 // The shell around requests::RequestPipeline: HTTP/3 above, HTTP/1.1 to the endpoint below, other
 // agents beside it. Runs in the data task's thread.
-class RequestService final : public RequestBackend, private RequestOwner {
+class RequestService final : public RequestBackend, private HandOverOwner {
  public:
-  // Sends a message to another agent; it may be lost.
-  using PeerSender = std::function<void(base::NodeId destination, std::string payload)>;
-
   // `loop` must outlive this, and this every request.
   RequestService(event_base* loop, const RequestServiceSettings& settings, PeerSender peer_sender,
                  prometheus::Registry& registry);
@@ -55,18 +53,21 @@
   void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) override;
   void SetEndpoint(const settings::EndpointSettings& endpoint) override;
   void HandlePeerMessage(base::NodeId sender, std::string_view payload) override;
-  void StartDraining() override { pipeline_.StartDraining(); }
+  void StartDraining() override;
   void FillReport(routing::AgentReport& report) override;
   void PublishCounters() override;
 
  private:
-  // A request that the pipeline knows.
+  // A request that the pipeline knows, or that runs at another agent.
   struct Known {
     AdmittedRequest* request = nullptr;
     base::TimePoint deadline{};
+    bool is_away = false;  // handed over: the pipeline doesn't know it
   };
 
-  // RequestOwner
+  // HandOverOwner
+  requests::RequestId NextRequestId() override { return requests::RequestId(next_id_++); }
+  void OnRefusedElsewhere(requests::RequestId id, const requests::Refusal& refusal) override;
   void OnArrived(AdmittedRequest& request) override;
   void OnAnswerBegan(requests::RequestId id) override { pipeline_.AnswerBegan(id); }
   void OnBecameStream(requests::RequestId id) override {
@@ -76,6 +77,13 @@
                const requests::StoredAnswer& answer) override;
   void OnCancelled(requests::RequestId id) override;
 
+  bool HandOver(AdmittedRequest& request, base::TimePoint deadline, base::TimePoint now);
+  bool HandOverUnsent(requests::RequestId id, requests::EndpointEnd end);
+  bool IsDraining() const { return is_draining_ || is_endpoint_draining_; }
+  requests::OwnLoad Load(base::TimePoint now) const;
+  void NoteEndpoint(requests::EndpointEnd end, base::TimePoint now);
+  void UpdateDraining();
+  void OnTimer();
   void Perform(const requests::PipelineActions& actions);
   void Start(requests::RequestId id);
   void Refuse(const requests::RefusedRequest& refused);
@@ -90,6 +98,10 @@
   EndpointClient client_;
   requests::RequestPipeline pipeline_;
   absl::flat_hash_map<requests::RequestId, Known> known_;
+  bool is_hand_over_on_ = true;
+  bool is_draining_ = false;           // this process
+  bool is_endpoint_draining_ = false;  // by the settings
+  base::TimePoint endpoint_down_until_{};
   std::uint64_t next_id_ = 1;
   std::uint32_t failures_since_report_ = 0;
   daemon::ReasonCounters ended_;
@@ -99,6 +111,7 @@
   prometheus::Gauge* waiting_;
   prometheus::Gauge* streams_;
   prometheus::Gauge* remembers_keys_;
+  HandOverService hand_over_;
   tasks::Timer timer_;
 };
 
--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <map>
@@ -78,6 +79,9 @@
   std::map<base::NodeId, AgentWorker*> workers_;
 };
 
+// Returns the name of an agent's endpoint in the settings tree.
+std::string EndpointName(std::uint64_t node) { return "orders-" + std::to_string(node); }
+
 // A service that has just begun forgets nothing here, so that keyed requests run at once.
 requests::AtMostOnceLimits WithoutStartUpTime() {
   requests::AtMostOnceLimits limits;
@@ -95,7 +99,7 @@
       : peers_(peers),
         identity_{base::NodeId(node), base::Incarnation(life * 1'000'000), kService},
         worker_(
-            {data_address, egress, kService, ""},
+            {data_address, egress, kService, EndpointName(node)},
             [&](event_base* loop, AgentOutput& output) {
               return std::make_unique<Http3Service>(
                   loop, output,
@@ -182,12 +186,20 @@
   CPPUNIT_TEST(AnEventStreamSurvivesADrainAndAChangeOfAddress);
   CPPUNIT_TEST(ARestartedAgentTellsItsCallers);
   CPPUNIT_TEST(ANewCertificateCutsNothing);
+  CPPUNIT_TEST(ADrainedEndpointsRequestRunsOnceAtAnother);
+  CPPUNIT_TEST(LargeBodiesPassBothWaysThroughAnotherAgent);
+  CPPUNIT_TEST(ARequestThatCouldNotBeSentRunsAtAnotherEndpoint);
+  CPPUNIT_TEST(WithoutAPeerADrainedEndpointRefusesAtOnce);
+  CPPUNIT_TEST(SwitchedOffNothingIsHandedOver);
+  CPPUNIT_TEST(ACancelledRequestEndsAtTheOtherEndpoint);
+  CPPUNIT_TEST(ALostPeerLeavesTheOutcomeUnknown);
   CPPUNIT_TEST_SUITE_END();
 
   tasks::LoopPointer loop_;
   base::SystemClock clock_;
   quic::CertificatePair pair_;
-  std::unique_ptr<ScriptedEndpoint> endpoint_;
+  std::unique_ptr<ScriptedEndpoint> endpoint_;  // of the first agent, which has the caller
+  std::unique_ptr<ScriptedEndpoint> other_endpoint_;
   std::unique_ptr<TestFabric> fabric_;
   PeerExchange peers_;
   std::vector<std::unique_ptr<TestAgent>> agents_;
@@ -196,12 +208,31 @@
 
   std::unique_ptr<TestAgent> MakeAgent(std::uint64_t node, std::uint64_t life,
                                        const base::SocketAddress& data_address) {
+    const ScriptedEndpoint& endpoint = node == 1 ? *endpoint_ : *other_endpoint_;
     return std::make_unique<TestAgent>(node, life, data_address, fabric_->EgressAddress(),
-                                       endpoint_->Address(), pair_, peers_);
+                                       endpoint.Address(), pair_, peers_);
+  }
+
+  // Settings in which the first agent's endpoint drains.
+  static std::shared_ptr<const settings::ServiceSettings> DrainFirst(
+      settings::HandOverSwitch hand_over) {
+    auto service = std::make_shared<settings::ServiceSettings>();
+    for (const std::uint64_t node : {1, 2}) {
+      settings::EndpointSettings& endpoint = service->endpoints.emplace_back();
+      endpoint.name = EndpointName(node);
+      endpoint.state = node == 1 ? settings::AdministrativeState::kDraining
+                                 : settings::AdministrativeState::kServing;
+      endpoint.slots = 8;
+      endpoint.queue_length = 8;
+      endpoint.request_deadline = std::chrono::seconds(60);
+      endpoint.hand_over = hand_over;
+    }
+    return service;
   }
 
-  // Tells all agents and the balancer that every bucket is the first agent's.
-  void PublishView() {
+  // Tells all agents and the balancer that every bucket is the first agent's. Without settings the
+  // agents go by their defaults.
+  void PublishView(std::shared_ptr<const settings::ServiceSettings> service_settings = nullptr) {
     auto table = std::make_shared<routing::BucketTable>();
     table->service = kService;
     table->version = {1, 0, 1};
@@ -211,6 +242,7 @@
     table->buckets.assign(kBuckets, {table->version, table->agents[0].node, {}});
     auto view = std::make_shared<control::NodeView>();
     view->confirmed_at = base::TimePoint::max();
+    view->own_service = std::move(service_settings);
     view->services.push_back(
         {kService, "orders", control::ServiceKind::kHttp3, fabric_->CallerAddress(), table});
     fabric_->SetView(view);
@@ -252,11 +284,33 @@
     RunUntil(loop_.get(), [&] { return answer.IsOver(); });
   }
 
+  static std::string OutcomeOf(const Answer& answer) {
+    return std::string(quic::FindField(answer.head.fields, "gaugevalve-outcome"));
+  }
+
+  // Asks until the first agent has heard that the other has room: before that it refuses, as not
+  // run. Returns when the other endpoint has `count` requests, the last of which ends with `end`.
+  std::shared_ptr<Answer> AskElsewhere(const std::string& method, const std::string& body,
+                                       const quic::HeaderFields& fields, std::size_t count,
+                                       const std::string& end) {
+    std::shared_ptr<Answer> answer = Ask(method, body, fields);
+    RunUntil(loop_.get(), [&] {
+      if (answer->IsOver()) {
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), OutcomeOf(*answer));
+        answer = Ask(method, body, fields);
+      }
+      return other_endpoint_->Count() == count &&
+             other_endpoint_->Received(count - 1).ends_with(end);
+    });
+    return answer;
+  }
+
  public:
   void setUp() override {  // NOLINT(readability-identifier-naming)
     loop_ = tasks::MakeLoop();
     pair_ = MakePair();
     endpoint_ = std::make_unique<ScriptedEndpoint>(loop_.get());
+    other_endpoint_ = std::make_unique<ScriptedEndpoint>(loop_.get());
     fabric_ = std::make_unique<TestFabric>(loop_.get(), MakeCodec());
     agents_.push_back(MakeAgent(1, 1, Loopback()));
     agents_.push_back(MakeAgent(2, 1, Loopback()));
@@ -270,6 +324,7 @@
     agents_.clear();
     fabric_.reset();
     endpoint_.reset();
+    other_endpoint_.reset();
     loop_.reset();
   }
 
@@ -323,6 +378,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
                          std::string(quic::FindField(broken->head.fields, "gaugevalve-outcome")));
     endpoint_->Refuse();
+    other_endpoint_->Refuse();
     const auto refused = Ask("POST", "once");
     WaitForAnswer(*refused);
     CPPUNIT_ASSERT_EQUAL(503, refused->head.status);
@@ -403,6 +459,94 @@
     WaitForAnswer(*answer);
     CPPUNIT_ASSERT(answer->is_whole);
   }
+
+  void ADrainedEndpointsRequestRunsOnceAtAnother() {
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    const quic::HeaderFields key{{"idempotency-key", NewKey()}};
+    const auto answer = AskElsewhere("POST", "reserve", key, 1, "reserve\r\n0\r\n\r\n");
+    other_endpoint_->Send(0, "HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\ndone");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_whole);
+    CPPUNIT_ASSERT_EQUAL(201, answer->head.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer->body);
+    const auto repeat = Ask("POST", "reserve", key);
+    WaitForAnswer(*repeat);
+    CPPUNIT_ASSERT_EQUAL(std::string("repeated"), OutcomeOf(*repeat));
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), repeat->body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_endpoint_->Count());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, endpoint_->Count());
+    CPPUNIT_ASSERT(!events_.is_leaving && !events_.end);  // the connection stays
+  }
+
+  void LargeBodiesPassBothWaysThroughAnotherAgent() {
+    constexpr std::size_t kSize = 3'000'000;
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    const std::string body = std::string(kSize / 2, 'u') + std::string(kSize / 2, 'v');
+    const auto answer =
+        AskElsewhere("POST", body, {{"content-length", std::to_string(kSize)}}, 1, "v");
+    RunUntil(loop_.get(), [&] { return other_endpoint_->Received(0).size() > kSize; });
+    CPPUNIT_ASSERT(other_endpoint_->Received(0).ends_with("\r\n\r\n" + body));
+    other_endpoint_->Send(
+        0, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kSize) + "\r\n\r\n" + body);
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_whole);
+    CPPUNIT_ASSERT(answer->body == body);
+  }
+
+  void ARequestThatCouldNotBeSentRunsAtAnotherEndpoint() {
+    endpoint_->Refuse();
+    const auto answer = AskElsewhere("POST", "order", {}, 1, "order\r\n0\r\n\r\n");
+    other_endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), answer->body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, endpoint_->Count());
+  }
+
+  void WithoutAPeerADrainedEndpointRefusesAtOnce() {
+    agents_.pop_back();
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    std::shared_ptr<Answer> answer = Ask("POST", "order");
+    while (OutcomeOf(*answer) != "not-run") {  // the settings come to the agent when it gets to it
+      RunUntil(loop_.get(), [&] { return answer->IsOver() || endpoint_->Count() > 0; });
+      answer = answer->IsOver() ? answer : Ask("POST", "order");
+    }
+    CPPUNIT_ASSERT_EQUAL(503, answer->head.status);
+    CPPUNIT_ASSERT(!quic::FindField(answer->head.fields, "retry-after").empty());
+  }
+
+  void SwitchedOffNothingIsHandedOver() {
+    PublishView(DrainFirst(settings::HandOverSwitch::kOff));
+    // The first one may come before the settings; the others come after.
+    for (int request = 0; request < 3; ++request) {
+      const auto answer = Ask("GET");
+      RunUntil(loop_.get(), [&] {
+        return endpoint_->Count() == 1 && std::ranges::count(endpoint_->Received(0), 'G') > request;
+      });
+      endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      WaitForAnswer(*answer);
+      CPPUNIT_ASSERT(answer->is_whole);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, other_endpoint_->Count());
+  }
+
+  void ACancelledRequestEndsAtTheOtherEndpoint() {
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    AskElsewhere("POST", "order", {}, 1, "order\r\n0\r\n\r\n");
+    caller_->Close();
+    RunUntil(loop_.get(), [&] { return other_endpoint_->IsClosed(0); });
+  }
+
+  void ALostPeerLeavesTheOutcomeUnknown() {
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    const auto answer = AskElsewhere("POST", "order", {}, 1, "order\r\n0\r\n\r\n");
+    const base::SocketAddress data_address = agents_[1]->Entry().data_address;
+    agents_[1].reset();
+    agents_[1] = MakeAgent(2, 2, data_address);
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), OutcomeOf(*answer));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_endpoint_->Count());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(Http3ServiceTest);
--- a/libs/requests/include/gaugevalve/requests/request_pipeline.h
+++ b/libs/requests/include/gaugevalve/requests/request_pipeline.h
@@ -97,8 +97,8 @@
   // Call every few tens of milliseconds.
   PipelineActions OnTimer(base::TimePoint now);
 
-  // Takes no new request from now on; what waits and what runs is finished.
-  void StartDraining() { admission_.SetDraining(true); }
+  // Takes no new request from now on, or again; what waits and what runs is finished.
+  void SetDraining(bool is_draining) { admission_.SetDraining(is_draining); }
 
   const AdmissionQueue& Admission() const { return admission_; }
 
--- a/libs/requests/tests/request_pipeline_test.cpp
+++ b/libs/requests/tests/request_pipeline_test.cpp
@@ -121,7 +121,7 @@
     stream.id = RequestId(1);
     stream.is_stream = true;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pipeline_->Arrive(stream, now_).start.size());
-    pipeline_->StartDraining();
+    pipeline_->SetDraining(true);
     now_ += seconds(3600);
     CPPUNIT_ASSERT(pipeline_->OnTimer(now_).abandon.empty());
     CPPUNIT_ASSERT(Arrive(2).refused.at(0).refusal.reason == RefusalReason::kDraining);
--- a/libs/settings/include/gaugevalve/settings/effective_settings.h
+++ b/libs/settings/include/gaugevalve/settings/effective_settings.h
@@ -43,6 +43,7 @@
   double brownout_enter = 0;  // share of slots and queue, in [0, 1]
   double brownout_leave = 0;  // share of slots and queue, in [0, 1]
   base::Duration idempotency_window{0};
+  HandOverSwitch hand_over = HandOverSwitch::kOn;
   std::array<FieldOrigin, kFieldCount> origins;  // indexed by FieldId
 
   // Returns where the value of an inherited field came from.
--- a/libs/settings/include/gaugevalve/settings/field_schema.h
+++ b/libs/settings/include/gaugevalve/settings/field_schema.h
@@ -44,10 +44,11 @@
   kBrownoutEnter,
   kBrownoutLeave,
   kIdempotencyWindow,
+  kHandOver,
   kDrainingZones,
 };
 
-inline constexpr std::size_t kFieldCount = 18;
+inline constexpr std::size_t kFieldCount = 19;
 
 // The type of a field's value.
 enum class FieldType : std::uint8_t { kInteger, kRatio, kDuration, kAddress, kChoice, kZones };
--- a/libs/settings/include/gaugevalve/settings/service_kind.h
+++ b/libs/settings/include/gaugevalve/settings/service_kind.h
@@ -18,6 +18,12 @@
   kDraining = 1,  // keeps its flows and requests in progress, takes nothing new
 };
 
+// Whether agents let other endpoints of the service run what theirs can't run soon.
+enum class HandOverSwitch : std::uint8_t {
+  kOn = 0,
+  kOff = 1,
+};
+
 // Returns the name used in settings: "datagram" or "http3".
 std::string_view ServiceKindName(ServiceKind kind);
 
--- a/libs/settings/src/effective_settings.cpp
+++ b/libs/settings/src/effective_settings.cpp
@@ -29,6 +29,7 @@
   result.brownout_enter = values.Ratio(FieldId::kBrownoutEnter);
   result.brownout_leave = values.Ratio(FieldId::kBrownoutLeave);
   result.idempotency_window = values.Time(FieldId::kIdempotencyWindow);
+  result.hand_over = static_cast<HandOverSwitch>(values.ChoiceIndex(FieldId::kHandOver));
   result.origins = values.Origins();
   const ZoneNames& draining = values.Zones(FieldId::kDrainingZones);
   const ZoneName here{region.name, zone.name};
@@ -121,6 +122,8 @@
       return brownout_leave;
     case FieldId::kIdempotencyWindow:
       return idempotency_window;
+    case FieldId::kHandOver:
+      return Choice{static_cast<std::uint8_t>(hand_over)};
     case FieldId::kKind:
     case FieldId::kVirtualAddress:
     case FieldId::kBucketCount:
--- a/libs/settings/src/field_schema.cpp
+++ b/libs/settings/src/field_schema.cpp
@@ -12,6 +12,7 @@
                                                                   "endpoints", ""};
 constexpr std::array<std::string_view, 2> kKinds{"datagram", "http3"};
 constexpr std::array<std::string_view, 2> kStates{"serving", "draining"};
+constexpr std::array<std::string_view, 2> kSwitch{"on", "off"};
 
 constexpr std::int64_t kMillisecond = 1'000;
 constexpr std::int64_t kSecond = 1'000 * kMillisecond;
@@ -210,6 +211,9 @@
      kChangeable,
      1,
      "Time for which an idempotency key and its answer are remembered."},
+    {FieldId::kHandOver, "hand_over", FieldType::kChoice, kInherited, 0, 0, "on", "", kSwitch,
+     kChangeable, 1,
+     "Whether requests that an endpoint can't run soon run at another endpoint of the service."},
     {FieldId::kDrainingZones,
      "draining_zones",
      FieldType::kZones,
--- a/libs/settings/tests/settings_tree_test.cpp
+++ b/libs/settings/tests/settings_tree_test.cpp
@@ -94,7 +94,7 @@
             "t:11:12: services.a.zones: unknown key 'zones'; known here: kind virtual_address "
             "bucket_count state weight priority slots connections queue_length "
             "request_deadline drain_timeout idle_timeout new_flows_per_source "
-            "cold_start_ramp brownout_enter brownout_leave idempotency_window regions\n"
+            "cold_start_ramp brownout_enter brownout_leave idempotency_window hand_over regions\n"
             "t:13:12: services.a.regions.r 1: 'r 1' is no name: 1 to 63 letters, digits, "
             "'-' or '_'\n"
             "t:14:48: services.a.regions.r2.zones.z.endpoints.e.weight: must be a single "
