--- a/tools/callers/src/callers_run.cpp
+++ b/tools/callers/src/callers_run.cpp
@@ -155,10 +155,14 @@
 }
 
 void CallersRun::GiveUpDue(base::TimePoint now) {
-  while (!given_up_at_.empty() && given_up_at_.front().at <= now) {
+  while (!given_up_at_.empty()) {
     const Due due = given_up_at_.front();
+    const bool is_running = reservations_[due.reservation].IsRunning(due.attempt);
+    if (is_running && due.at > now) {
+      return;
+    }
     given_up_at_.pop_front();
-    if (reservations_[due.reservation].IsRunning(due.attempt)) {
+    if (is_running) {
       ++report_.given_up;
       PlanRepeat(due.reservation, now);
     }
