--- a/libs/membership/include/gaugevalve/membership/membership_options.h
+++ b/libs/membership/include/gaugevalve/membership/membership_options.h
@@ -14,6 +14,7 @@
   bool never_refute = false;
   bool accept_older_incarnations = false;
   bool trust_any_group_base = false;
+  bool ignore_byte_budget = false;
 };
 
 struct MembershipOptions {
@@ -30,6 +31,11 @@
   // Without confirmation by others a suspicion lasts this many times longer.
   double unconfirmed_suspicion_factor = 3.0;
 
+  // What a node in service sends in any second, envelopes included; acknowledgements and a farewell
+  // aren't held back by it. The reserve is kept for probes and acknowledgements.
+  std::size_t bytes_per_second = 5000;
+  std::size_t reserved_bytes_per_second = 1500;
+
   // Spreading of updates.
   base::Duration gossip_interval = std::chrono::milliseconds(150);
   std::size_t gossip_fan_out = 3;
@@ -50,8 +56,8 @@
   base::Duration heal_interval = std::chrono::seconds(5);  // between tries of a dead member
   base::Duration fast_heal_interval = std::chrono::milliseconds(500);  // after one has answered
   base::Duration join_timeout = std::chrono::seconds(1);               // for each page
-  std::size_t page_bytes = 8192;
-  double pages_per_second = 50;  // served to joining nodes
+  std::size_t page_bytes = 2500;  // less when the byte budget has less
+  double pages_per_second = 50;   // served to joining nodes
 
   // Memory. When the table is full, the member dead for longest is forgotten for a new one; with
   // none dead, the new one is not taken in and counted.
--- a/libs/membership/src/failure_detector.cpp
+++ b/libs/membership/src/failure_detector.cpp
@@ -44,7 +44,7 @@
   proto::MembershipMessage message;
   message.mutable_ack()->set_sequence(ping.sequence());
   message.mutable_ack()->set_target(self_.value());
-  outbox_.Send(sender.control_address, message);
+  outbox_.Send(sender.control_address, message, Urgency::kAnswer);
 }
 
 void FailureDetector::OnIndirectPing(const transport::SenderIdentity& sender,
@@ -59,7 +59,9 @@
   proto::MembershipMessage message;
   message.mutable_ping()->set_sequence(sequence);
   message.mutable_ping()->set_target(request.target());
-  outbox_.Send(*target_address, message);
+  if (!outbox_.Send(*target_address, message, Urgency::kProbe)) {
+    relays_.erase(sequence);
+  }
 }
 
 void FailureDetector::OnAck(const proto::Ack& ack) {
@@ -75,7 +77,7 @@
     proto::MembershipMessage message;
     message.mutable_ack()->set_sequence(relay->second.requester_sequence);
     message.mutable_ack()->set_target(ack.target());
-    outbox_.Send(relay->second.requester, message);
+    outbox_.Send(relay->second.requester, message, Urgency::kAnswer);
     relays_.erase(relay);
   }
 }
@@ -91,7 +93,7 @@
   proto::MembershipMessage message;
   message.mutable_ping()->set_sequence(++last_sequence_);
   message.mutable_ping()->set_target(member.node.value());
-  outbox_.SendTo(member, message);
+  outbox_.SendTo(member, message, Urgency::kRepair);
 }
 
 void FailureDetector::OnTick(base::TimePoint now) {
@@ -127,13 +129,14 @@
   probe.target = member.node;
   probe.relay_at = now + health_.Stretch(options_.direct_timeout);
   probe.fail_at = now + health_.Stretch(options_.probe_timeout);
-  probes_[sequence] = probe;
-  ++counters_.probes_started;
   proto::MembershipMessage message;
   message.mutable_ping()->set_sequence(sequence);
   message.mutable_ping()->set_target(member.node.value());
   message.mutable_ping()->set_view_digest(table_.Digest().Whole());
-  outbox_.SendTo(member, message);
+  if (outbox_.SendTo(member, message, Urgency::kProbe)) {
+    probes_[sequence] = probe;
+    ++counters_.probes_started;
+  }
 }
 
 bool FailureDetector::IsProbing(base::NodeId node) const {
@@ -153,7 +156,7 @@
     request.set_target(probe.target.value());
     EncodeAddress(target->metadata->control_address, *request.mutable_target_address());
     ++counters_.indirect_probes;
-    outbox_.SendTo(*relay, message);
+    outbox_.SendTo(*relay, message, Urgency::kProbe);
   }
 }
 
@@ -200,7 +203,7 @@
     }
     proto::MembershipMessage message;
     message.mutable_nack()->set_sequence(place->second.requester_sequence);
-    outbox_.Send(place->second.requester, message);
+    outbox_.Send(place->second.requester, message, Urgency::kAnswer);
     place = relays_.erase(place);
   }
 }
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -348,7 +348,7 @@
     death.state = MemberState::kDead;
     proto::MembershipMessage message;
     EncodeRecord(death, RecordDetail::kState, 0, *message.add_updates());
-    outbox_.Send(member.metadata->control_address, message);
+    outbox_.Send(member.metadata->control_address, message, Urgency::kProbe);
   }
 
   void ReportChange(const Member& member, const std::optional<PreviousKnowledge>& previous) {
@@ -420,7 +420,7 @@
     }
     proto::MembershipMessage message;
     EncodeRecord(*member, RecordDetail::kState, MakeAccuserTag(self_.node), *message.add_updates());
-    outbox_.Send(sender.control_address, message);
+    outbox_.Send(sender.control_address, message, Urgency::kProbe);
   }
 
   void Dispatch(const transport::SenderIdentity& sender, const proto::MembershipMessage& message) {
--- a/libs/membership/src/outbox.cpp
+++ b/libs/membership/src/outbox.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "absl/container/btree_map.h"
 
 namespace gaugevalve::membership {
 namespace {
 
+// The transport's part of a message: the sender's identity (IPv6 at most) and nng's length.
+constexpr std::size_t kEnvelopeBytes = 56;
 constexpr std::size_t kFieldHeaderBytes = 3;  // tag and length before each record
 
 // Whether a member's news has a short form: receivers have its metadata already.
@@ -25,34 +28,50 @@
       options_(options),
       table_(table),
       queue_(queue),
-      budget_(options.update_bytes_per_second, options.update_burst_bytes) {}
+      updates_(options.update_bytes_per_second, options.update_burst_bytes),
+      bytes_(options.bytes_per_second, options.reserved_bytes_per_second) {}
 
 void Outbox::BeginCall(base::TimePoint now, MembershipActions& actions) {
   now_ = now;
   actions_ = &actions;
 }
 
-void Outbox::Send(const base::SocketAddress& destination, proto::MembershipMessage& message) {
-  AddUpdates(message);
-  Post(destination, message);
+bool Outbox::Send(const base::SocketAddress& destination, proto::MembershipMessage& message,
+                  Urgency urgency) {
+  const std::size_t size = message.ByteSizeLong();
+  if (size > Room(urgency)) {
+    return false;
+  }
+  const std::size_t room_for_news = Room(Urgency::kRepair);
+  const std::size_t news = AddUpdates(message, room_for_news > size ? room_for_news - size : 0);
+  Post(destination, message, urgency, news);
+  return true;
 }
 
-void Outbox::SendTo(const Member& member, proto::MembershipMessage& message) {
+bool Outbox::SendTo(const Member& member, proto::MembershipMessage& message, Urgency urgency) {
   if (member.state != MemberState::kAlive) {
     EncodeRecord(member, RecordDetail::kState, MakeAccuserTag(self_), *message.add_updates());
   }
-  Send(member.metadata->control_address, message);
+  return Send(member.metadata->control_address, message, urgency);
+}
+
+std::size_t Outbox::Room(Urgency urgency) {
+  if (options_.faults.ignore_byte_budget) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const std::size_t room = bytes_.Room(urgency, now_);
+  return room > kEnvelopeBytes ? room - kEnvelopeBytes : 0;
 }
 
 bool Outbox::SendUpdates(const Member& member) {
   proto::MembershipMessage message;
-  AddUpdates(message);
+  const std::size_t news = AddUpdates(message, Room(Urgency::kRepair));
   if (message.updates_size() + message.dead_size() + message.refuted_size() +
           message.summaries_size() ==
       0) {
     return false;
   }
-  Post(member.metadata->control_address, message);
+  Post(member.metadata->control_address, message, Urgency::kRepair, news);
   return true;
 }
 
@@ -67,12 +86,12 @@
   return std::max(kFewest, static_cast<std::uint32_t>(limit));
 }
 
-void Outbox::AddUpdates(proto::MembershipMessage& message) {
+std::size_t Outbox::AddUpdates(proto::MembershipMessage& message, std::size_t room) {
   if (queue_.empty()) {
-    return;
+    return 0;
   }
   const std::size_t limit =
-      std::min<std::size_t>(options_.update_bytes_per_message, budget_.Available(now_));
+      std::min<std::size_t>({options_.update_bytes_per_message, updates_.Available(now_), room});
   std::size_t used = 0;
   absl::btree_map<SummaryKey, bool> tried;  // whether the message holds the summary
   queue_.Take(RetransmitLimit(), [&](base::NodeId node, AccuserTag accuser) {
@@ -97,7 +116,8 @@
     used += size;
     return size > 0;
   });
-  budget_.TryTake(used, now_);
+  updates_.TryTake(used, now_);
+  return used;
 }
 
 std::size_t Outbox::AddSummary(const SummaryKey& key, proto::MembershipMessage& message) const {
@@ -137,8 +157,13 @@
   return size;
 }
 
-void Outbox::Post(const base::SocketAddress& destination, const proto::MembershipMessage& message) {
+void Outbox::Post(const base::SocketAddress& destination, const proto::MembershipMessage& message,
+                  Urgency urgency, std::size_t news_bytes) {
   actions_->messages.push_back({destination, message.SerializeAsString()});
+  const std::size_t size = actions_->messages.back().payload.size() + kEnvelopeBytes;
+  const std::size_t news = std::min(news_bytes, size);
+  bytes_.Note(size - news, urgency, now_);
+  bytes_.Note(news, Urgency::kRepair, now_);
 }
 
 }  // namespace gaugevalve::membership
--- a/libs/membership/src/outbox.h
+++ b/libs/membership/src/outbox.h
@@ -1,6 +1,7 @@
 // Builds the messages of one call of the core, with updates carried along.
 #pragma once
 
+#include "byte_budget.h"
 #include "gaugevalve/membership/membership.pb.h"
 #include "gaugevalve/membership/membership_actions.h"
 #include "gaugevalve/membership/membership_options.h"
@@ -12,7 +13,8 @@
 namespace gaugevalve::membership {
 
 // Every message carries as many queued updates as the limits for a message and for the node allow.
-// The budget is for updates only: probes and answers always go out.
+// Two budgets hold: one for updates, and one for all bytes, in which urgent messages have a
+// reserve.
 class Outbox {
  public:
   Outbox(base::NodeId self, const MembershipOptions& options, const MemberTable& table,
@@ -21,11 +23,16 @@
   // Sets where the messages of this call go.
   void BeginCall(base::TimePoint now, MembershipActions& actions);
 
-  // Sends a message to an address.
-  void Send(const base::SocketAddress& destination, proto::MembershipMessage& message);
+  // Sends a message to an address; returns false when the budget had no room for it.
+  bool Send(const base::SocketAddress& destination, proto::MembershipMessage& message,
+            Urgency urgency);
 
-  // Sends a message to a member. One that isn't taken for alive is told so, to refute it.
-  void SendTo(const Member& member, proto::MembershipMessage& message);
+  // Sends a message to a member, as Send(). One that isn't taken for alive is told so, to refute
+  // it.
+  bool SendTo(const Member& member, proto::MembershipMessage& message, Urgency urgency);
+
+  // Returns how long a message of this urgency may be now.
+  std::size_t Room(Urgency urgency);
 
   // Sends queued updates; false when there was no budget or nothing to send.
   bool SendUpdates(const Member& member);
@@ -37,20 +44,24 @@
   std::uint32_t RetransmitLimit() const;
 
  private:
-  void AddUpdates(proto::MembershipMessage& message);
+  // Adds queued updates, in all at most `room` bytes; returns how many.
+  std::size_t AddUpdates(proto::MembershipMessage& message, std::size_t room);
   // Adds a summary of a group if it names enough members; returns its size, 0 when it wasn't added.
   std::size_t AddSummary(const SummaryKey& key, proto::MembershipMessage& message) const;
   // Adds a member's record in its shortest form if it takes at most `room` bytes; returns its size,
   // 0 when it doesn't fit.
   std::size_t AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
                         proto::MembershipMessage& message) const;
-  void Post(const base::SocketAddress& destination, const proto::MembershipMessage& message);
+  // `news_bytes` of the message are updates that ride along.
+  void Post(const base::SocketAddress& destination, const proto::MembershipMessage& message,
+            Urgency urgency, std::size_t news_bytes);
 
   base::NodeId self_;
   const MembershipOptions& options_;
   const MemberTable& table_;
   UpdateQueue& queue_;
-  transport::TokenBucket budget_;
+  transport::TokenBucket updates_;
+  ByteBudget bytes_;
   base::TimePoint now_{};
   MembershipActions* actions_ = nullptr;
 };
--- a/libs/membership/src/peer_selector.cpp
+++ b/libs/membership/src/peer_selector.cpp
@@ -42,6 +42,13 @@
   return Any([](const Member& member) { return IsLive(member.state); });
 }
 
+const Member* PeerSelector::RegionalLivePeer(const Predicate& predicate) const {
+  return Any([&](const Member& member) {
+    return IsLive(member.state) && judge_.Of(*member.metadata) != Proximity::kOtherRegion &&
+           predicate(member);
+  });
+}
+
 std::vector<const Member*> PeerSelector::LivePeers(std::size_t count, base::NodeId excluded) const {
   constexpr std::size_t kTriesForEach = 3;
   std::vector<const Member*> peers;
--- a/libs/membership/src/peer_selector.h
+++ b/libs/membership/src/peer_selector.h
@@ -28,6 +28,9 @@
   // Returns a live member, near ones preferred; null when there is none.
   const Member* NearLivePeer() const;
 
+  // Returns a random live member of this node's region that the predicate accepts; null if none.
+  const Member* RegionalLivePeer(const Predicate& predicate) const;
+
   // Returns up to `count` different live members, none of them `excluded`.
   std::vector<const Member*> LivePeers(std::size_t count, base::NodeId excluded) const;
 
--- a/libs/membership/src/state_exchange.cpp
+++ b/libs/membership/src/state_exchange.cpp
@@ -9,6 +9,9 @@
 // Comparisons of digests answered; each costs up to two messages of a few kilobytes.
 constexpr double kComparisonsPerSecond = 1;
 constexpr double kComparisonBurst = 2;
+constexpr std::size_t kSmallestPage = 256;  // with less room, refused: a record takes about 100
+constexpr std::size_t kPageHeaderBytes = 40;
+constexpr std::size_t kRecordHeaderBytes = 3;
 constexpr base::Duration kRequestAgain = std::chrono::seconds(1);
 
 std::vector<base::SocketAddress> OtherSeeds(const MembershipOptions& options,
@@ -50,7 +53,8 @@
 
 void StateExchange::OnStateRequest(const transport::SenderIdentity& sender,
                                    const proto::StateRequest& request, base::TimePoint now) {
-  if (!pages_.TryTake(1, now)) {
+  const std::size_t room = std::min(options_.page_bytes, outbox_.Room(Urgency::kRepair));
+  if (room < kSmallestPage || !pages_.TryTake(1, now)) {
     ++counters_.pages_refused;
     return;
   }
@@ -63,18 +67,22 @@
   }
   proto::StatePage& page = *message.mutable_state_page();
   page.set_after(request.after());
-  std::size_t used = 0;
+  std::size_t used = message.ByteSizeLong() + kPageHeaderBytes;
   auto place = table_.Members().upper_bound(base::NodeId(request.after()));
-  for (; place != table_.Members().end() && used < options_.page_bytes; ++place) {
+  for (; place != table_.Members().end(); ++place) {
     if (IsLive(place->second.state)) {
       proto::MemberRecord& record = *page.add_records();
       EncodeRecord(place->second, RecordDetail::kFull, MakeAccuserTag(self_), record);
-      used += record.ByteSizeLong();
+      used += record.ByteSizeLong() + kRecordHeaderBytes;
+      if (used > room) {
+        page.mutable_records()->RemoveLast();
+        break;
+      }
     }
     page.set_last(place->first.value());
   }
   page.set_complete(place == table_.Members().end());
-  outbox_.Send(sender.control_address, message);
+  outbox_.Send(sender.control_address, message, Urgency::kRepair);
 }
 
 void StateExchange::OnStatePage(const transport::SenderIdentity& sender,
@@ -91,6 +99,7 @@
   failed_requests_ = 0;
   if (page.complete()) {
     is_joined_ = true;
+    asked_for_pages_.clear();
     return;
   }
   cursor_ = std::max(cursor_, base::NodeId(page.last()));
@@ -106,41 +115,53 @@
   if (digest == 0 || !has_no_news || now < next_quick_offer_at_) {
     return;
   }
-  next_quick_offer_at_ = now + quick_offer_interval_;
-  quick_offer_interval_ = std::min(quick_offer_interval_ * 2, options_.anti_entropy_interval);
-  OfferDigestTo(sender.control_address);
+  if (OfferDigestTo(sender.control_address)) {
+    next_quick_offer_at_ = now + quick_offer_interval_;
+    quick_offer_interval_ = std::min(quick_offer_interval_ * 2, options_.anti_entropy_interval);
+  }
 }
 
 void StateExchange::OnDigestOffer(const transport::SenderIdentity& sender,
                                   const proto::DigestOffer& offer, base::TimePoint now) {
   const std::vector<std::size_t> buckets = DifferingBuckets(offer);
-  if (buckets.empty() || !comparisons_.TryTake(1, now)) {
+  const std::size_t room = std::min(options_.page_bytes, outbox_.Room(Urgency::kRepair));
+  if (buckets.empty() || room < kSmallestPage || !comparisons_.TryTake(1, now)) {
     return;
   }
   proto::MembershipMessage message;
   proto::BucketSummary& summary = *message.mutable_bucket_summary();
-  for (const std::size_t bucket : buckets) {
-    summary.add_buckets(static_cast<std::uint32_t>(bucket));
-  }
+  absl::btree_map<std::size_t, std::vector<const Member*>> members;
   for (const auto& [node, member] : table_.Members()) {
     if (std::binary_search(buckets.begin(), buckets.end(), TableDigest::BucketOf(node))) {
-      EncodeRecord(member, RecordDetail::kState, MakeAccuserTag(self_), *summary.add_records());
+      members[TableDigest::BucketOf(node)].push_back(&member);
+    }
+  }
+  for (const std::size_t bucket : buckets) {
+    proto::BucketSummary part;
+    part.add_buckets(static_cast<std::uint32_t>(bucket));
+    for (const Member* member : members[bucket]) {
+      EncodeRecord(*member, RecordDetail::kState, MakeAccuserTag(self_), *part.add_records());
+    }
+    if (message.ByteSizeLong() + part.ByteSizeLong() + kPageHeaderBytes <= room) {
+      summary.MergeFrom(part);
     }
   }
-  outbox_.Send(sender.control_address, message);
+  if (summary.buckets_size() > 0) {
+    outbox_.Send(sender.control_address, message, Urgency::kRepair);
+  }
 }
 
 void StateExchange::OnBucketSummary(const transport::SenderIdentity& sender,
                                     const proto::BucketSummary& summary) {
-  absl::btree_map<base::NodeId, std::pair<base::Incarnation, MemberState>> theirs;
+  absl::btree_map<base::NodeId, MemberRecord> theirs;
   for (const proto::MemberRecord& encoded : summary.records()) {
     const std::optional<MemberRecord> record = DecodeRecord(encoded);
     if (record) {
       sink_(*record, sender);
-      theirs[record->node] = {record->incarnation, record->state};
+      theirs[record->node] = *record;
     }
   }
-  std::vector<const Member*> newer;
+  std::vector<RecordToSend> newer;
   for (const auto& [node, member] : table_.Members()) {
     const auto bucket = static_cast<std::uint32_t>(TableDigest::BucketOf(node));
     const bool is_compared = std::find(summary.buckets().begin(), summary.buckets().end(),
@@ -149,11 +170,16 @@
       continue;
     }
     const auto their = theirs.find(node);
-    const bool is_news = their == theirs.end()
-                             ? IsLive(member.state)
-                             : their->second < std::pair(member.incarnation, member.state);
-    if (is_news) {
-      newer.push_back(&member);
+    if (their == theirs.end()) {
+      if (IsLive(member.state)) {
+        newer.push_back({&member, RecordDetail::kFull});
+      }
+      continue;
+    }
+    const MemberRecord& known = their->second;
+    if (std::pair(known.incarnation, known.state) < std::pair(member.incarnation, member.state)) {
+      const bool has_metadata = known.metadata_version == member.metadata_version;
+      newer.push_back({&member, has_metadata ? RecordDetail::kState : RecordDetail::kFull});
     }
   }
   SendRecords(sender, newer);
@@ -161,11 +187,11 @@
 
 void StateExchange::OnRecordRequest(const transport::SenderIdentity& sender,
                                     const proto::RecordRequest& request) {
-  std::vector<const Member*> members;
+  std::vector<RecordToSend> members;
   for (const std::uint64_t node : request.nodes()) {
     const Member* member = table_.Find(base::NodeId(node));
     if (member != nullptr && members.size() < kMaximumRecordsRequested) {
-      members.push_back(member);
+      members.push_back({member, RecordDetail::kFull});
     }
   }
   SendRecords(sender, members);
@@ -194,7 +220,7 @@
   }
   missing_.clear();
   if (message.has_record_request()) {
-    outbox_.Send(holder, message);
+    outbox_.Send(holder, message, Urgency::kRepair);
   }
 }
 
@@ -220,12 +246,21 @@
   proto::MembershipMessage message;
   message.mutable_state_request()->set_after(cursor_.value());
   outbox_.Introduce(message);
-  outbox_.Send(PageSource(), message);
+  outbox_.Send(PageSource(), message, Urgency::kAnswer);  // not in service yet
 }
 
-base::SocketAddress StateExchange::PageSource() const {
-  const Member* peer = selector_.NearLivePeer();
-  return peer == nullptr || failed_requests_ > 0 ? RandomSeed() : peer->metadata->control_address;
+base::SocketAddress StateExchange::PageSource() {
+  const Member* peer = selector_.RegionalLivePeer(
+      [this](const Member& member) { return !asked_for_pages_.contains(member.node); });
+  if (peer == nullptr) {
+    asked_for_pages_.clear();
+    peer = selector_.NearLivePeer();
+  }
+  if (peer == nullptr || failed_requests_ > 0) {
+    return RandomSeed();
+  }
+  asked_for_pages_.insert(peer->node);
+  return peer->metadata->control_address;
 }
 
 void StateExchange::RetryJoin(base::TimePoint now) {
@@ -245,12 +280,12 @@
   }
 }
 
-void StateExchange::OfferDigestTo(const base::SocketAddress& destination) {
+bool StateExchange::OfferDigestTo(const base::SocketAddress& destination) {
   proto::MembershipMessage message;
   const auto& digests = table_.Digest().Buckets();
   message.mutable_digest_offer()->mutable_digests()->Add(digests.begin(), digests.end());
   outbox_.Introduce(message);
-  outbox_.Send(destination, message);
+  return outbox_.Send(destination, message, Urgency::kRepair);
 }
 
 void StateExchange::CheckSeed(base::TimePoint now) {
@@ -293,19 +328,21 @@
 }
 
 void StateExchange::SendRecords(const transport::SenderIdentity& receiver,
-                                const std::vector<const Member*>& members) {
+                                const std::vector<RecordToSend>& records) {
+  const std::size_t room = std::min(options_.page_bytes, outbox_.Room(Urgency::kRepair));
   proto::MembershipMessage message;
   std::size_t used = 0;
-  for (const Member* member : members) {
-    if (used >= options_.page_bytes) {
+  for (const RecordToSend& each : records) {
+    proto::MemberRecord& record = *message.add_updates();
+    EncodeRecord(*each.member, each.detail, MakeAccuserTag(self_), record);
+    used += record.ByteSizeLong() + kRecordHeaderBytes;
+    if (used > room) {
+      message.mutable_updates()->RemoveLast();
       break;  // the next exchange brings the rest
     }
-    proto::MemberRecord& record = *message.add_updates();
-    EncodeRecord(*member, RecordDetail::kFull, MakeAccuserTag(self_), record);
-    used += record.ByteSizeLong();
   }
   if (message.updates_size() > 0) {
-    outbox_.Send(receiver.control_address, message);
+    outbox_.Send(receiver.control_address, message, Urgency::kRepair);
   }
 }
 
--- a/libs/membership/src/state_exchange.h
+++ b/libs/membership/src/state_exchange.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "gaugevalve/base/random_source.h"
 #include "gaugevalve/membership/membership.h"
 #include "gaugevalve/membership/membership.pb.h"
@@ -57,22 +58,27 @@
   base::TimePoint NextWakeUp() const;
 
  private:
+  struct RecordToSend {
+    const Member* member = nullptr;
+    RecordDetail detail = RecordDetail::kFull;
+  };
+
   static constexpr std::size_t kMaximumBucketsCompared = 8;    // in one exchange
   static constexpr std::size_t kMaximumRecordsRequested = 64;  // in one message
   static constexpr std::size_t kMaximumRequestsNoted = 1024;
   static constexpr unsigned kMaximumBackOff = 8;  // join timeouts between two tries
 
   void RequestPage(base::TimePoint now);
-  base::SocketAddress PageSource() const;
+  base::SocketAddress PageSource();
   void RetryJoin(base::TimePoint now);
   void OfferDigest(base::TimePoint now);
-  void OfferDigestTo(const base::SocketAddress& destination);
+  bool OfferDigestTo(const base::SocketAddress& destination);
   void CheckSeed(base::TimePoint now);
   const base::SocketAddress& RandomSeed() const;
   bool IsLiveAddress(const base::SocketAddress& address) const;
   std::vector<std::size_t> DifferingBuckets(const proto::DigestOffer& offer) const;
   void SendRecords(const transport::SenderIdentity& receiver,
-                   const std::vector<const Member*>& members);
+                   const std::vector<RecordToSend>& records);
 
   base::NodeId self_;
   const MembershipOptions& options_;
@@ -87,7 +93,8 @@
   std::vector<base::SocketAddress> seeds_;  // without this node's own address
 
   bool is_joined_ = false;
-  base::NodeId cursor_;  // members up to here were received
+  base::NodeId cursor_;                            // members up to here were received
+  absl::btree_set<base::NodeId> asked_for_pages_;  // each has bytes for one or two in a second
   unsigned failed_requests_ = 0;
   base::TimePoint page_deadline_{};
   base::TimePoint next_offer_at_{};
--- a/proofs/membership/src/membership_proof.cpp
+++ b/proofs/membership/src/membership_proof.cpp
@@ -146,11 +146,15 @@
 void ViewsNeverGetOlderAndBecomeTrue() {
   static MembershipTotals totals;
   static std::size_t cases = 0;
+  static bool is_shrinking = false;  // the small cases of a failure tell nothing of the totals
   const std::optional<std::string> violation = RunCase({}, totals);
   if (violation) {
+    is_shrinking = true;
     RC_FAIL(*violation);
   }
-  ExpectFaultsTookPlace(totals, ++cases);
+  if (!is_shrinking) {
+    ExpectFaultsTookPlace(totals, ++cases);
+  }
 }
 
 // Returns a property that fails by this rule only: other breaches don't show that it is looked at.
@@ -179,6 +183,10 @@
                                               ProofKind::kMutantIsCaught,
                                               Breaks({.trust_any_group_base = true},
                                                      "an incarnation that the member never had"));
+const testing::RegisteredProof no_budget_proof("without_the_budget_of_bytes",
+                                               ProofKind::kMutantIsCaught,
+                                               Breaks({.ignore_byte_budget = true},
+                                                      "more bytes in a second than the budget"));
 
 }  // namespace
 }  // namespace gaugevalve::proofs
--- a/proofs/membership/src/membership_world.cpp
+++ b/proofs/membership/src/membership_world.cpp
@@ -6,6 +6,13 @@
 namespace gaugevalve::proofs {
 namespace {
 
+// Less than the real budget, as the group is small; without the reserve an offer of digests (1.2
+// KB) must fit.
+constexpr std::size_t kBytesPerSecond = 2000;
+constexpr std::size_t kReservedBytesPerSecond = 500;
+constexpr base::Duration kBudgetWindow = std::chrono::seconds(1);
+// Acknowledgements aren't held back.
+constexpr std::size_t kLargestAnswers = 500;
 constexpr base::Duration kLookInterval = std::chrono::milliseconds(50);
 // The views of healed groups must be true after this long.
 constexpr base::Duration kConvergenceLimit = std::chrono::minutes(2);
@@ -22,6 +29,8 @@
   membership_simulation::HollowGroupSettings settings;
   settings.members = kMembers;
   settings.options.faults = faults;
+  settings.options.bytes_per_second = kBytesPerSecond;
+  settings.options.reserved_bytes_per_second = kReservedBytesPerSecond;
   if (seed % 2 == 0) {
     settings.options.fewest_members_in_summary = 1;  // else a group this small never gets one
   }
@@ -38,6 +47,7 @@
     simulator_.RunFor(std::min<base::Duration>(kLookInterval, end - simulator_.Now()));
     NoteIssuedIncarnations();
     LookAtViews();
+    LookAtBytes();
   }
 }
 
@@ -142,6 +152,29 @@
   }
 }
 
+void MembershipWorld::LookAtBytes() {
+  for (std::size_t member = 0; member < kMembers; ++member) {
+    if (!IsRunning(member)) {
+      continue;
+    }
+    const membership_simulation::HollowMember& life = group_->Life(member);
+    const membership::Member& self = life.Core().Self();
+    BytesSent& sent = sent_[{member, self.metadata->life, self.node}];
+    if (!life.Core().IsJoined()) {
+      sent.clear();  // not in service yet
+      continue;
+    }
+    const std::uint64_t bytes = life.Counters().Of(transport::MessageKind::kMembership).sent_bytes;
+    sent.emplace_back(simulator_.Now(), bytes);
+    while (simulator_.Now() - sent.front().first > kBudgetWindow) {
+      sent.pop_front();
+    }
+    if (bytes - sent.front().second > kBytesPerSecond + kLargestAnswers) {
+      Break("more bytes in a second than the budget", member, self);
+    }
+  }
+}
+
 void MembershipWorld::LookAtMember(std::size_t observer, const membership::Member& seen) {
   const base::Incarnation observer_life = group_->Life(observer).Core().Self().metadata->life;
   const Knowledge now{seen.incarnation, seen.state, seen.metadata->life};
--- a/proofs/membership/src/membership_world.h
+++ b/proofs/membership/src/membership_world.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,7 +25,8 @@
 };
 
 // Rules that hold at every look: what an observer knows of a member never gets older, neither its
-// incarnation with its state nor its life, and never is newer than what the member has said. After
+// incarnation with its state nor its life, and never is newer than what the member has said; a
+// member in service keeps its budget of bytes in every second. After
 // Heal() every view must become the truth in a bounded time.
 class MembershipWorld {
  public:
@@ -63,6 +65,8 @@
     membership::MemberState state = membership::MemberState::kAlive;
     base::Incarnation life;
   };
+  // What a member had sent at the looks of the last second, oldest first.
+  using BytesSent = std::deque<std::pair<base::TimePoint, std::uint64_t>>;
   // (observer, its life, member)
   using KnowledgeKey = std::tuple<std::size_t, base::Incarnation, base::NodeId>;
 
@@ -70,12 +74,14 @@
   void OnEvent(const membership::MembershipEvent& event);
   void NoteIssuedIncarnations();
   void LookAtViews();
+  void LookAtBytes();
   void LookAtMember(std::size_t observer, const membership::Member& seen);
   void Break(const std::string& rule, std::size_t observer, const membership::Member& seen);
 
   simulation::Simulator simulator_;
   std::unique_ptr<membership_simulation::HollowGroup> group_;
   std::map<KnowledgeKey, Knowledge> known_;
+  std::map<KnowledgeKey, BytesSent> sent_;            // key: (member, its life, itself)
   std::map<base::NodeId, base::Incarnation> issued_;  // the highest each member has said
   std::optional<std::string> violation_;
   MembershipTotals totals_;
