--- a/libs/membership/benchmarks/membership_benchmark.cpp
+++ b/libs/membership/benchmarks/membership_benchmark.cpp
@@ -26,8 +26,8 @@
 ABSL_FLAG(std::string, scenario, "steady",
           "steady, kill, rack, zone_loss, region_split, join, day or memory");
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the run");
-ABSL_FLAG(std::uint32_t, fewest_in_summary, 7,
-          "Members of a group from which on a summary is sent; a large number: never");
+ABSL_FLAG(double, summary_bytes_per_member, 4,
+          "MembershipOptions::summary_bytes_per_member; 0: never");
 ABSL_FLAG(std::uint32_t, day_seconds, 230,
           "Length of a day of 17 deaths and 440 replacements, in simulated seconds");
 ABSL_FLAG(std::uint32_t, split_seconds, 180, "Length of the region split, in simulated seconds");
@@ -126,7 +126,7 @@
     HollowGroupSettings settings;
     settings.members = members_;
     settings.is_preloaded = is_preloaded;
-    settings.options.fewest_members_in_summary = absl::GetFlag(FLAGS_fewest_in_summary);
+    settings.options.summary_bytes_per_member = absl::GetFlag(FLAGS_summary_bytes_per_member);
     settings.listener = [this](simulation::NodeIndex observer,
                                const membership::MembershipEvent& event) {
       OnEvent(observer, event);
--- a/libs/membership/include/gaugevalve/membership/membership_options.h
+++ b/libs/membership/include/gaugevalve/membership/membership_options.h
@@ -43,9 +43,9 @@
   base::Duration gossip_peer_change_interval = std::chrono::seconds(30);
   double retransmit_factor = 3.0;  // sends of an update = factor times log10 of the members
   std::size_t update_bytes_per_message = 700;
-  // From so many members of a group in one state on, a summary of the group goes out in place of a
-  // fingerprint for each; it takes as many bytes as seven fingerprints.
-  std::size_t fewest_members_in_summary = 7;
+  // A summary of a group goes out in place of a fingerprint for each member when it takes at most
+  // so many bytes for each one named: as many as a fingerprint. 0: never.
+  double summary_bytes_per_member = 4;
   double update_bytes_per_second = 2000;  // over all messages
   double update_burst_bytes = 2000;
 
--- a/libs/membership/src/member_groups.h
+++ b/libs/membership/src/member_groups.h
@@ -19,11 +19,11 @@
   std::vector<base::NodeId> members;  // by rising identifier
 };
 
-// Divides the members of each zone into kSlices groups by identifier (80 members each at 7 zones
+// Divides the members of each zone into kSlices groups by identifier (320 members each at 7 zones
 // and 4,460 members). Members that left aren't counted. Not thread-safe.
 class MemberGroups {
  public:
-  static constexpr std::uint64_t kSlices = 8;
+  static constexpr std::uint64_t kSlices = 2;
 
   // Returns the group a member belongs to; two groups that share a key are one on every node.
   static GroupKey KeyOf(const Member& member);
--- a/libs/membership/src/outbox.cpp
+++ b/libs/membership/src/outbox.cpp
@@ -122,11 +122,13 @@
 
 std::size_t Outbox::AddSummary(const SummaryKey& key, proto::MembershipMessage& message) const {
   proto::GroupSummary& summary = *message.add_summaries();
-  if (EncodeSummary(table_, key, summary) < options_.fewest_members_in_summary) {
+  const auto members = static_cast<double>(EncodeSummary(table_, key, summary));
+  const std::size_t size = summary.ByteSizeLong() + kFieldHeaderBytes;
+  if (static_cast<double>(size) > options_.summary_bytes_per_member * members) {
     message.mutable_summaries()->RemoveLast();
     return 0;
   }
-  return summary.ByteSizeLong() + kFieldHeaderBytes;
+  return size;
 }
 
 std::size_t Outbox::AddUpdate(const Member& member, AccuserTag accuser, std::size_t room,
--- a/libs/membership/src/outbox.h
+++ b/libs/membership/src/outbox.h
@@ -46,7 +46,8 @@
  private:
   // Adds queued updates, in all at most `room` bytes; returns how many.
   std::size_t AddUpdates(proto::MembershipMessage& message, std::size_t room);
-  // Adds a summary of a group if it names enough members; returns its size, 0 when it wasn't added.
+  // Adds a summary of a group if it's shorter than fingerprints; returns its size, 0 when it wasn't
+  // added.
   std::size_t AddSummary(const SummaryKey& key, proto::MembershipMessage& message) const;
   // Adds a member's record in its shortest form if it takes at most `room` bytes; returns its size,
   // 0 when it doesn't fit.
--- a/proofs/membership/src/membership_world.cpp
+++ b/proofs/membership/src/membership_world.cpp
@@ -32,7 +32,7 @@
   settings.options.bytes_per_second = kBytesPerSecond;
   settings.options.reserved_bytes_per_second = kReservedBytesPerSecond;
   if (seed % 2 == 0) {
-    settings.options.fewest_members_in_summary = 1;  // else a group this small never gets one
+    settings.options.summary_bytes_per_member = 100;  // else a group this small never gets one
   }
   settings.listener = [this](simulation::NodeIndex, const membership::MembershipEvent& event) {
     OnEvent(event);
