--- a/proofs/dissemination/src/dissemination_proof.cpp
+++ b/proofs/dissemination/src/dissemination_proof.cpp
@@ -1,17 +1,15 @@
 // Stateful fuzzing of the control plane: edits, kills, restarts, pauses, outages of the store,
 // splits and lost, repeated and reordered messages, in simulated time. The oracle is in
-// ControlWorld. Two protections are also taken away in turn; the oracle must then see a rule
-// broken.
-#include <cppunit/extensions/HelperMacros.h>
+// ControlWorld. Two protections are also taken away in turn; the oracle must then see the very rule
+// broken that the protection is for.
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
-#include <cstdlib>
-#include <iostream>
-#include <memory>
-#include <sstream>
+#include <ostream>
+#include <string>
 
 #include "control_world.h"
+#include "gaugevalve/testing/proof.h"
 
 namespace gaugevalve::proofs {
 namespace {
@@ -38,8 +36,18 @@
   return stream << kNames[static_cast<std::size_t>(kind)];
 }
 
-// The oracle is in the world; any step may come at any time.
-struct Model {};
+// The oracle is in the world; any step may come at any time. Only a violation with these words in
+// it counts; any does when there are none.
+struct Model {
+  std::string words;
+};
+
+void CheckWorld(const ControlWorld& world, const std::string& words) {
+  const bool counts = world.Violation() && world.Violation()->find(words) != std::string::npos;
+  if (counts) {
+    RC_FAIL(*world.Violation());
+  }
+}
 
 using ControlCommand = rc::state::Command<Model, ControlWorld>;
 
@@ -62,11 +70,9 @@
         node_(*rc::gen::inRange<std::size_t>(0, ControlWorld::kNodes)),
         number_(*rc::gen::inRange<std::uint32_t>(1, kNumbers)) {}
 
-  void run(const Model& /*model*/, ControlWorld& world) const override {  // NOLINT
+  void run(const Model& model, ControlWorld& world) const override {  // NOLINT
     Do(world);
-    if (world.Violation()) {
-      RC_FAIL(*world.Violation());
-    }
+    CheckWorld(world, model.words);
   }
 
   void show(std::ostream& stream) const override {  // NOLINT
@@ -127,87 +133,59 @@
   std::size_t activations = 0;
 };
 
-// A longer search is asked for by GAUGEVALVE_PROOF_CASES and GAUGEVALVE_PROOF_SEED.
-constexpr std::uint64_t kDefaultSeed = 20'261'202;
-constexpr std::uint64_t kDefaultCases = 60;
-constexpr int kMostSteps = 80;
-
-std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+// Of the cases of the property that holds.
+Totals& AllCases() {
+  static Totals totals;
+  return totals;
 }
 
-std::uint64_t Seed() { return FromEnvironment("GAUGEVALVE_PROOF_SEED", kDefaultSeed); }
-
-int Cases() { return static_cast<int>(FromEnvironment("GAUGEVALVE_PROOF_CASES", kDefaultCases)); }
-
-rc::detail::TestResult Explore(ControlWorldSettings settings, Totals& totals) {
-  rc::detail::TestParams parameters;
-  parameters.seed = Seed();
-  parameters.maxSuccess = Cases();
-  parameters.maxSize = kMostSteps;
-  const auto property = [&] {
-    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
-    ControlWorld world(settings);
-    rc::state::check(Model(), world, rc::state::gen::execOneOfWithArgs<Perform>());
-    world.HealAndSettle();
-    totals.commits += world.Commits();
-    totals.activations += world.Activations();
-    if (world.Violation()) {
-      RC_FAIL(*world.Violation());
-    }
-  };
-  return rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+Totals Explore(ControlWorldSettings settings, const std::string& words) {
+  settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+  ControlWorld world(settings);
+  rc::state::check(Model{words}, world, rc::state::gen::execOneOfWithArgs<Perform>());
+  world.HealAndSettle();
+  CheckWorld(world, words);
+  return {world.Commits(), world.Activations()};
 }
 
-std::string Describe(const rc::detail::TestResult& result, const Totals& totals) {
-  std::ostringstream words;
-  rc::detail::printResultMessage(result, words);
-  words << "\nseed " << Seed() << ", commits " << totals.commits << ", activations "
-        << totals.activations << '\n';
-  return words.str();
+void WholeNeverBackAndEverywhere() {
+  const Totals totals = Explore({}, "");
+  AllCases().commits += totals.commits;
+  AllCases().activations += totals.activations;
 }
 
-class DisseminationProof : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(DisseminationProof);
-  CPPUNIT_TEST(WholeNeverBackAndEverywhere);
-  CPPUNIT_TEST(CatchesOlderRecords);
-  CPPUNIT_TEST(CatchesPartialActivation);
-  CPPUNIT_TEST_SUITE_END();
-
- public:
-  void WholeNeverBackAndEverywhere() {
-    Totals totals;
-    const rc::detail::TestResult result = Explore({}, totals);
-    std::cout << Describe(result, totals);
-    CPPUNIT_ASSERT_MESSAGE(Describe(result, totals), result.is<rc::detail::SuccessResult>());
-    CPPUNIT_ASSERT(totals.commits > 200);
-    CPPUNIT_ASSERT(totals.activations > 1000);  // about five balancers for each
-  }
-
-  void CatchesOlderRecords() {
-    ControlWorldSettings settings;
-    settings.accept_older_records = true;
-    MustBreak(settings, "went back");
-  }
+// Fails when the cases run before were too few to show anything.
+void CasesHadEdits() {
+  constexpr std::size_t kLeastCommits = 200;
+  constexpr std::size_t kLeastActivations = 1000;  // about five balancers for each
+  RC_ASSERT(AllCases().commits > kLeastCommits);
+  RC_ASSERT(AllCases().activations > kLeastActivations);
+}
 
-  void CatchesPartialActivation() {
-    ControlWorldSettings settings;
-    settings.activate_partially = true;
-    MustBreak(settings, "a mix of revisions");
-  }
+ControlWorldSettings AcceptingOlderRecords() {
+  ControlWorldSettings settings;
+  settings.accept_older_records = true;
+  return settings;
+}
 
- private:
-  static void MustBreak(const ControlWorldSettings& settings, const std::string& words) {
-    Totals totals;
-    const rc::detail::TestResult result = Explore(settings, totals);
-    const std::string description = Describe(result, totals);
-    CPPUNIT_ASSERT_MESSAGE(description, result.is<rc::detail::FailureResult>());
-    CPPUNIT_ASSERT_MESSAGE(description, description.find(words) != std::string::npos);
-  }
-};
+ControlWorldSettings ActivatingPartially() {
+  ControlWorldSettings settings;
+  settings.activate_partially = true;
+  return settings;
+}
 
-CPPUNIT_TEST_SUITE_REGISTRATION(DisseminationProof);
+using testing::ProofKind;
+using testing::RegisteredProof;
+
+const RegisteredProof holds("whole, never back, everywhere", ProofKind::kHolds,
+                            WholeNeverBackAndEverywhere);
+const RegisteredProof had_edits("the cases had edits", ProofKind::kHolds, CasesHadEdits);
+const RegisteredProof older_records("older records are accepted", ProofKind::kMutantIsCaught,
+                                    [] { Explore(AcceptingOlderRecords(), "went back"); });
+const RegisteredProof partial_activation("revisions are activated in part",
+                                         ProofKind::kMutantIsCaught, [] {
+                                           Explore(ActivatingPartially(), "a mix of revisions");
+                                         });
 
 }  // namespace
 }  // namespace gaugevalve::proofs
