--- a/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
@@ -52,7 +52,7 @@
   base::NodeId self;
   std::string zone;
   Interest interest;
-  std::size_t relays = 4;                 // peers told of each new record ...
+  std::size_t relays = 5;                 // peers told of each new record ...
   std::size_t eager_relays = 2;           // ... and so many of them get its bytes at once
   std::size_t eager_bytes = 640;          // updates above this size go out as announcements only
   std::size_t max_scope_peers = 64;       // narrow peers that an author sends to directly
--- a/libs/dissemination/src/dissemination_core.cpp
+++ b/libs/dissemination/src/dissemination_core.cpp
@@ -22,8 +22,9 @@
 // looks at the budget between rounds.
 constexpr std::size_t kFlushRound = 64;
 constexpr std::size_t kMaxRoundBytes = 4096;
-// An author with more to send than this leaves the narrow peers to those that feed them.
-constexpr std::size_t kMaxQueueForDirectPushes = 64;
+// A node with more updates waiting than this sends each to fewer: one relay less, and an author
+// leaves the narrow peers to those that feed them.
+constexpr std::size_t kBusyQueue = 64;
 
 }  // namespace
 
@@ -127,8 +128,14 @@
 void DisseminationCore::Offer(const RecordKey& key, const RecordStamp& before, base::NodeId except,
                               bool eager) {
   std::size_t pushes = eager ? options_.eager_relays : 0;
-  for (const base::NodeId node : peers_.Relays(key, options_.relays, now_)) {
-    if (node != except) {
+  const std::vector<base::NodeId>& relays = peers_.Relays(key, options_.relays, now_);
+  // With much to send one relay less is told, neither one of the eager ones nor the last, which may
+  // be in another zone.
+  const std::size_t spared =
+      pushes_.newest.size() < kBusyQueue ? relays.size() : options_.eager_relays;
+  for (std::size_t place = 0; place < relays.size(); ++place) {
+    const base::NodeId node = relays[place];
+    if (node != except && place != spared) {
       Enqueue({node, key, pushes > 0 ? SendMode::kPush : SendMode::kAnnounce, before, false, now_});
       pushes -= pushes > 0 ? 1 : 0;
     }
@@ -139,7 +146,7 @@
 // doesn't hold up the news for the others.
 void DisseminationCore::OfferToScope(const RecordKey& key, const RecordStamp& before,
                                      bool is_author) {
-  const bool direct = is_author && pushes_.newest.size() < kMaxQueueForDirectPushes;
+  const bool direct = is_author && pushes_.newest.size() < kBusyQueue;
   for (const base::NodeId node :
        direct ? peers_.PeersOfScope(key, options_.max_scope_peers) : peers_.FedPeersOfScope(key)) {
     Enqueue({node, key, SendMode::kPush, before, false, now_});
