--- a/libs/control/include/gaugevalve/control_simulation/hollow_deployment.h
+++ b/libs/control/include/gaugevalve/control_simulation/hollow_deployment.h
@@ -20,6 +20,7 @@
   std::size_t agents_per_service = 0;
   std::size_t buckets_per_service = 64;
   bool is_preloaded = true;  // members know each other from the start
+  bool measures_processor_time = false;
   control::ControlNodeOptions options;  // of every node; name, metadata and seeds are filled in
 };
 
--- a/libs/control/include/gaugevalve/control_simulation/hollow_node.h
+++ b/libs/control/include/gaugevalve/control_simulation/hollow_node.h
@@ -1,7 +1,9 @@
 // A node of the simulation that runs the real control core, with no data path.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -18,6 +20,8 @@
   // Members known from the start; may be null. Shared, as thousands of nodes start with the same.
   std::shared_ptr<const std::vector<membership::Member>> preload;
   SimulatedStore* store = nullptr;  // must outlive the node
+  // Count the processor time of the node's own work; for benchmarks only, as two runs then differ.
+  bool measures_processor_time = false;
 };
 
 // Real cores and encoding, simulated clock, network and store. An agent reports no flows.
@@ -32,6 +36,9 @@
   const control::ControlNode& Core() const { return *core_; }
   const transport::TransportCounters& Counters() const { return transport_->Counters(); }
 
+  // Returns the processor time of this life, encoding included; zero unless it is measured.
+  std::chrono::nanoseconds ProcessorTime() const { return processor_time_; }
+
   // Every revision this life put in force, in order.
   const std::vector<base::Revision>& Activations() const { return activations_; }
 
@@ -40,6 +47,8 @@
   static constexpr base::Duration kShellInterval = std::chrono::milliseconds(200);
   static constexpr base::Duration kLeaseTtl = std::chrono::seconds(5);
 
+  void Measure(const std::function<void()>& work);
+  void DoTimer(simulation::TimerToken token);
   void Perform(control::ControlActions& actions);
   void RunTransaction(const settings::StoreTransaction& transaction);
   void RunShell();
@@ -51,6 +60,7 @@
   simulation::NodeContext* context_ = nullptr;
   std::unique_ptr<simulation::SimulatedTransport> transport_;
   std::unique_ptr<control::ControlNode> core_;
+  std::chrono::nanoseconds processor_time_{0};
   base::Revision store_revision_;  // read so far
   bool holds_lease_ = false;
   base::TimePoint lease_valid_until_{};
--- a/libs/control/src/simulation/hollow_deployment.cpp
+++ b/libs/control/src/simulation/hollow_deployment.cpp
@@ -110,8 +110,9 @@
 }
 
 std::unique_ptr<HollowNode> HollowDeployment::MakeLife(std::size_t node, bool is_preloaded) {
-  return std::make_unique<HollowNode>(
-      HollowNodeSettings{entries_[node].options, is_preloaded ? preload_ : nullptr, &store_});
+  return std::make_unique<HollowNode>(HollowNodeSettings{entries_[node].options,
+                                                         is_preloaded ? preload_ : nullptr, &store_,
+                                                         settings_.measures_processor_time});
 }
 
 bool HollowDeployment::IsRunning(std::size_t node) const {
--- a/libs/control/src/simulation/hollow_node.cpp
+++ b/libs/control/src/simulation/hollow_node.cpp
@@ -1,9 +1,20 @@
 #include "gaugevalve/control_simulation/hollow_node.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace gaugevalve::control_simulation {
+namespace {
+
+std::chrono::nanoseconds ThreadTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+}  // namespace
+
 HollowNode::HollowNode(HollowNodeSettings settings) : settings_(std::move(settings)) {}
 
 void HollowNode::OnStart(simulation::NodeContext& context) {
@@ -32,9 +43,25 @@
   Perform(actions);
 }
 
-void HollowNode::OnMessage(const simulation::Message& message) { transport_->OnMessage(message); }
+void HollowNode::Measure(const std::function<void()>& work) {
+  if (!settings_.measures_processor_time) {
+    work();
+    return;
+  }
+  const std::chrono::nanoseconds before = ThreadTime();
+  work();
+  processor_time_ += ThreadTime() - before;
+}
+
+void HollowNode::OnMessage(const simulation::Message& message) {
+  Measure([&] { transport_->OnMessage(message); });
+}
 
 void HollowNode::OnTimer(simulation::TimerToken token) {
+  Measure([&] { DoTimer(token); });
+}
+
+void HollowNode::DoTimer(simulation::TimerToken token) {
   if (token != armed_token_) {
     return;
   }
