--- a/libs/control/include/gaugevalve/control/agent_reporter.h
+++ b/libs/control/include/gaugevalve/control/agent_reporter.h
@@ -9,6 +9,7 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/control/control_message.h"
 #include "gaugevalve/routing/agent_report.h"
+#include "gaugevalve/routing/flow_digest.h"
 
 namespace gaugevalve::control {
 
@@ -28,6 +29,9 @@
   // Takes the newest measures; the reporter sends the latest only.
   void Update(const routing::AgentReport& report) { latest_ = report; }
 
+  // Notes who takes the reports: another planner is told of all flows.
+  void SetPlanner(base::NodeId planner);
+
   // Returns a report when one is due.
   std::optional<NumberedReport> Tick(base::TimePoint now);
 
@@ -56,12 +60,16 @@
   static constexpr std::size_t kRememberedReports = 16;
 
   bool HasChangedMuch() const;
+  NumberedReport MakeReport(base::TimePoint now);
 
   AgentReporterOptions options_;
   std::optional<routing::AgentReport> latest_;
   std::optional<routing::AgentReport> reported_;
   base::TimePoint reported_at_{};
   std::uint64_t next_sequence_ = 1;
+  base::NodeId planner_;
+  routing::FlowDigest digest_;
+  bool whole_is_wanted_ = false;                       // by the planner, at the next fast interval
   std::array<SentReport, kRememberedReports> sent_{};  // a ring
   base::TimePoint confirmed_at_{};
 };
--- a/libs/control/include/gaugevalve/control/control_message.h
+++ b/libs/control/include/gaugevalve/control/control_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "gaugevalve/routing/agent_report.h"
+#include "gaugevalve/routing/flow_digest.h"
 
 namespace gaugevalve::control {
 
@@ -16,10 +17,11 @@
   routing::AgentReport report;
 };
 
-// A planner's answer: its newest table when the report came.
+// A planner's answer: its newest table when the report came, and what became of the flows in it.
 struct ReportAnswer {
   std::uint64_t sequence = 0;
   routing::TableVersion table_version;
+  routing::FlowsOutcome flows = routing::FlowsOutcome::kTaken;
 };
 
 // std::monostate stands for bytes that can't be read.
--- a/libs/control/include/gaugevalve/control/planner_host.h
+++ b/libs/control/include/gaugevalve/control/planner_host.h
@@ -43,6 +43,9 @@
   std::function<std::optional<routing::BucketTable>(base::ServiceId)> newest_table;
 };
 
+// Returns what an answer says of the flows in a report with this outcome.
+routing::FlowsOutcome FlowsOutcomeOf(routing::ReportOutcome outcome);
+
 // Decision core. Planners start and stop by themselves as the roster, the members and the settings
 // change; bounded by the number of services. Not thread-safe.
 class PlannerHost {
--- a/libs/control/src/agent_reporter.cpp
+++ b/libs/control/src/agent_reporter.cpp
@@ -11,9 +11,24 @@
   }
   reported_ = latest_;
   reported_at_ = now;
+  whole_is_wanted_ = false;
+  return MakeReport(now);
+}
+
+NumberedReport AgentReporter::MakeReport(base::TimePoint now) {
   const std::uint64_t sequence = next_sequence_++;
   sent_[sequence % sent_.size()] = {sequence, now, std::nullopt};
-  return NumberedReport{sequence, *reported_};
+  NumberedReport numbered{sequence, *reported_};
+  numbered.report.sequence = sequence;
+  digest_.Shorten(numbered.report);
+  return numbered;
+}
+
+void AgentReporter::SetPlanner(base::NodeId planner) {
+  if (planner != planner_) {
+    planner_ = planner;
+    digest_.Reset();
+  }
 }
 
 base::TimePoint AgentReporter::NextDeadline() const {
@@ -32,10 +47,12 @@
                            latest_->incarnation != reported_->incarnation;
   const double before = std::max(1.0, static_cast<double>(reported_->open_flows));
   const double change = std::abs(static_cast<double>(latest_->open_flows) - before) / before;
-  return other_state || change > options_.much_changed_share;
+  return other_state || whole_is_wanted_ || change > options_.much_changed_share;
 }
 
 void AgentReporter::TakeAnswer(const ReportAnswer& answer, const routing::TableVersion& own_table) {
+  digest_.TakeAnswer(answer.sequence, answer.flows);
+  whole_is_wanted_ = answer.flows == routing::FlowsOutcome::kNeedsWhole;
   SentReport& sent = sent_[answer.sequence % sent_.size()];
   if (sent.sequence != answer.sequence) {
     return;
--- a/libs/control/src/control_message.cpp
+++ b/libs/control/src/control_message.cpp
@@ -19,6 +19,8 @@
   body.set_epoch(answer.table_version.epoch);
   body.set_generation(answer.table_version.generation);
   body.set_table_sequence(answer.table_version.sequence);
+  body.set_flows_refused(answer.flows == routing::FlowsOutcome::kRefused);
+  body.set_needs_whole(answer.flows == routing::FlowsOutcome::kNeedsWhole);
   return message.SerializeAsString();
 }
 
@@ -29,15 +31,21 @@
   }
   if (message.has_report()) {
     try {
-      return NumberedReport{message.report().sequence(),
-                            routing::DecodeReport(message.report().report())};
+      NumberedReport numbered{message.report().sequence(),
+                              routing::DecodeReport(message.report().report())};
+      numbered.report.sequence = numbered.sequence;
+      return numbered;
     } catch (const routing::DecodeError&) {
       return std::monostate{};
     }
   }
   if (message.has_answer()) {
     const proto::ReportAnswer& body = message.answer();
-    return ReportAnswer{body.sequence(), {body.epoch(), body.generation(), body.table_sequence()}};
+    const routing::FlowsOutcome flows = body.needs_whole()     ? routing::FlowsOutcome::kNeedsWhole
+                                        : body.flows_refused() ? routing::FlowsOutcome::kRefused
+                                                               : routing::FlowsOutcome::kTaken;
+    return ReportAnswer{
+        body.sequence(), {body.epoch(), body.generation(), body.table_sequence()}, flows};
   }
   return std::monostate{};
 }
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -340,6 +340,7 @@
     next_report_ = now + kDutyInterval;
     return;
   }
+  reporter_.SetPlanner(planner->node);
   const std::optional<NumberedReport> report = reporter_.Tick(now);
   if (report.has_value()) {
     actions.envelopes.push_back({member->metadata->control_address,
--- a/libs/control/src/planner_host.cpp
+++ b/libs/control/src/planner_host.cpp
@@ -58,6 +58,17 @@
 
 }  // namespace
 
+routing::FlowsOutcome FlowsOutcomeOf(routing::ReportOutcome outcome) {
+  switch (outcome) {
+    case routing::ReportOutcome::kTaken:
+      return routing::FlowsOutcome::kTaken;
+    case routing::ReportOutcome::kNeedsWhole:
+      return routing::FlowsOutcome::kNeedsWhole;
+    default:
+      return routing::FlowsOutcome::kRefused;
+  }
+}
+
 void PlannerHost::Reelect(const PlanningContext& context, base::TimePoint now) {
   std::erase_if(hosted_, [&](const auto& entry) {
     return FindService(context.settings, entry.first) == nullptr;
@@ -155,11 +166,12 @@
     return std::nullopt;  // it knows no table yet that it could vouch for
   }
   const routing::AgentReport& report = numbered.report;
-  if (!routing::ServicePlanner::MayAnswer(hosted.planner->TakeReport(report, now))) {
+  const routing::ReportOutcome outcome = hosted.planner->TakeReport(report, now);
+  if (!routing::ServicePlanner::MayAnswer(outcome)) {
     return std::nullopt;
   }
   hosted.planner->NoteAnswered(report.node, report.incarnation, now);
-  return ReportAnswer{numbered.sequence, hosted.planner->Table().version};
+  return ReportAnswer{numbered.sequence, hosted.planner->Table().version, FlowsOutcomeOf(outcome)};
 }
 
 std::vector<routing::BucketTable> PlannerHost::Tick(const PlanningContext& context,
--- a/libs/control/tests/agent_reporter_test.cpp
+++ b/libs/control/tests/agent_reporter_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(OnlyAnAnswerForAsNewATableConfirms);
   CPPUNIT_TEST(AnAnswerThatOvertookItsTableConfirmsWhenTheTableComes);
   CPPUNIT_TEST(ATableThatChangesWithEachReportStaysConfirmed);
+  CPPUNIT_TEST(AnotherPlannerAndOneThatAsksGetWholeReports);
   CPPUNIT_TEST(MessagesReadBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +80,27 @@
     }
   }
 
+  void AnotherPlannerAndOneThatAsksGetWholeReports() {
+    AgentReporter reporter({});
+    routing::AgentReport report;
+    report.flows_in_buckets = {30, 0};
+    reporter.SetPlanner(base::NodeId(1));
+    reporter.Update(report);
+    const NumberedReport first = *reporter.Tick(At(0));
+    reporter.TakeAnswer({first.sequence, {}}, {});
+    const NumberedReport second = *reporter.Tick(At(1000));
+    CPPUNIT_ASSERT_EQUAL(first.sequence, second.report.flows_base);
+    reporter.SetPlanner(base::NodeId(2));
+    const NumberedReport third = *reporter.Tick(At(2000));
+    CPPUNIT_ASSERT(third.report.flows_in_buckets == report.flows_in_buckets);
+    reporter.TakeAnswer({third.sequence, {}}, {});
+    const NumberedReport fourth = *reporter.Tick(At(3000));
+    CPPUNIT_ASSERT_EQUAL(third.sequence, fourth.report.flows_base);
+    reporter.TakeAnswer({fourth.sequence, {}, routing::FlowsOutcome::kNeedsWhole}, {});
+    const std::optional<NumberedReport> fifth = reporter.Tick(At(3200));  // and soon
+    CPPUNIT_ASSERT(fifth->report.flows_in_buckets == report.flows_in_buckets);
+  }
+
   void MessagesReadBack() {
     NumberedReport report;
     report.sequence = 9;
@@ -89,6 +111,19 @@
     const auto& read = std::get<NumberedReport>(decoded);
     CPPUNIT_ASSERT_EQUAL(report.sequence, read.sequence);
     CPPUNIT_ASSERT(report.report.flows_in_buckets == read.report.flows_in_buckets);
+    report.report.flows_in_buckets.clear();
+    report.report.flows_base = 8;
+    report.report.flow_changes = {{base::BucketIndex(1), 0}, {base::BucketIndex(7), 5}};
+    const ControlMessage shortened = DecodeControlMessage(EncodeReport(report));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, std::get<NumberedReport>(shortened).report.sequence);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, std::get<NumberedReport>(shortened).report.flows_base);
+    CPPUNIT_ASSERT(std::get<NumberedReport>(shortened).report.flow_changes ==
+                   report.report.flow_changes);
+    for (const auto flows : {routing::FlowsOutcome::kTaken, routing::FlowsOutcome::kRefused,
+                             routing::FlowsOutcome::kNeedsWhole}) {
+      const ControlMessage reread = DecodeControlMessage(EncodeAnswer({9, {1, 2, 3}, flows}));
+      CPPUNIT_ASSERT(std::get<ReportAnswer>(reread).flows == flows);
+    }
     const ControlMessage answer = DecodeControlMessage(EncodeAnswer({9, {1, 2, 3}}));
     CPPUNIT_ASSERT(
         (std::get<ReportAnswer>(answer).table_version == routing::TableVersion{1, 2, 3}));
--- a/libs/routing/include/gaugevalve/routing/agent_report.h
+++ b/libs/routing/include/gaugevalve/routing/agent_report.h
@@ -16,6 +16,14 @@
   kDraining = 1,  // keeps what it has, takes nothing new
 };
 
+// How many flows an agent holds in one bucket.
+struct BucketFlows {
+  base::BucketIndex bucket;
+  std::uint32_t flows = 0;
+
+  friend bool operator==(const BucketFlows&, const BucketFlows&) = default;
+};
+
 // One agent's own measures. Its own counts are trusted over what the endpoint says of itself.
 struct AgentReport {
   base::ServiceId service;
@@ -35,6 +43,13 @@
   base::Duration age_of_service{0};             // since the endpoint last started: cold-start ramp
   std::uint32_t endpoint_failures = 0;          // since the last report
   std::vector<std::uint32_t> flows_in_buckets;  // index = bucket; open flows held here
+
+  // Grows with each report of a life; 0: not numbered. Travels outside the report's bytes.
+  std::uint64_t sequence = 0;
+  // Above 0: `flows_in_buckets` is empty, and `flow_changes` is what may have changed since the
+  // report with this number. See FlowDigest.
+  std::uint64_t flows_base = 0;
+  std::vector<BucketFlows> flow_changes{};
 };
 
 }  // namespace gaugevalve::routing
--- a/libs/routing/include/gaugevalve/routing/report_ledger.h
+++ b/libs/routing/include/gaugevalve/routing/report_ledger.h
@@ -21,7 +21,8 @@
   kOtherIncarnation = 3,  // another life of the agent than membership knows
   kOlderThanKnown = 4,    // names an older table than an earlier report of the same life
   kFutureTable = 5,       // names a table newer than the planner's own: the planner is superseded
-  kWrongBucketCount = 6,  // neither empty nor one count for each bucket
+  kWrongBucketCount = 6,  // neither empty nor one count for each bucket, or a bucket isn't there
+  kNeedsWhole = 7,        // builds on a report that isn't known: a whole one is needed
 };
 
 // Keeps one report for each known agent: bounded by the service's agents. Reports are the agents'
@@ -33,7 +34,7 @@
   ReportLedger(base::Duration smoothing_time, base::Duration report_timeout);
 
   // Keeps the report of `status`'s agent. The caller has checked service, incarnation and sizes.
-  // Returns kTaken or kOlderThanKnown.
+  // Returns kTaken, kOlderThanKnown or kNeedsWhole.
   ReportOutcome Take(const AgentReport& report, base::TimePoint now);
 
   // Forgets all agents for which `keep(node, incarnation)` is false.
@@ -61,6 +62,8 @@
     double failure_rate = 0.0;      // smoothed, failures a second
   };
 
+  // Returns the flows that the report tells of, whole; nothing when what it builds on isn't known.
+  std::optional<std::vector<std::uint32_t>> WholeFlows(const AgentReport& report) const;
   double Trust(const Record& record, base::TimePoint now) const;
 
   base::Duration smoothing_time_;
--- a/libs/routing/include/gaugevalve/routing/service_planner.h
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -71,8 +71,8 @@
 // from
 //   balancers. Its buckets stay as they are, and it stays in chains, until PlannerSettings'
 //   `dead_agent_hold` after the last answer to it. There is no wait after its farewell, or when
-//   another life of it is there. Whoever takes over must be told of the agents that died during that
-//   time before: the table it takes over needn't list them.
+//   another life of it is there. Whoever takes over must be told of the agents that died during
+//   that time before: the table it takes over needn't list them.
 // - Moves that aren't forced by a dead or leaving owner are bounded per step and per minute.
 //
 // Memory: one table, one report for each agent. Not thread-safe; time mustn't go backwards.
@@ -123,6 +123,10 @@
   // wait.
   std::optional<base::TimePoint> NextRelease() const { return dead_agents_.NextRelease(); }
 
+  // Returns the newest report of an agent, or null; its flows are whole. Valid until the next
+  // change.
+  const AgentReport* NewestReport(base::NodeId node) const { return ledger_.Find(node); }
+
   const PlannerCounters& Counters() const { return counters_; }
 
  private:
--- a/libs/routing/src/report_ledger.cpp
+++ b/libs/routing/src/report_ledger.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace gaugevalve::routing {
 namespace {
@@ -30,22 +31,57 @@
 ReportLedger::ReportLedger(base::Duration smoothing_time, base::Duration report_timeout)
     : smoothing_time_(smoothing_time), report_timeout_(report_timeout) {}
 
+std::optional<std::vector<std::uint32_t>> ReportLedger::WholeFlows(
+    const AgentReport& report) const {
+  if (report.flows_base == 0) {
+    return report.flows_in_buckets;
+  }
+  const AgentReport* known = Find(report.node);
+  const bool fits = known != nullptr && known->incarnation == report.incarnation &&
+                    known->sequence >= report.flows_base;
+  if (!fits) {
+    return std::nullopt;
+  }
+  std::vector<std::uint32_t> flows = known->flows_in_buckets;
+  for (const BucketFlows& change : report.flow_changes) {
+    if (change.bucket.value() >= flows.size()) {
+      return std::nullopt;
+    }
+    flows[change.bucket.value()] = change.flows;
+  }
+  return flows;
+}
+
 ReportOutcome ReportLedger::Take(const AgentReport& report, base::TimePoint now) {
   const auto found = records_.find(report.node);
-  if (found == records_.end() || found->second.report.incarnation != report.incarnation) {
-    records_[report.node] = Record{report, now, SlotUtilisation(report), 0.0};
-    return ReportOutcome::kTaken;
+  const bool is_first =
+      found == records_.end() || found->second.report.incarnation != report.incarnation;
+  const bool is_numbered = report.sequence > 0;
+  if (!is_first && is_numbered && report.sequence <= found->second.report.sequence) {
+    return ReportOutcome::kOlderThanKnown;
   }
-  Record& record = found->second;
-  if (report.table_version < record.report.table_version) {
+  if (!is_first && report.table_version < found->second.report.table_version) {
     return ReportOutcome::kOlderThanKnown;
   }
+  std::optional<std::vector<std::uint32_t>> flows = WholeFlows(report);
+  if (!flows) {
+    return ReportOutcome::kNeedsWhole;
+  }
+  AgentReport whole = report;
+  whole.flows_in_buckets = std::move(*flows);
+  whole.flow_changes.clear();
+  if (is_first) {
+    const double utilisation = SlotUtilisation(whole);
+    records_[report.node] = Record{std::move(whole), now, utilisation, 0.0};
+    return ReportOutcome::kTaken;
+  }
+  Record& record = found->second;
   constexpr double kLeastInterval = 1e-3;  // seconds; reports that arrive together
   const double interval = std::max(kLeastInterval, Seconds(now - record.received_at));
   const double part = 1.0 - std::exp(-interval / Seconds(smoothing_time_));
   record.slot_utilisation += part * (SlotUtilisation(report) - record.slot_utilisation);
   record.failure_rate += part * (report.endpoint_failures / interval - record.failure_rate);
-  record.report = report;
+  record.report = std::move(whole);
   record.received_at = now;
   return ReportOutcome::kTaken;
 }
--- a/libs/routing/src/service_planner.cpp
+++ b/libs/routing/src/service_planner.cpp
@@ -161,6 +161,7 @@
     case ReportOutcome::kTaken:
     case ReportOutcome::kOlderThanKnown:
     case ReportOutcome::kWrongBucketCount:
+    case ReportOutcome::kNeedsWhole:
       return true;
     default:
       return false;
--- a/libs/routing/src/table_codec.cpp
+++ b/libs/routing/src/table_codec.cpp
@@ -96,24 +96,63 @@
   return static_cast<std::uint64_t>(std::max(duration, base::Duration::zero()).count());
 }
 
-std::vector<std::uint32_t> FlowsOf(const proto::AgentReport& message) {
+// Checks the buckets that a report names and returns them in their order.
+std::vector<BucketFlows> NamedBuckets(const proto::AgentReport& message) {
   if (message.bucket_count() > kMaxBuckets) {
     throw DecodeError("report: too many buckets");
   }
   if (message.bucket_gaps_size() != message.flows_size()) {
     throw DecodeError("report: bucket numbers and flows differ in length");
   }
-  std::vector<std::uint32_t> flows(message.bucket_count(), 0);
+  std::vector<BucketFlows> named;
   std::uint64_t next = 0;
   for (int position = 0; position < message.flows_size(); ++position) {
     next += message.bucket_gaps(position);
-    if (next >= flows.size()) {
+    if (next >= message.bucket_count()) {
       throw DecodeError("report: a bucket number is out of range");
     }
-    flows[next] = message.flows(position);
+    named.push_back({base::BucketIndex(static_cast<std::uint16_t>(next)), message.flows(position)});
     ++next;
   }
-  return flows;
+  return named;
+}
+
+void ReadFlows(const proto::AgentReport& message, AgentReport& report) {
+  const std::vector<BucketFlows> named = NamedBuckets(message);
+  report.flows_base = message.flows_base();
+  if (report.flows_base > 0) {
+    report.flow_changes = named;
+    return;
+  }
+  report.flows_in_buckets.assign(message.bucket_count(), 0);
+  for (const BucketFlows& entry : named) {
+    report.flows_in_buckets[entry.bucket.value()] = entry.flows;
+  }
+}
+
+void AddBucket(const BucketFlows& entry, std::uint32_t& next, proto::AgentReport& message) {
+  message.add_bucket_gaps(entry.bucket.value() - next);
+  message.add_flows(entry.flows);
+  next = entry.bucket.value() + 1U;
+}
+
+void WriteFlows(const AgentReport& report, proto::AgentReport& message) {
+  std::uint32_t next = 0;
+  message.set_flows_base(report.flows_base);
+  if (report.flows_base > 0) {
+    for (const BucketFlows& entry : report.flow_changes) {
+      AddBucket(entry, next, message);
+    }
+    message.set_bucket_count(next);
+    return;
+  }
+  for (std::size_t position = 0; position < report.flows_in_buckets.size(); ++position) {
+    const base::BucketIndex bucket(static_cast<std::uint16_t>(position));
+    if (report.flows_in_buckets[position] > 0) {
+      AddBucket({bucket, report.flows_in_buckets[position]}, next, message);
+    }
+  }
+  message.set_bucket_count(static_cast<std::uint32_t>(report.flows_in_buckets.size()));
 }
 
 }  // namespace
@@ -164,17 +203,7 @@
   message.set_busy_slot_microseconds(MicrosecondsOf(report.busy_slot_time));
   message.set_measured_microseconds(MicrosecondsOf(report.measured_time));
   message.set_endpoint_failures(report.endpoint_failures);
-  message.set_bucket_count(static_cast<std::uint32_t>(report.flows_in_buckets.size()));
-  std::uint32_t gap = 0;
-  for (const std::uint32_t flows : report.flows_in_buckets) {
-    if (flows == 0) {
-      ++gap;
-      continue;
-    }
-    message.add_bucket_gaps(gap);
-    message.add_flows(flows);
-    gap = 0;
-  }
+  WriteFlows(report, message);
   return message.SerializeAsString();
 }
 
@@ -230,7 +259,7 @@
   report.busy_slot_time = DurationOf(message.busy_slot_microseconds());
   report.measured_time = DurationOf(message.measured_microseconds());
   report.endpoint_failures = message.endpoint_failures();
-  report.flows_in_buckets = FlowsOf(message);
+  ReadFlows(message, report);
   return report;
 }
 
--- a/libs/routing/tests/table_codec_fuzzer.cpp
+++ b/libs/routing/tests/table_codec_fuzzer.cpp
@@ -20,8 +20,8 @@
 
 bool SameReport(const AgentReport& left, const AgentReport& right) {
   return left.node == right.node && left.table_version == right.table_version &&
-         left.flows_in_buckets == right.flows_in_buckets &&
-         left.recent_latency == right.recent_latency;
+         left.flows_in_buckets == right.flows_in_buckets && left.flows_base == right.flows_base &&
+         left.flow_changes == right.flow_changes && left.recent_latency == right.recent_latency;
 }
 
 void DecodeAny(std::uint8_t kind, std::string_view bytes) {
--- a/proofs/routing/planner_fleet.cpp
+++ b/proofs/routing/planner_fleet.cpp
@@ -33,14 +33,18 @@
 
 }  // namespace
 
-PlannerFleet::PlannerFleet(const routing::PlannerMechanisms& mechanisms, PolicyMaker make_policies)
-    : mechanisms_(mechanisms), make_policies_(make_policies), settings_(MakeSettings()) {
+PlannerFleet::PlannerFleet(const routing::PlannerMechanisms& mechanisms, PolicyMaker make_policies,
+                           const routing::FlowDigestMechanisms& digest_mechanisms)
+    : mechanisms_(mechanisms),
+      make_policies_(make_policies),
+      digest_mechanisms_(digest_mechanisms),
+      settings_(MakeSettings()) {
   for (std::size_t agent = 0; agent < kAgents; ++agent) {
+    agents_[agent] = MakeLife(base::Incarnation(1));
     routing::AgentStatus status;
     status.entry.node = NodeOf(agent);
     status.entry.incarnation = agents_[agent].incarnation;
     told_.push_back(status);
-    agents_[agent].entries.resize(kBuckets);
   }
   MakePlanner();
   TellPlanner();
@@ -50,6 +54,14 @@
   }
 }
 
+PlannerFleet::Agent PlannerFleet::MakeLife(base::Incarnation incarnation) const {
+  Agent agent;
+  agent.incarnation = incarnation;
+  agent.entries.resize(kBuckets);
+  agent.digest.SetMechanisms(digest_mechanisms_);
+  return agent;
+}
+
 void PlannerFleet::MakePlanner() {
   planner_ = std::make_unique<routing::ServicePlanner>(kService, 1, generation_, settings_,
                                                        make_policies_(settings_));
@@ -124,7 +136,14 @@
 }
 
 void PlannerFleet::SendReport(std::uint32_t agent, std::uint32_t busy) {
-  reports_.push_back({HonestReport(agent % kAgents, busy), now_});
+  Send(agent % kAgents, HonestReport(agent % kAgents, busy));
+}
+
+void PlannerFleet::Send(std::size_t agent, routing::AgentReport report) {
+  const std::vector<std::uint32_t> flows = report.flows_in_buckets;
+  report.sequence = ++agents_[agent].last_sequence;
+  agents_[agent].digest.Shorten(report);
+  reports_.push_back({std::move(report), now_, flows});
 }
 
 void PlannerFleet::SendLie(std::uint32_t seed) {
@@ -136,7 +155,7 @@
   lie.endpoint_failures = seed;
   lie.table_version.sequence += seed % 3;
   lie.state = seed % 5 == 0 ? routing::AgentState::kDraining : routing::AgentState::kServing;
-  reports_.push_back({lie, now_});
+  Send(kLiar, std::move(lie));
 }
 
 void PlannerFleet::DeliverReport(std::uint32_t position) {
@@ -144,19 +163,17 @@
     return;
   }
   const auto chosen = reports_.begin() + static_cast<std::ptrdiff_t>(position % reports_.size());
-  const auto [report, sent_at] = *chosen;
+  const SentReport sent = *chosen;
+  const routing::AgentReport& report = sent.report;
   reports_.erase(chosen);
   const routing::ReportOutcome outcome = planner_->TakeReport(report, now_);
   if (routing::ServicePlanner::MayAnswer(outcome)) {
-    planner_->NoteAnswered(report.node, report.incarnation, now_);
-    Agent& reporter = agents_[AgentOf(report.node)];
-    if (reporter.incarnation == report.incarnation) {
-      reporter.confirmed_at = std::max(reporter.confirmed_at, sent_at);
-    }
+    Answer(sent, outcome);
   }
   if (outcome != routing::ReportOutcome::kTaken) {
     return;
   }
+  CheckPicture(sent);
   if (report.state == routing::AgentState::kDraining) {
     draining_.insert(report.node);
   } else {
@@ -164,12 +181,74 @@
   }
 }
 
+// That an agent's table is fresh is taken to reach it at once, what became of its flows isn't.
+void PlannerFleet::Answer(const SentReport& sent, routing::ReportOutcome outcome) {
+  const routing::AgentReport& report = sent.report;
+  planner_->NoteAnswered(report.node, report.incarnation, now_);
+  Agent& reporter = agents_[AgentOf(report.node)];
+  if (reporter.incarnation == report.incarnation) {
+    reporter.confirmed_at = std::max(reporter.confirmed_at, sent.sent_at);
+  }
+  const bool is_taken = outcome == routing::ReportOutcome::kTaken;
+  const bool needs_whole = outcome == routing::ReportOutcome::kNeedsWhole;
+  answers_.push_back({AgentOf(report.node), report.incarnation, report.sequence,
+                      is_taken      ? routing::FlowsOutcome::kTaken
+                      : needs_whole ? routing::FlowsOutcome::kNeedsWhole
+                                    : routing::FlowsOutcome::kRefused});
+}
+
+// What the planner has of an agent is what the agent had when it sent the report: which buckets are
+// empty exactly, and the counts roughly.
+void PlannerFleet::CheckPicture(const SentReport& sent) {
+  const routing::AgentReport* newest = planner_->NewestReport(sent.report.node);
+  const std::vector<std::uint32_t>& picture = newest->flows_in_buckets;
+  for (std::size_t index = 0; index < kBuckets; ++index) {
+    const std::uint32_t flows = sent.flows[index];
+    const std::uint32_t known = picture.size() == kBuckets ? picture[index] : 0;
+    const bool is_near = flows <= known + known / 2 + 1 && known <= 2 * flows + 2;
+    if ((flows == 0) != (known == 0) || !is_near) {
+      Blame("the planner's picture of an agent's flows is wrong");
+    }
+  }
+}
+
+void PlannerFleet::RepeatReport(std::uint32_t position) {
+  if (!reports_.empty()) {
+    reports_.push_back(SentReport(reports_[position % reports_.size()]));
+  }
+}
+
+void PlannerFleet::LoseReport(std::uint32_t position) {
+  if (!reports_.empty()) {
+    reports_.erase(reports_.begin() + static_cast<std::ptrdiff_t>(position % reports_.size()));
+  }
+}
+
+void PlannerFleet::DeliverAnswer(std::uint32_t position) {
+  if (answers_.empty()) {
+    return;
+  }
+  const SentAnswer answer = answers_[position % answers_.size()];
+  LoseAnswer(position);
+  if (agents_[answer.agent].incarnation == answer.incarnation) {
+    agents_[answer.agent].digest.TakeAnswer(answer.sequence, answer.outcome);
+  }
+}
+
+void PlannerFleet::LoseAnswer(std::uint32_t position) {
+  if (!answers_.empty()) {
+    answers_.erase(answers_.begin() + static_cast<std::ptrdiff_t>(position % answers_.size()));
+  }
+}
+
 void PlannerFleet::TellStanding(std::uint32_t agent, std::uint32_t standing) {
   constexpr std::uint32_t kStandings = 3;
   routing::AgentStatus& status = told_[agent % kAgents];
-  const bool was_dead = status.standing == routing::AgentStanding::kDead;
+  const base::Incarnation life = agents_[agent % kAgents].incarnation;
+  const bool was_dead =
+      status.standing == routing::AgentStanding::kDead && status.entry.incarnation == life;
   status.standing = static_cast<routing::AgentStanding>(standing % kStandings);
-  status.entry.incarnation = agents_[agent % kAgents].incarnation;
+  status.entry.incarnation = life;
   if (!was_dead) {
     told_dead_at_[agent % kAgents] = now_;
   }
@@ -180,23 +259,25 @@
   TellStanding(agent, static_cast<std::uint32_t>(routing::AgentStanding::kDead));
 }
 
-// What it held ends with it, and it opens nothing any more.
+// What it held ends with it, and it opens nothing any more; it comes back as another life.
 void PlannerFleet::SayFarewell(std::uint32_t agent) {
   Agent& leaver = agents_[agent % kAgents];
   const base::Incarnation last = leaver.incarnation;
   planner_->NoteFarewell(NodeOf(agent % kAgents), last);
-  leaver = Agent{};
-  leaver.incarnation = last;
-  leaver.entries.resize(kBuckets);
-  TellDead(agent);
+  leaver = MakeLife(base::Incarnation(last.value() + 1));
+  routing::AgentStatus& status = told_[agent % kAgents];
+  if (status.standing != routing::AgentStanding::kDead) {
+    told_dead_at_[agent % kAgents] = now_;
+  }
+  status.standing = routing::AgentStanding::kDead;
+  draining_.erase(NodeOf(agent % kAgents));
+  TellPlanner();
 }
 
 void PlannerFleet::Restart(std::uint32_t agent) {
   Agent& restarted = agents_[agent % kAgents];
   const base::Incarnation next(restarted.incarnation.value() + 1);
-  restarted = Agent{};
-  restarted.incarnation = next;
-  restarted.entries.resize(kBuckets);
+  restarted = MakeLife(next);
   told_[agent % kAgents].entry.incarnation = next;
   told_dead_at_[agent % kAgents] = now_;     // if it is told dead, then of this life from now on
   draining_.erase(NodeOf(agent % kAgents));  // the planner forgets a former life's report
@@ -362,11 +443,13 @@
   constexpr int kSteps = 240;
   constexpr std::uint32_t kStepMilliseconds = 1000;
   reports_.clear();
+  answers_.clear();
   for (int step = 0; step < kSteps; ++step) {
     for (std::uint32_t agent = 0; agent < kAgents; ++agent) {
       GiveTable(agent, 0);
       SendReport(agent, agent);
       DeliverReport(0);
+      DeliverAnswer(0);
     }
     Step(kStepMilliseconds);
   }
--- a/proofs/routing/planner_fleet.h
+++ b/proofs/routing/planner_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/routing/flow_digest.h"
 #include "gaugevalve/routing/service_planner.h"
 
 namespace gaugevalve::proofs {
@@ -27,7 +28,8 @@
 
   // `make_policies` makes the rules of each planner in turn.
   using PolicyMaker = routing::PlannerPolicies (*)(const routing::PlannerSettings&);
-  PlannerFleet(const routing::PlannerMechanisms& mechanisms, PolicyMaker make_policies);
+  PlannerFleet(const routing::PlannerMechanisms& mechanisms, PolicyMaker make_policies,
+               const routing::FlowDigestMechanisms& digest_mechanisms = {});
 
   // Events.
   void OpenFlow(std::uint32_t agent, std::uint32_t bucket);
@@ -37,6 +39,10 @@
   void SendReport(std::uint32_t agent, std::uint32_t busy);
   void SendLie(std::uint32_t seed);
   void DeliverReport(std::uint32_t position);
+  void RepeatReport(std::uint32_t position);
+  void LoseReport(std::uint32_t position);
+  void DeliverAnswer(std::uint32_t position);
+  void LoseAnswer(std::uint32_t position);
   void TellStanding(std::uint32_t agent, std::uint32_t standing);
   void TellDead(std::uint32_t agent);     // whatever is true: it may only be cut off from control
   void SayFarewell(std::uint32_t agent);  // it ends, and says so
@@ -62,12 +68,22 @@
     bool is_listed = false;  // its table knows this life of it; without that it opens nothing
     // When it sent the newest of its reports that were answered: it opens flows for a while after.
     base::TimePoint confirmed_at = base::TimePoint::min();
+    std::uint64_t last_sequence = 0;
+    routing::FlowDigest digest;
   };
 
   // A report with the time at which it was sent.
   struct SentReport {
     routing::AgentReport report;
     base::TimePoint sent_at;
+    std::vector<std::uint32_t> flows;  // whole, as they were
+  };
+
+  struct SentAnswer {
+    std::size_t agent = 0;
+    base::Incarnation incarnation;
+    std::uint64_t sequence = 0;
+    routing::FlowsOutcome outcome;
   };
 
   // A non-forced move of a bucket, for the bound per minute.
@@ -79,6 +95,10 @@
   void MakePlanner();
   void TellPlanner();
   routing::AgentReport HonestReport(std::size_t agent, std::uint32_t busy) const;
+  Agent MakeLife(base::Incarnation incarnation) const;
+  void Send(std::size_t agent, routing::AgentReport report);
+  void Answer(const SentReport& sent, routing::ReportOutcome outcome);
+  void CheckPicture(const SentReport& sent);
   bool MayOwn(base::NodeId node) const;
   bool IsToldAlive(base::NodeId node) const;
   bool IsHeld(base::NodeId node) const;
@@ -94,6 +114,7 @@
 
   routing::PlannerMechanisms mechanisms_;
   PolicyMaker make_policies_;
+  routing::FlowDigestMechanisms digest_mechanisms_;
   routing::PlannerSettings settings_;
   base::TimePoint now_{};
   std::uint32_t generation_ = 0;
@@ -103,6 +124,7 @@
   std::set<base::NodeId> draining_;                      // by the last report that the planner took
   std::array<base::TimePoint, kAgents> told_dead_at_{};  // or the take-over since
   std::deque<SentReport> reports_;
+  std::deque<SentAnswer> answers_;
   std::vector<routing::BucketTable> published_;
   std::deque<Moves> moves_;
   std::string fault_;
--- a/proofs/routing/routing_proof.cpp
+++ b/proofs/routing/routing_proof.cpp
@@ -30,7 +30,7 @@
 
 // One event, chosen by number so that shrinking finds a short and simple history.
 struct Event : rc::state::Command<NoModel, PlannerFleet> {
-  std::uint32_t kind = *rc::gen::inRange<std::uint32_t>(0, 22);
+  std::uint32_t kind = *rc::gen::inRange<std::uint32_t>(0, 26);
   std::uint32_t first = *rc::gen::inRange<std::uint32_t>(0, 64);
   std::uint32_t second = *rc::gen::inRange<std::uint32_t>(0, 64);
 
@@ -78,14 +78,22 @@
         return second < 16 ? fleet.TakeOver(first) : fleet.Step(kShortStep);
       case 18:
         return second < 48 ? fleet.TellDead(first) : fleet.SayFarewell(first);
+      case 19:
+      case 20:
+        return fleet.DeliverAnswer(first);
+      case 21:
+        return second < 32 ? fleet.RepeatReport(first) : fleet.LoseReport(first);
+      case 22:
+        return second < 32 ? fleet.LoseAnswer(first) : fleet.DeliverAnswer(first);
       default:
         return fleet.Step(first * kLongStep / 8);
     }
   }
 };
 
-void KeepsItsRules(const PlannerMechanisms& mechanisms, PlannerFleet::PolicyMaker make_policies) {
-  PlannerFleet fleet(mechanisms, make_policies);
+void KeepsItsRules(const PlannerMechanisms& mechanisms, PlannerFleet::PolicyMaker make_policies,
+                   const routing::FlowDigestMechanisms& digest_mechanisms = {}) {
+  PlannerFleet fleet(mechanisms, make_policies, digest_mechanisms);
   rc::state::check(NoModel(), fleet, [](const NoModel& /*model*/) {
     return rc::gen::exec([] {
       return std::shared_ptr<const rc::state::Command<NoModel, PlannerFleet>>(
@@ -212,6 +220,14 @@
                                     KeepsItsRules(mechanisms, routing::MakePlannerPolicies);
                                   });
 
+const RegisteredProof mutant_digest("without_repeating_unanswered_flows",
+                                    ProofKind::kMutantIsCaught, [] {
+                                      routing::FlowDigestMechanisms mechanisms;
+                                      mechanisms.repeat_unanswered = false;
+                                      KeepsItsRules(PlannerMechanisms(),
+                                                    routing::MakePlannerPolicies, mechanisms);
+                                    });
+
 const RegisteredProof mutant_careless("careless_of_chains", ProofKind::kMutantIsCaught, [] {
   KeepsItsRules(PlannerMechanisms(), WithAssignment<CarelessAssignment>);
 });
--- a/tools/lab/src/planner_host.cpp
+++ b/tools/lab/src/planner_host.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gaugevalve/control/node_view.h"
+#include "gaugevalve/control/planner_host.h"
 #include "gaugevalve/routing/table_codec.h"
 
 namespace gaugevalve::lab {
@@ -308,6 +309,7 @@
     return;
   }
   agent.core->Tick(world_.Now());
+  agent.reporter.SetPlanner(base::NodeId(balancer_ + 1));
   agent.reporter.Update(Measure(agent));
   const std::optional<control::NumberedReport> numbered = agent.reporter.Tick(world_.Now());
   if (!numbered) {
@@ -348,11 +350,13 @@
   }
   balancer.control.Add(sent.bytes);
   const routing::AgentReport& report = sent.numbered.report;
-  if (!routing::ServicePlanner::MayAnswer(planner_->TakeReport(report, world_.Now()))) {
+  const routing::ReportOutcome outcome = planner_->TakeReport(report, world_.Now());
+  if (!routing::ServicePlanner::MayAnswer(outcome)) {
     return;
   }
   planner_->NoteAnswered(report.node, report.incarnation, world_.Now());
-  const control::ReportAnswer answer{sent.numbered.sequence, planner_->Table().version};
+  const control::ReportAnswer answer{sent.numbered.sequence, planner_->Table().version,
+                                     control::FlowsOutcomeOf(outcome)};
   balancer.control.Add(control::EncodeAnswer(answer).size());
   const std::size_t index = sent.agent;
   world_.Schedule(world_.Latency(balancer.zone, world_.agents[index]->zone),
