--- a/tools/lab/src/main.cpp
+++ b/tools/lab/src/main.cpp
@@ -25,6 +25,7 @@
 #include "absl/flags/usage.h"
 #include "experiment.h"
 #include "gaugevalve/routing/movement.h"
+#include "linear_fit.h"
 #include "planner_cost.h"
 #include "report_writer.h"
 #include "scenario_reader.h"
@@ -103,18 +104,73 @@
   }
 }
 
-void PrintCapacity() {
+struct MeasuredSize {
+  PlannerSize size;
+  PlannerCost cost;
+};
+
+void PrintCosts(const std::vector<MeasuredSize>& measured) {
   std::cout << "| agents | buckets | report, us | quiet step, us | step of a leave, us |"
-               " table, bytes | report, bytes | delta of a leave, bytes |\n"
-               "|---|---|---|---|---|---|---|---|\n"
+               " table, bytes | whole report, bytes | report, bytes | answer, bytes |"
+               " delta of a leave, bytes |\n|---|---|---|---|---|---|---|---|---|---|\n"
             << std::fixed << std::setprecision(1);
-  for (const PlannerSize size : {PlannerSize{3, 256}, {7, 256}, {20, 256}, {3, 64}, {3, 1024}}) {
-    const PlannerCost cost = MeasurePlanner(size);
+  for (const auto& [size, cost] : measured) {
     std::cout << "| " << size.agents << " | " << size.buckets << " | " << cost.report_microseconds
               << " | " << cost.quiet_step_microseconds << " | " << cost.leave_step_microseconds
-              << " | " << cost.table_bytes << " | " << cost.report_bytes << " | "
-              << cost.delta_bytes << " |\n";
+              << " | " << cost.table_bytes << " | " << cost.whole_report_bytes << " | "
+              << cost.report_bytes << " | " << cost.answer_bytes << " | " << cost.delta_bytes
+              << " |\n";
+  }
+}
+
+// Prints the line through one cost over the agents or the buckets of the sizes.
+template <class Size, class Cost>
+void PrintFit(std::string_view what, std::string_view over,
+              const std::vector<MeasuredSize>& measured, const Size& size_of, const Cost& cost_of) {
+  std::vector<FitPoint> points;
+  points.reserve(measured.size());
+  for (const auto& [size, cost] : measured) {
+    points.push_back({static_cast<double>(size_of(size)), cost_of(cost)});
+  }
+  const LinearFit fit = FitLine(points);
+  constexpr double kPercent = 100.0;
+  std::cout << "| " << what << " | " << over << " | " << points.size() << " | " << fit.offset
+            << " | " << fit.slope << " | " << fit.error * kPercent << " % |\n";
+}
+
+template <class Size>
+void PrintFits(std::string_view over, const std::vector<MeasuredSize>& measured,
+               const Size& size_of) {
+  const auto fit = [&](std::string_view what, const auto& cost_of) {
+    PrintFit(what, over, measured, size_of, cost_of);
+  };
+  fit("report, us", [](const PlannerCost& cost) { return cost.report_microseconds; });
+  fit("quiet step, us", [](const PlannerCost& cost) { return cost.quiet_step_microseconds; });
+  fit("step of a leave, us", [](const PlannerCost& cost) { return cost.leave_step_microseconds; });
+  fit("table, bytes",
+      [](const PlannerCost& cost) { return static_cast<double>(cost.table_bytes); });
+  fit("report, bytes", [](const PlannerCost& cost) { return cost.report_bytes; });
+}
+
+std::vector<MeasuredSize> Measure(const std::vector<PlannerSize>& sizes) {
+  std::vector<MeasuredSize> measured;
+  measured.reserve(sizes.size());
+  for (const PlannerSize& size : sizes) {
+    measured.push_back({size, MeasurePlanner(size)});
   }
+  return measured;
+}
+
+void PrintCapacity() {
+  const std::vector<MeasuredSize> by_agents = Measure({{3, 256}, {4, 256}, {7, 256}, {20, 256}});
+  const std::vector<MeasuredSize> by_buckets = Measure({{3, 64}, {3, 256}, {3, 1024}});
+  PrintCosts(by_agents);
+  std::cout << "\n";
+  PrintCosts(by_buckets);
+  std::cout << "\n| cost | over | sizes | offset | slope | error |\n|---|---|---|---|---|---|\n"
+            << std::setprecision(3);
+  PrintFits("agents, 256 buckets", by_agents, [](const PlannerSize& size) { return size.agents; });
+  PrintFits("buckets, 3 agents", by_buckets, [](const PlannerSize& size) { return size.buckets; });
 }
 
 int Main(const std::vector<char*>& arguments) {
--- a/tools/lab/src/planner_cost.h
+++ b/tools/lab/src/planner_cost.h
@@ -17,7 +17,9 @@
   double quiet_step_microseconds = 0.0;  // a step that changes nothing
   double leave_step_microseconds = 0.0;  // a step in which one agent leaves with all its buckets
   std::size_t table_bytes = 0;           // the whole table, encoded
-  std::size_t report_bytes = 0;          // a report with flows in each bucket that the agent owns
+  std::size_t whole_report_bytes = 0;    // a report with flows in each bucket that the agent owns
+  double report_bytes = 0.0;             // mean of the reports that tell of changes, a second apart
+  std::size_t answer_bytes = 0;          // of the planner to each of them
   std::size_t delta_bytes = 0;           // of such a step
 };
 
