--- a/tools/gaugevalvectl/src/admin_fetcher.cpp
+++ b/tools/gaugevalvectl/src/admin_fetcher.cpp
@@ -58,7 +58,7 @@
     evhttp_add_header(headers, "Connection", "close");
     // The connection owns the request from here on, also when this fails.
     if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) {
-      answer_.words = "could not be asked";
+      answer_.error = "could not be asked";
     }
   }
 
@@ -66,7 +66,7 @@
   static void OnDone(evhttp_request* request, void* self) {
     AdminAnswer& answer = static_cast<OneFetch*>(self)->answer_;
     if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-      answer.words = "does not answer";
+      answer.error = "does not answer";
       return;
     }
     answer.status = evhttp_request_get_response_code(request);
--- a/tools/gaugevalvectl/src/admin_fetcher.h
+++ b/tools/gaugevalvectl/src/admin_fetcher.h
@@ -14,7 +14,7 @@
   base::SocketAddress address;
   int status = 0;     // HTTP status; 0 when there was no answer
   std::string body;   // of an answer
-  std::string words;  // why there is none
+  std::string error;  // why there is none
 };
 
 // GETs a path from admin ports over HTTP/1.1 (libevent), at most kConcurrency at a time, each
--- a/tools/gaugevalvectl/src/command_table.cpp
+++ b/tools/gaugevalvectl/src/command_table.cpp
@@ -127,7 +127,7 @@
     context.err << error.what();
     return ExitCode::kFindings;
   } catch (const StoreAwayError& error) {
-    context.err << error.what() << "\n";  // the words say that nothing was changed
+    context.err << error.what() << "\n";  // it ends by saying that nothing was changed
     return ExitCode::kStoreAway;
   } catch (const std::exception& error) {
     context.err << error.what() << "\n";
--- a/tools/gaugevalvectl/src/deployment_status.h
+++ b/tools/gaugevalvectl/src/deployment_status.h
@@ -10,8 +10,8 @@
 
 // A node that was asked and gave no usable status.
 struct SilentNode {
-  std::string name;  // node name, or address when the name isn't known
-  std::string words;
+  std::string name;    // node name, or address when the name isn't known
+  std::string reason;  // why there is none
 };
 
 // What is known of a deployment. A plain value.
--- a/tools/gaugevalvectl/src/edit_command.cpp
+++ b/tools/gaugevalvectl/src/edit_command.cpp
@@ -52,7 +52,7 @@
 std::string DescribeUndecided(const EditReport& report) {
   const std::string revision = std::to_string(report.planned_revision.value());
   return "The store's answer was lost and it did not say in time what became of the edit: " +
-         report.store_words + "\nThe edit can only be revision " + revision +
+         report.store_error + "\nThe edit can only be revision " + revision +
          ". Once the store answers, `gaugevalvectl tree history` tells: if revision " + revision +
          " has the edit id " + report.edit_id +
          ", it was applied; if it has another, it was not and never will be.\n"
--- a/tools/gaugevalvectl/src/edit_runner.cpp
+++ b/tools/gaugevalvectl/src/edit_runner.cpp
@@ -25,7 +25,7 @@
       return std::move(reply.entries);
     }
   }
-  throw StoreAwayError("the store can't be read: " + reply.words);
+  throw StoreAwayError("the store can't be read: " + reply.error);
 }
 
 settings::StoredTree EditRunner::ReadTree() {
@@ -79,7 +79,7 @@
       editor.OnAnswer(run.answer);
       break;
     }
-    report.store_words = run.words;
+    report.store_error = run.error;
     if (run.outcome == StoreOutcome::kUnknown) {
       editor.OnAnswerLost();
     }
@@ -92,7 +92,7 @@
   }
   report.outcome = editor.Outcome();
   if (report.outcome.status == EditStatus::kPending) {
-    throw StoreAwayError("the store can't be written: " + report.store_words);
+    throw StoreAwayError("the store can't be written: " + report.store_error);
   }
   return report;
 }
--- a/tools/gaugevalvectl/src/edit_runner.h
+++ b/tools/gaugevalvectl/src/edit_runner.h
@@ -23,7 +23,7 @@
   std::vector<settings::TreeChange> changes;
   base::Revision planned_revision;  // that the edit would make
   std::string edit_id;
-  std::string store_words;  // the store client's last complaint, if any
+  std::string store_error;  // the store client's last message, if any
 };
 
 // Reads the tree and makes edits within a time limit. Not thread-safe.
--- a/tools/gaugevalvectl/src/node_commands.cpp
+++ b/tools/gaugevalvectl/src/node_commands.cpp
@@ -68,9 +68,9 @@
  private:
   void Take(const AdminAnswer& answer, const std::string& name) {
     if (answer.status != kHttpOk) {
-      const std::string words =
-          answer.status == 0 ? answer.words : "answers " + std::to_string(answer.status);
-      status_.silent.push_back({name, words});
+      const std::string reason =
+          answer.status == 0 ? answer.error : "answers " + std::to_string(answer.status);
+      status_.silent.push_back({name, reason});
       return;
     }
     try {
@@ -103,7 +103,7 @@
     text += node.refused_because.empty() ? "" : "  refused: " + node.refused_because;
   }
   for (const SilentNode& node : status.silent) {
-    text += Pad(node.name, kNameWidth) + node.words + "\n";
+    text += Pad(node.name, kNameWidth) + node.reason + "\n";
   }
   for (const std::string& name : status.Lagging()) {
     text += "behind: " + name + "\n";
@@ -131,7 +131,7 @@
   }
   json["silent"] = nlohmann::ordered_json::array();
   for (const SilentNode& node : status.silent) {
-    json["silent"].push_back({{"node", node.name}, {"words", node.words}});
+    json["silent"].push_back({{"node", node.name}, {"reason", node.reason}});
   }
   return json;
 }
@@ -178,8 +178,8 @@
       continue;
     }
     was_refused = was_refused || answer.status != 0;
-    const std::string words = answer.status == 0 ? answer.words + "\n" : answer.body;
-    context.err << node << ": " << words;
+    const std::string text = answer.status == 0 ? answer.error + "\n" : answer.body;
+    context.err << node << ": " << text;
   }
   if (was_explained) {
     return ExitCode::kOk;
--- a/tools/gaugevalvectl/src/settings_store.h
+++ b/tools/gaugevalvectl/src/settings_store.h
@@ -26,14 +26,14 @@
 // The answer to a read.
 struct ReadReply {
   StoreOutcome outcome = StoreOutcome::kNotApplied;
-  std::string words;  // what went wrong, and what is certain of the store; empty when ok
+  std::string error;  // what went wrong, and what is certain of the store; empty when ok
   std::vector<settings::StoredEntry> entries;
 };
 
 // The answer to a transaction.
 struct RunReply {
   StoreOutcome outcome = StoreOutcome::kNotApplied;
-  std::string words;  // as in ReadReply
+  std::string error;  // as in ReadReply
   settings::StoreTransactionAnswer answer;
 };
 
--- a/tools/gaugevalvectl/tests/node_commands_test.cpp
+++ b/tools/gaugevalvectl/tests/node_commands_test.cpp
@@ -96,6 +96,9 @@
                          static_cast<int>(result.exit_code));
     CPPUNIT_ASSERT(result.out.find("192.0.2.9:1             does not answer\n") !=
                    std::string::npos);
+    options_.format = OutputFormat::kJson;
+    const nlohmann::json silent = nlohmann::json::parse(Run({"status"}).out)["silent"];
+    CPPUNIT_ASSERT_EQUAL(nlohmann::json("does not answer"), silent.at(0)["reason"]);
     loop_.Run([this] { first_.reset(); });
     CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::kNodeUnreachable),
                          static_cast<int>(Run({"status"}).exit_code));
