--- a/libs/dissemination/benchmarks/spread_benchmark.cpp
+++ b/libs/dissemination/benchmarks/spread_benchmark.cpp
@@ -33,6 +33,8 @@
 ABSL_FLAG(double, isolate_seconds, 0, "cut one balancer off for this long before the measurement");
 ABSL_FLAG(std::uint32_t, relays, 5, "peers told of each new record");
 ABSL_FLAG(std::uint32_t, eager_relays, 2, "of these, how many get its bytes at once");
+ABSL_FLAG(double, request_timeout, 0.4, "seconds until another peer is asked for a record");
+ABSL_FLAG(double, compare_interval, 0.6, "seconds between a balancer's comparisons");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the run");
 
 namespace gaugevalve::dissemination {
@@ -235,6 +237,8 @@
     options.interest = InterestOf(node);
     options.relays = absl::GetFlag(FLAGS_relays);
     options.eager_relays = absl::GetFlag(FLAGS_eager_relays);
+    options.request_timeout = Seconds(absl::GetFlag(FLAGS_request_timeout));
+    options.compare_interval = Seconds(absl::GetFlag(FLAGS_compare_interval));
     auto life = std::make_unique<HollowNode>(options, tracker_);
     nodes_.push_back(life.get());
     const simulation::ZoneIndex zone(static_cast<std::uint16_t>(node % zones.size()));
--- a/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
+++ b/libs/dissemination/include/gaugevalve/dissemination/dissemination_core.h
@@ -3,7 +3,8 @@
 // - A new record goes at once to a few random peers: one gets its bytes, the others only its stamp,
 //   and ask for the bytes if they need them. Each node that learns of it does the same, once, so
 //   it is nearly everywhere after about log(n) rounds at a cost per node that doesn't grow with n.
-// - Whatever that missed is found by comparing a tree of digests with one random peer a second; two
+// - Whatever that missed is found by comparing a tree of digests with a random peer now and then;
+// two
 //   nodes with the same records find that out with a few dozen bytes.
 // - A small change travels as a patch on the version before; a node without that version asks for
 //   the whole, or for the steps it lacks.
@@ -64,11 +65,11 @@
   std::size_t page_bytes = 32768;
   std::size_t read_streams = 4;
   base::Duration batch_delay = std::chrono::milliseconds(20);
-  base::Duration compare_interval = std::chrono::seconds(1);
+  base::Duration compare_interval = std::chrono::milliseconds(600);
   base::Duration narrow_compare_interval = std::chrono::seconds(3);
   // A record that was asked for is awaited this long, then another peer is asked; a peer that can't
   // answer in this time doesn't answer at all.
-  base::Duration request_timeout = std::chrono::seconds(1);
+  base::Duration request_timeout = std::chrono::milliseconds(400);
   base::Duration page_timeout = std::chrono::seconds(2);
   RecordStoreLimits limits;
   InjectedFaults faults;
--- a/libs/dissemination/src/dissemination_repair.cpp
+++ b/libs/dissemination/src/dissemination_repair.cpp
@@ -55,8 +55,11 @@
 }  // namespace
 
 void DisseminationCore::CompareWithRandomPeer(base::TimePoint now, Actions& actions) {
-  const base::Duration interval =
+  answers_.budget.Refill(now);
+  const base::Duration usual =
       options_.interest.everything ? options_.compare_interval : options_.narrow_compare_interval;
+  // Comparisons aren't held back by the budget, but go on at half the rate while it is overdrawn.
+  const base::Duration interval = answers_.budget.HasTokens() ? usual : 2 * usual;
   next_comparison_ = now + interval / 2 + random_->NextJitter(interval);
   const base::NodeId peer = peers_.ChooseFullPeer();
   if (peer != base::NodeId()) {
