--- a/tools/lab/src/request_runner.cpp
+++ b/tools/lab/src/request_runner.cpp
@@ -5,9 +5,6 @@
 namespace gaugevalve::lab {
 namespace {
 
-// Load from which an agent asks others.
-constexpr double kHandOverLoad = 0.5;
-
 constexpr std::size_t kAskedAgents = 2;
 
 }  // namespace
@@ -32,9 +29,10 @@
     RunAtLeastLoaded(agent, service_time);
     return;
   }
-  const bool may_hand_over = world_.policy == Policy::kGaugevalve && world_.mechanisms.hand_over &&
-                             world_.scenario.services[agent.service].hand_over;
-  const bool wants_to = agent.draining || LoadOf(agent) >= kHandOverLoad;
+  const ServiceScenario& settings = world_.scenario.services[agent.service];
+  const bool may_hand_over =
+      world_.policy == Policy::kGaugevalve && world_.mechanisms.hand_over && settings.hand_over;
+  const bool wants_to = agent.draining || LoadOf(agent) >= settings.hand_over_load;
   if (may_hand_over && wants_to) {
     HandOver(agent, service_time);
   } else {
--- a/tools/lab/src/scenario.h
+++ b/tools/lab/src/scenario.h
@@ -44,7 +44,8 @@
   // How much flows differ: a flow's rate is the mean times (1 - spread + spread * Exp(1)).
   double rate_spread = 0.0;
   base::Duration mean_service_time = std::chrono::milliseconds(100);
-  bool hand_over = false;  // agents may run requests at each other's endpoints
+  bool hand_over = false;       // agents may run requests at each other's endpoints
+  double hand_over_load = 0.3;  // part of its slots in use from which an agent asks others
   // A freshly started endpoint is slower by this factor, falling to 1 over the cold time.
   double cold_slowdown = 1.0;
   base::Duration cold_time = std::chrono::seconds(30);
--- a/tools/lab/src/scenario_reader.cpp
+++ b/tools/lab/src/scenario_reader.cpp
@@ -127,6 +127,7 @@
     map.Read("rate_spread", service.rate_spread);
     map.Read("mean_service_time", service.mean_service_time);
     map.Read("hand_over", service.hand_over);
+    map.Read("hand_over_load", service.hand_over_load);
     map.Read("cold_slowdown", service.cold_slowdown);
     map.Read("cold_time", service.cold_time);
     ReadPlanner(map.Child("planner"), path + ".planner", service.planner);
