--- a/tools/lab/src/planner_cost.cpp
+++ b/tools/lab/src/planner_cost.cpp
@@ -117,6 +117,7 @@
   PlannerCost cost;
   cost.table_bytes = routing::EncodeTable(planner.Table()).size();
   std::vector<ReportingAgent> reporters;
+  reporters.reserve(agents.size());
   for (const routing::AgentStatus& agent : agents) {
     reporters.emplace_back(planner.Table(), agent, reporters.size() + 1);
   }
