--- a/scripts/local/experiments/overload.py
+++ b/scripts/local/experiments/overload.py
@@ -50,7 +50,8 @@
         rows += [_row(variant, load, report, reports[0])
                  for load, report in zip(_LOADS, reports)]
     names = ("variant", "load", "due/s", "goodput/s", "of that at 1.0", "refused/s",
-             "refusal median ms", "refusal p99 ms", "answer p99 ms", "late/s", "unknown", "unsent")
+             "refusal median ms", "refusal p99 ms", "answer p99 ms", "late/s", "unknown", "unsent",
+             "answers/s by endpoint")
     return format_table(names, rows)
 
 
@@ -73,4 +74,6 @@
             report["refusals"]["median_us"] / 1000, report["refusals"]["p99_us"] / 1000,
             report["answers"]["p99_us"] / 1000,
             (report["answered"] - report["in_time"]) / seconds, report["unknown"],
-            report["unsent"])
+            report["unsent"],
+            ", ".join(f"{count / seconds:.0f}"
+                      for count in sorted(report["answers_by_endpoint"].values())))
--- a/tools/callers/src/caller.h
+++ b/tools/callers/src/caller.h
@@ -36,6 +36,10 @@
 
   // Hears that an attempt got no answer within the caller's patience.
   virtual void OnGivenUp() = 0;
+
+  // Closes the connection for good and tells the other side, where the protocol can. What is in
+  // progress gets no outcome any more.
+  virtual void Close() = 0;
 };
 
 }  // namespace gaugevalve::callers
--- a/tools/callers/src/callers_report.cpp
+++ b/tools/callers/src/callers_report.cpp
@@ -30,6 +30,7 @@
           {"due", due},
           {"unsent", unsent},
           {"in_time", in_time},
+          {"answers_by_endpoint", answers_by_endpoint},
           {"answered", first.Count(CallerOutcome::kAnswered)},
           {"not_run", first.Count(CallerOutcome::kNotRun)},
           {"unknown", first.Count(CallerOutcome::kUnknown)},
--- a/tools/callers/src/callers_run.cpp
+++ b/tools/callers/src/callers_run.cpp
@@ -143,6 +143,7 @@
   if (answer.outcome == CallerOutcome::kAnswered) {
     report_.first.latencies.Add(latency);
     report_.in_time += latency <= settings_.deadline ? 1 : 0;
+    ++report_.answers_by_endpoint[answer.endpoint];
   } else if (answer.outcome == CallerOutcome::kNotRun) {
     report_.refusals.Add(latency);
   }
@@ -205,6 +206,9 @@
       report_.keys[reservation.Verdict()].push_back(reservation.Key());
     }
   }
+  for (const auto& caller : callers_) {
+    caller->Close();  // or agents would count the connections until they are idle
+  }
   event_base_loopbreak(loop_);
 }
 
--- a/tools/callers/src/http1_caller.h
+++ b/tools/callers/src/http1_caller.h
@@ -19,6 +19,7 @@
   bool IsReady() const override { return !exchange_.IsBusy(); }
   bool Send(const AttemptRequest& request, Done done) override;
   void OnGivenUp() override {}
+  void Close() override { exchange_.Cancel(); }
 
  private:
   // http_client::HttpExchangeObserver
--- a/tools/callers/src/http3_caller.cpp
+++ b/tools/callers/src/http3_caller.cpp
@@ -65,6 +65,14 @@
                                                                   std::move(check));
 }
 
+void Http3Caller::Close() {
+  for (Connection* const connection : {connection_.get(), former_.get()}) {
+    if (connection != nullptr && !connection->client->Client().IsClosed()) {
+      connection->client->Close();
+    }
+  }
+}
+
 void Http3Caller::Connect(base::TimePoint now) {
   former_ = std::move(connection_);
   given_up_in_a_row_ = 0;
--- a/tools/callers/src/http3_caller.h
+++ b/tools/callers/src/http3_caller.h
@@ -27,6 +27,7 @@
   bool IsReady() const override;
   bool Send(const AttemptRequest& request, Done done) override;
   void OnGivenUp() override { ++given_up_in_a_row_; }
+  void Close() override;
 
  private:
   // A connection and what was heard of its end.
