--- a/scripts/local/load.py
+++ b/scripts/local/load.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadSettings:
-    """How much load, and for how long. Rates are for each service."""
+    """How much load, and for how long. Rates are for each service; by default for all of them."""
 
     seconds: float = 10.0
     flows_per_second: float = 50.0
@@ -23,6 +23,8 @@
     silence_seconds: float = 5.0
     output: str = "json"
     seed: int = 1
+    drawing_share: float = 0.2
+    services: tuple[str, ...] = ()
 
 
 class LoadRun:
@@ -32,9 +34,11 @@
         self.settings = settings
         layout = deployment.layout
         services = ",".join(f"{service}={address}"
-                            for service, address in layout.virtual_addresses.items())
+                            for service, address in layout.virtual_addresses.items()
+                            if service in settings.services or not settings.services)
         expected = ",".join(f"{service.name}={service.endpoints}"
-                            for service in layout.spec.services)
+                            for service in layout.spec.services
+                            if service.name in settings.services or not settings.services)
         self._process: ManagedProcess = deployment.run_beside(
             f"load-{settings.seed}", "gaugevalve-load",
             [f"--services={services}", f"--expected_endpoints={expected}",
@@ -42,7 +46,8 @@
              f"--flow_lifetime={settings.flow_lifetime_seconds}s",
              f"--request_interval={settings.request_interval_milliseconds}ms",
              f"--mode={'http3' if layout.spec.has_http3() else 'datagram'}",
-             f"--silence={settings.silence_seconds}s", f"--seed={settings.seed}", f"--output={settings.output}"])
+             f"--silence={settings.silence_seconds}s", f"--seed={settings.seed}",
+             f"--drawing_share={settings.drawing_share}", f"--output={settings.output}"])
 
     def is_running(self) -> bool:
         """Tells whether the run goes on."""
