--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -212,6 +212,34 @@
         self.let_traffic_pass(10_000)
         self.assert_nothing_broke()
 
+    def test_http3_endpoint_drained(self) -> None:
+        """Open connections stay at the drained endpoint's agent, their requests run elsewhere."""
+        endpoint = self.deployment.layout.endpoints[0]
+        path = f"{endpoint.service.name}/{endpoint.name}"
+        # Its callers may all have ended before the drain reaches the agent: then once more.
+        while not self._drain_and_see_hand_over(endpoint, path):
+            self.deployment.control("undrain", path)
+        self.addCleanup(self.wait_settled)
+        self.addCleanup(self.deployment.control, "undrain", path)
+        self.assert_nothing_broke()
+
+    def _drain_and_see_hand_over(self, endpoint: nodes.Endpoint, path: str) -> bool:
+        """Drains an endpoint that has callers; tells whether one of them was answered elsewhere."""
+        polling.wait_until(lambda: self._open_flows(endpoint) >= 4, "the endpoint has callers")
+        before = self._hand_overs_answered(endpoint)
+        self.deployment.control("drain", path)
+        polling.wait_until(lambda: self._hand_overs_answered(endpoint) > before
+                           or self._open_flows(endpoint) == 0,
+                           "a drained endpoint's request is answered elsewhere, or none came")
+        return self._hand_overs_answered(endpoint) > before
+
+    def _open_flows(self, endpoint: nodes.Endpoint) -> int:
+        return admin.read_metric(endpoint.agent.admin_address, "gaugevalve_agent_open_flows")
+
+    def _hand_overs_answered(self, endpoint: nodes.Endpoint) -> int:
+        return admin.read_metric(endpoint.agent.admin_address,
+                                 'gaugevalve_agent_hand_overs_ended_total{reason="answered"}')
+
 
 class RollingReplacement(Http3ScenarioTest):
     """Everything is drained and replaced, one after the other: no board ends, no request is cut."""
--- a/scripts/local/admin.py
+++ b/scripts/local/admin.py
@@ -33,6 +33,15 @@
     return json.loads(request_text(address, path, body))
 
 
+def read_metric(address: str, series: str) -> int:
+    """Returns the value of one series, as 'name{label="value"}'; 0 where there is none."""
+    for line in request_text(address, "/metrics").splitlines():
+        name, _, value = line.rpartition(" ")
+        if name == series:
+            return int(float(value))
+    return 0
+
+
 def is_ready(address: str) -> bool:
     """Tells whether the process says that it can take traffic."""
     try:
