--- a/libs/control/include/gaugevalve/control/agent_reporter.h
+++ b/libs/control/include/gaugevalve/control/agent_reporter.h
@@ -29,7 +29,7 @@
   // Takes the newest measures; the reporter sends the latest only.
   void Update(const routing::AgentReport& report) { latest_ = report; }
 
-  // Notes who takes the reports: another planner is told of all flows.
+  // Notes who takes the reports: another planner is told of all flows, at the next fast interval.
   void SetPlanner(base::NodeId planner);
 
   // Returns a report when one is due.
--- a/libs/control/include/gaugevalve/control/planner_host.h
+++ b/libs/control/include/gaugevalve/control/planner_host.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "gaugevalve/base/identifiers.h"
@@ -26,7 +27,7 @@
 // How planners are run.
 struct PlannerHostOptions {
   // Reports and the newest table are collected for this long before a planner's first delta.
-  base::Duration collect_time = std::chrono::milliseconds(800);
+  base::Duration collect_time = std::chrono::milliseconds(400);
   // Table changes a second that the whole deployment may make for steering; each service gets its
   // share. Changes forced by agents that died, left or joined aren't held back.
   double table_changes_per_second = 2;
@@ -34,6 +35,12 @@
   std::size_t max_early_reports = 256;
 };
 
+// An answer to a report that came before the planner ran.
+struct LateAnswer {
+  base::NodeId agent;
+  ReportAnswer answer;
+};
+
 // What the planners look at. All of it belongs to the caller.
 struct PlanningContext {
   const Roster& roster;
@@ -79,6 +86,10 @@
   // Runs the planners that are due; returns the tables that changed.
   std::vector<routing::BucketTable> Tick(const PlanningContext& context, base::TimePoint now);
 
+  // Returns, once, the answers to reports that came while the planners started by Tick() collected.
+  // Without them agents would wait for an answer until their next report.
+  std::vector<LateAnswer> TakeLateAnswers() { return std::exchange(late_answers_, {}); }
+
   // Returns when Tick() is next due.
   base::TimePoint NextDeadline() const;
 
@@ -95,6 +106,13 @@
     std::map<base::NodeId, routing::AgentReport> early_reports;
   };
 
+  // A report as it was taken, to be answered.
+  struct TakenReport {
+    base::NodeId agent;
+    std::uint64_t sequence = 0;
+    routing::ReportOutcome outcome;
+  };
+
   // An agent that was declared dead lately: its table may not be too old yet to open flows.
   struct Failure {
     membership::Member agent;
@@ -103,8 +121,10 @@
 
   void StartCollecting(base::ServiceId service, const ElectedPlanner& elected, std::uint64_t epoch,
                        base::TimePoint now);
-  void StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
-                     const PlanningContext& context, base::TimePoint now);
+  // Returns the early reports that may be answered.
+  std::vector<TakenReport> StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
+                                         const PlanningContext& context, base::TimePoint now);
+  static std::vector<TakenReport> TakeEarlyReports(Hosted& hosted, base::TimePoint now);
   base::Duration StepInterval(std::size_t service_count) const;
   void AppendFailures(const settings::ServiceSettings& service, const MemberDirectory& directory,
                       base::TimePoint now, std::vector<routing::AgentStatus>& statuses) const;
@@ -112,6 +132,7 @@
   base::NodeId self_;
   PlannerHostOptions options_;
   std::map<base::ServiceId, Hosted> hosted_;
+  std::vector<LateAnswer> late_answers_;
   std::deque<Failure> failures_;  // of the last kDeadAgentHold, oldest first; at most one an agent
 };
 
--- a/libs/control/src/agent_reporter.cpp
+++ b/libs/control/src/agent_reporter.cpp
@@ -28,6 +28,7 @@
   if (planner != planner_) {
     planner_ = planner;
     digest_.Reset();
+    whole_is_wanted_ = true;  // it can't answer for a table before it has heard of the agents
   }
 }
 
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -475,6 +475,13 @@
     Publish(KeyOf(RecordKind::kTable, table.service), VersionOf(table.version),
             routing::EncodeTable(table), now, actions);
   }
+  for (const LateAnswer& late : planners_.TakeLateAnswers()) {
+    const membership::Member* agent = directory_.Find(late.agent);
+    if (agent != nullptr) {
+      actions.envelopes.push_back({agent->metadata->control_address,
+                                   transport::MessageKind::kControl, EncodeAnswer(late.answer)});
+    }
+  }
 }
 
 PlanningContext ControlNode::MakePlanningContext() const {
--- a/libs/control/src/planner_host.cpp
+++ b/libs/control/src/planner_host.cpp
@@ -185,20 +185,27 @@
     if (settings == nullptr) {
       continue;
     }
+    std::vector<TakenReport> early;
     if (hosted.planner == nullptr) {
-      StartPlanning(*settings, hosted, context, now);
+      early = StartPlanning(*settings, hosted, context, now);
     }
     if (hosted.planner->Step(now).has_value()) {
       changed.push_back(hosted.planner->Table());
     }
+    for (const TakenReport& report : early) {
+      late_answers_.push_back(
+          {report.agent,
+           {report.sequence, hosted.planner->Table().version, FlowsOutcomeOf(report.outcome)}});
+    }
     const base::TimePoint regular = now + kShortestStep;
     hosted.next_step = std::min(regular, hosted.planner->NextRelease().value_or(regular));
   }
   return changed;
 }
 
-void PlannerHost::StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
-                                const PlanningContext& context, base::TimePoint now) {
+std::vector<PlannerHost::TakenReport> PlannerHost::StartPlanning(
+    const settings::ServiceSettings& service, Hosted& hosted, const PlanningContext& context,
+    base::TimePoint now) {
   std::optional<routing::BucketTable> newest = context.newest_table(service.id);
   const routing::TableVersion version =
       newest.has_value() ? newest->version : routing::TableVersion{};
@@ -217,10 +224,20 @@
   std::vector<routing::AgentStatus> statuses = StatusesOf(service, context.directory);
   AppendFailures(service, context.directory, now, statuses);
   hosted.planner->SetAgents(std::move(statuses), now);
-  for (const auto& [node, report] : hosted.early_reports) {
-    hosted.planner->TakeReport(report, now);
+  return TakeEarlyReports(hosted, now);
+}
+
+std::vector<PlannerHost::TakenReport> PlannerHost::TakeEarlyReports(Hosted& hosted,
+                                                                    base::TimePoint now) {
+  std::vector<TakenReport> taken;
+  for (const auto& [node, report] : std::exchange(hosted.early_reports, {})) {
+    const routing::ReportOutcome outcome = hosted.planner->TakeReport(report, now);
+    if (routing::ServicePlanner::MayAnswer(outcome)) {
+      hosted.planner->NoteAnswered(report.node, report.incarnation, now);
+      taken.push_back({node, report.sequence, outcome});
+    }
   }
-  hosted.early_reports.clear();
+  return taken;
 }
 
 base::Duration PlannerHost::StepInterval(std::size_t service_count) const {
--- a/libs/control/tests/control_node_test.cpp
+++ b/libs/control/tests/control_node_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "gaugevalve/control_simulation/hollow_deployment.h"
+#include "gaugevalve/routing/freshness.h"
 
 namespace gaugevalve::control {
 namespace {
@@ -60,6 +61,7 @@
   CPPUNIT_TEST(AgentsGetTheirServiceAndConfirmation);
   CPPUNIT_TEST(DeadAgentLosesItsBuckets);
   CPPUNIT_TEST(AnotherPlannerTakesOver);
+  CPPUNIT_TEST(AgentsAreConfirmedSoonAfterTheirPlannersDeath);
   CPPUNIT_TEST(JoinsWhileTheStoreIsAway);
   CPPUNIT_TEST(RegionsSplitAndHeal);
   CPPUNIT_TEST(OlderReleaseIsCountedBeforeItIsInService);
@@ -149,10 +151,7 @@
     deployment.simulator.RunFor(std::chrono::seconds(30));  // the roster is out, planners run
     const base::ServiceId service = base::MakeServiceId(HollowDeployment::ServiceName(0));
     const std::optional<ElectedPlanner> first = deployment.nodes.Life(0).Core().PlannerOf(service);
-    std::size_t planner = 0;
-    while (base::MakeNodeId(deployment.nodes.Life(planner).Core().Options().name) != first->node) {
-      ++planner;
-    }
+    const std::size_t planner = BalancerNamed(deployment, first->node);
     const std::size_t other = (planner + 1) % deployment.nodes.BalancerCount();
     const routing::TableVersion before =
         deployment.nodes.Life(other).Core().TableOf(service)->version;
@@ -167,6 +166,51 @@
     CPPUNIT_ASSERT(deployment.RunUntilOneTable());
   }
 
+  // How long agents of a service go without a confirmation when their planner is killed, at worst
+  // over several deployments. They open no flow once it is older than routing::kFreshnessLimit.
+  void AgentsAreConfirmedSoonAfterTheirPlannersDeath() {
+    constexpr std::uint64_t kDeployments = 10;
+    constexpr auto kStep = std::chrono::milliseconds(50);
+    constexpr auto kObserved = std::chrono::seconds(10);
+    base::Duration longest{};
+    for (std::uint64_t seed = 1; seed <= kDeployments; ++seed) {
+      Deployment deployment(seed);
+      deployment.simulator.RunFor(std::chrono::seconds(30));
+      KillPlannerOfFirstService(deployment);
+      for (base::Duration passed{}; passed < kObserved; passed += kStep) {
+        deployment.simulator.RunFor(kStep);
+        longest = std::max(longest, LongestUnconfirmed(deployment));
+      }
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(longest / std::chrono::milliseconds(1)),
+                           longest <= routing::kFreshnessLimit);
+  }
+
+  static void KillPlannerOfFirstService(Deployment& deployment) {
+    const base::ServiceId service = base::MakeServiceId(HollowDeployment::ServiceName(0));
+    const std::optional<ElectedPlanner> elected =
+        deployment.nodes.Life(0).Core().PlannerOf(service);
+    deployment.nodes.Kill(BalancerNamed(deployment, elected->node));
+  }
+
+  static std::size_t BalancerNamed(const Deployment& deployment, base::NodeId node) {
+    std::size_t index = 0;
+    while (base::MakeNodeId(deployment.nodes.Life(index).Core().Options().name) != node) {
+      ++index;
+    }
+    return index;
+  }
+
+  static base::Duration LongestUnconfirmed(const Deployment& deployment) {
+    base::Duration longest{};
+    for (std::size_t node = deployment.nodes.BalancerCount(); node < deployment.nodes.Size();
+         ++node) {
+      const NodeView& view = *deployment.nodes.Life(node).Core().View();
+      longest = std::max(longest, deployment.simulator.Now() - view.confirmed_at);
+    }
+    return longest;
+  }
+
   void JoinsWhileTheStoreIsAway() {
     Deployment deployment(6);
     CPPUNIT_ASSERT(deployment.RunUntilOneTable());
