--- a/tools/load/src/answer_checks.cpp
+++ b/tools/load/src/answer_checks.cpp
@@ -14,10 +14,6 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kLastSuccess = 299;
 
-// Names as they are on HTTP/3, in lower case (see standins/endpoint_headers.h).
-constexpr std::string_view kOutcomeField = "gaugevalve-outcome";
-constexpr std::string_view kEndpointField = "gaugevalve-endpoint";
-
 std::optional<std::uint64_t> ReadNumber(std::string_view text) {
   std::uint64_t number = 0;
   const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), number);
--- a/tools/load/src/answer_checks.h
+++ b/tools/load/src/answer_checks.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "gaugevalve/quic/response_handler.h"
@@ -12,6 +13,10 @@
 
 namespace gaugevalve::load {
 
+// Fields of answers, as they are named on HTTP/3, in lower case (see standins/endpoint_headers.h).
+inline constexpr std::string_view kOutcomeField = "gaugevalve-outcome";
+inline constexpr std::string_view kEndpointField = "gaugevalve-endpoint";
+
 // What a handler found when its request has ended.
 struct CheckedAnswer {
   CallerOutcome outcome = CallerOutcome::kUnknown;
--- a/tools/load/src/http3_flow.cpp
+++ b/tools/load/src/http3_flow.cpp
@@ -1,16 +1,17 @@
 #include "http3_flow.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
+#include "gaugevalve/standins/endpoint_headers.h"
 #include "reservation_key.h"
 
 namespace gaugevalve::load {
 namespace {
 
 constexpr std::uint64_t kDrawings = 1000;  // numbers asked for: 0 to 999
-constexpr std::string_view kEndpointField = "gaugevalve-endpoint";
 constexpr int kOk = 200;
 
 quic::Http3ClientOptions MakeOptions(const Http3FlowSettings& settings, const std::string& service,
@@ -22,6 +23,13 @@
   return options;
 }
 
+// Returns the wait of a Retry-After field in seconds (RFC 9110, section 10.2.3); 0 for any other.
+base::Duration ReadRetryAfter(std::string_view text) {
+  int seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::chrono::seconds(std::max(0, seconds));
+}
+
 }  // namespace
 
 // Hands the board's answer to the flow, which outlives it.
@@ -40,12 +48,13 @@
 
 Http3Flow::Http3Flow(event_base* loop, const base::Clock& clock, const Http3FlowSettings& settings,
                      std::string service, const base::SocketAddress& address, std::uint64_t number,
-                     base::TimePoint ends_at, base::RandomSource& random,
+                     std::uint32_t attempt, base::TimePoint ends_at, base::RandomSource& random,
                      Http3ServiceReport& report)
     : clock_(clock),
       settings_(settings),
       service_(std::move(service)),
       number_(number),
+      attempt_(attempt),
       ends_at_(ends_at),
       random_(random),
       report_(report),
@@ -150,8 +159,10 @@
 }
 
 void Http3Flow::OnBoardHead(const quic::ResponseHead& head) {
-  if (head.status != kOk) {
-    return;  // its end follows, and breaks the flow
+  if (head.status != kOk) {  // its end follows, and ends the flow
+    board_was_not_run_ = quic::FindField(head.fields, kOutcomeField) == standins::kOutcomeNotRun;
+    refusal_wait_ = ReadRetryAfter(quic::FindField(head.fields, "retry-after"));
+    return;
   }
   board_is_known_ = true;
   last_sign_of_life_ = clock_.Now();
@@ -163,7 +174,16 @@
   last_sign_of_life_ = clock_.Now();
 }
 
-void Http3Flow::OnBoardEnd() { Break(board_is_known_ ? "board_ended" : "board_refused"); }
+void Http3Flow::OnBoardEnd() {
+  if (board_was_not_run_ && !has_ended_ && attempt_ < settings_.board_attempts) {
+    board_retry_after_ = refusal_wait_;
+    ++report_.boards_not_run;
+    has_ended_ = true;
+    End();
+    return;
+  }
+  Break(board_is_known_ ? "board_ended" : "board_refused");
+}
 
 void Http3Flow::Finish() {
   has_ended_ = true;
--- a/tools/load/src/http3_flow.h
+++ b/tools/load/src/http3_flow.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "answer_checks.h"
@@ -22,19 +23,23 @@
   base::Duration request_interval{};  // from the end of a request to the next
   base::Duration silence{};           // without a sign of life, after which the flow is broken
   double drawing_share = 0;           // of requests that fetch a drawing; the others reserve
+  std::uint32_t board_attempts = 5;   // a board refused as "not run" so often breaks the flow
   quic::ClientCredentials credentials;
 };
 
 // Opens GET /board for its whole life and meanwhile sends, one at a time, POST /reservations, each
 // with an Idempotency-Key of its own, and GET /drawings/N. Breaks when the connection or the board
 // ends without its doing, or nothing comes for `silence`. After GOAWAY it sends no further request
-// and keeps the board. Driven by OnTick(); on the loop's thread.
+// and keeps the board. A board that is refused as "not run" ends the flow unbroken: as an agent
+// whose endpoint drains asks callers to, another flow tries again (BoardRetryAfter()), up to
+// `board_attempts` in all. Driven by OnTick(); on the loop's thread.
 class Http3Flow final : private quic::ClientEvents {
  public:
-  // `report`, `random`, `clock` and loop must outlive the flow.
+  // `attempt` counts from 1. `report`, `random`, `clock` and loop must outlive the flow.
   Http3Flow(event_base* loop, const base::Clock& clock, const Http3FlowSettings& settings,
             std::string service, const base::SocketAddress& address, std::uint64_t number,
-            base::TimePoint ends_at, base::RandomSource& random, Http3ServiceReport& report);
+            std::uint32_t attempt, base::TimePoint ends_at, base::RandomSource& random,
+            Http3ServiceReport& report);
 
   // Does what is due. To be called every few milliseconds.
   void OnTick();
@@ -45,6 +50,13 @@
   // Tells whether the flow has ended; it may then be destroyed, not from within its callbacks.
   bool HasEnded() const { return has_ended_; }
 
+  // Returns the wait that the refusal of the board asked for, when the flow ended by one and
+  // another is to try again.
+  std::optional<base::Duration> BoardRetryAfter() const { return board_retry_after_; }
+
+  std::uint32_t Attempt() const { return attempt_; }
+  base::TimePoint EndsAt() const { return ends_at_; }
+
  private:
   class BoardHandler;
 
@@ -70,6 +82,7 @@
   Http3FlowSettings settings_;
   std::string service_;
   std::uint64_t number_;
+  std::uint32_t attempt_;
   base::TimePoint ends_at_;
   base::RandomSource& random_;
   Http3ServiceReport& report_;
@@ -80,6 +93,9 @@
   bool request_in_progress_ = false;
   bool goaway_received_ = false;
   bool board_is_known_ = false;
+  bool board_was_not_run_ = false;
+  base::Duration refusal_wait_{};
+  std::optional<base::Duration> board_retry_after_;
   bool has_ended_ = false;
   std::uint64_t requests_ = 0;
   BoardReader board_;
--- a/tools/load/src/http3_report.cpp
+++ b/tools/load/src/http3_report.cpp
@@ -46,6 +46,7 @@
       {"flows_broken", service.BrokenFlows()},
       {"broken_by_cause", service.flows_broken},
       {"goaways", service.goaways},
+      {"boards_not_run", service.boards_not_run},
       {"board_events", service.board_events},
       {"board_gaps", service.board_gaps},
       {"boards_by_endpoint", service.boards_by_endpoint},
@@ -80,7 +81,8 @@
   for (const auto& [cause, count] : service.flows_broken) {
     out << "    broken by " << cause << ": " << count << "\n";
   }
-  out << "  boards: " << service.board_events << " events, " << service.board_gaps << " gaps\n";
+  out << "  boards: " << service.board_events << " events, " << service.board_gaps << " gaps, "
+      << service.boards_not_run << " not run and asked for again\n";
   AppendCounts(out, "reservations", service.reservations);
   AppendCounts(out, "drawings", service.drawings);
   out << "  imbalance (max/mean): flows "
--- a/tools/load/src/http3_report.h
+++ b/tools/load/src/http3_report.h
@@ -33,7 +33,8 @@
   std::uint64_t expected_endpoints = 0;  // 0: as many as answered
   std::uint64_t flows_opened = 0;
   std::uint64_t flows_finished = 0;
-  std::uint64_t goaways = 0;                          // connections asked to send no new requests
+  std::uint64_t goaways = 0;         // connections asked to send no new requests
+  std::uint64_t boards_not_run = 0;  // refused, and asked for again by another flow
   std::map<std::string, std::uint64_t> flows_broken;  // by cause
   std::uint64_t board_events = 0;
   std::uint64_t board_gaps = 0;                             // events that are missing in between
--- a/tools/load/src/http3_run.h
+++ b/tools/load/src/http3_run.h
@@ -43,7 +43,10 @@
   struct Service;
 
   void OnTick();
+  void RemoveEndedFlows(Service& service, base::TimePoint now);
+  void OpenRetries(Service& service, base::TimePoint now);
   void OpenDueFlows(Service& service, base::TimePoint now);
+  void OpenFlow(Service& service, std::uint32_t attempt, base::TimePoint ends_at);
 
   event_base* loop_;
   Http3RunSettings settings_;
