--- a/libs/control/include/gaugevalve/control/planner_host.h
+++ b/libs/control/include/gaugevalve/control/planner_host.h
@@ -106,13 +106,6 @@
     std::map<base::NodeId, routing::AgentReport> early_reports;
   };
 
-  // A report as it was taken, to be answered.
-  struct TakenReport {
-    base::NodeId agent;
-    std::uint64_t sequence = 0;
-    routing::ReportOutcome outcome;
-  };
-
   // An agent that was declared dead lately: its table may not be too old yet to open flows.
   struct Failure {
     membership::Member agent;
@@ -121,10 +114,14 @@
 
   void StartCollecting(base::ServiceId service, const ElectedPlanner& elected, std::uint64_t epoch,
                        base::TimePoint now);
-  // Returns the early reports that may be answered.
-  std::vector<TakenReport> StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
-                                         const PlanningContext& context, base::TimePoint now);
-  static std::vector<TakenReport> TakeEarlyReports(Hosted& hosted, base::TimePoint now);
+  void StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
+                     const PlanningContext& context, base::TimePoint now);
+  // Gives the report to the running planner; returns the answer where there may be one.
+  static std::optional<ReportAnswer> TakeAndAnswer(routing::ServicePlanner& planner,
+                                                   const routing::AgentReport& report,
+                                                   base::TimePoint now);
+  // Takes the reports that came while the planner collected; returns their answers.
+  static std::vector<LateAnswer> TakeEarlyReports(Hosted& hosted, base::TimePoint now);
   base::Duration StepInterval(std::size_t service_count) const;
   void AppendFailures(const settings::ServiceSettings& service, const MemberDirectory& directory,
                       base::TimePoint now, std::vector<routing::AgentStatus>& statuses) const;
--- a/libs/control/src/planner_host.cpp
+++ b/libs/control/src/planner_host.cpp
@@ -165,13 +165,18 @@
     }
     return std::nullopt;  // it knows no table yet that it could vouch for
   }
-  const routing::AgentReport& report = numbered.report;
-  const routing::ReportOutcome outcome = hosted.planner->TakeReport(report, now);
+  return TakeAndAnswer(*hosted.planner, numbered.report, now);
+}
+
+std::optional<ReportAnswer> PlannerHost::TakeAndAnswer(routing::ServicePlanner& planner,
+                                                       const routing::AgentReport& report,
+                                                       base::TimePoint now) {
+  const routing::ReportOutcome outcome = planner.TakeReport(report, now);
   if (!routing::ServicePlanner::MayAnswer(outcome)) {
     return std::nullopt;
   }
-  hosted.planner->NoteAnswered(report.node, report.incarnation, now);
-  return ReportAnswer{numbered.sequence, hosted.planner->Table().version, FlowsOutcomeOf(outcome)};
+  planner.NoteAnswered(report.node, report.incarnation, now);
+  return ReportAnswer{report.sequence, planner.Table().version, FlowsOutcomeOf(outcome)};
 }
 
 std::vector<routing::BucketTable> PlannerHost::Tick(const PlanningContext& context,
@@ -185,17 +190,16 @@
     if (settings == nullptr) {
       continue;
     }
-    std::vector<TakenReport> early;
     if (hosted.planner == nullptr) {
-      early = StartPlanning(*settings, hosted, context, now);
+      StartPlanning(*settings, hosted, context, now);
     }
+    std::vector<LateAnswer> late = TakeEarlyReports(hosted, now);
     if (hosted.planner->Step(now).has_value()) {
       changed.push_back(hosted.planner->Table());
     }
-    for (const TakenReport& report : early) {
-      late_answers_.push_back(
-          {report.agent,
-           {report.sequence, hosted.planner->Table().version, FlowsOutcomeOf(report.outcome)}});
+    for (LateAnswer& answer : late) {
+      answer.answer.table_version = hosted.planner->Table().version;  // of the table just published
+      late_answers_.push_back(answer);
     }
     const base::TimePoint regular = now + kShortestStep;
     hosted.next_step = std::min(regular, hosted.planner->NextRelease().value_or(regular));
@@ -203,9 +207,8 @@
   return changed;
 }
 
-std::vector<PlannerHost::TakenReport> PlannerHost::StartPlanning(
-    const settings::ServiceSettings& service, Hosted& hosted, const PlanningContext& context,
-    base::TimePoint now) {
+void PlannerHost::StartPlanning(const settings::ServiceSettings& service, Hosted& hosted,
+                                const PlanningContext& context, base::TimePoint now) {
   std::optional<routing::BucketTable> newest = context.newest_table(service.id);
   const routing::TableVersion version =
       newest.has_value() ? newest->version : routing::TableVersion{};
@@ -224,20 +227,17 @@
   std::vector<routing::AgentStatus> statuses = StatusesOf(service, context.directory);
   AppendFailures(service, context.directory, now, statuses);
   hosted.planner->SetAgents(std::move(statuses), now);
-  return TakeEarlyReports(hosted, now);
 }
 
-std::vector<PlannerHost::TakenReport> PlannerHost::TakeEarlyReports(Hosted& hosted,
-                                                                    base::TimePoint now) {
-  std::vector<TakenReport> taken;
+std::vector<LateAnswer> PlannerHost::TakeEarlyReports(Hosted& hosted, base::TimePoint now) {
+  std::vector<LateAnswer> answers;
   for (const auto& [node, report] : std::exchange(hosted.early_reports, {})) {
-    const routing::ReportOutcome outcome = hosted.planner->TakeReport(report, now);
-    if (routing::ServicePlanner::MayAnswer(outcome)) {
-      hosted.planner->NoteAnswered(report.node, report.incarnation, now);
-      taken.push_back({node, report.sequence, outcome});
+    const std::optional<ReportAnswer> answer = TakeAndAnswer(*hosted.planner, report, now);
+    if (answer.has_value()) {
+      answers.push_back({node, *answer});
     }
   }
-  return taken;
+  return answers;
 }
 
 base::Duration PlannerHost::StepInterval(std::size_t service_count) const {
