--- a/daemons/agent/src/agent_output.cpp
+++ b/daemons/agent/src/agent_output.cpp
@@ -7,11 +7,6 @@
 
 constexpr std::size_t kBatchSize = 64;
 
-prometheus::Counter& MakeCounter(prometheus::Registry& registry, const std::string& name,
-                                 const std::string& help) {
-  return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-}
-
 }  // namespace
 
 AgentOutput::AgentOutput(int descriptor, const base::SocketAddress& egress_address,
@@ -19,12 +14,12 @@
     : descriptor_(descriptor),
       egress_address_(egress_address),
       batch_(kBatchSize),
-      answers_(MakeCounter(registry, "gaugevalve_agent_answers_total",
-                           "Datagrams sent to the fabric's egress for clients.")),
-      passed_on_(MakeCounter(registry, "gaugevalve_agent_datagrams_passed_on_total",
-                             "Datagrams passed on to other agents.")),
-      unsent_(MakeCounter(registry, "gaugevalve_agent_datagrams_unsent_total",
-                          "Datagrams that the system did not take for sending.")) {}
+      answers_(daemon::MakeCounter(registry, "gaugevalve_agent_answers_total",
+                                   "Datagrams sent to the fabric's egress for clients.")),
+      passed_on_(daemon::MakeCounter(registry, "gaugevalve_agent_datagrams_passed_on_total",
+                                     "Datagrams passed on to other agents.")),
+      unsent_(daemon::MakeCounter(registry, "gaugevalve_agent_datagrams_unsent_total",
+                                  "Datagrams that the system did not take for sending.")) {}
 
 void AgentOutput::SendAnswer(const base::SocketAddress& virtual_address,
                              const base::SocketAddress& client,
--- a/daemons/agent/src/datagram_service.cpp
+++ b/daemons/agent/src/datagram_service.cpp
@@ -13,11 +13,6 @@
 
 constexpr std::size_t kAnswerBatchSize = 16;
 
-prometheus::Counter& MakeCounter(prometheus::Registry& registry, const std::string& name,
-                                 const std::string& help) {
-  return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-}
-
 }  // namespace
 
 std::string_view ToString(EndpointFailure failure) {
@@ -43,9 +38,10 @@
       core_(identity, settings),
       sockets_(settings.table.capacity),
       answers_(kAnswerBatchSize),
-      opened_(MakeCounter(registry, "gaugevalve_agent_flows_opened_total", "Flows opened.")),
-      relayed_(MakeCounter(registry, "gaugevalve_agent_datagrams_relayed_total",
-                           "Datagrams given to the endpoint.")),
+      opened_(
+          daemon::MakeCounter(registry, "gaugevalve_agent_flows_opened_total", "Flows opened.")),
+      relayed_(daemon::MakeCounter(registry, "gaugevalve_agent_datagrams_relayed_total",
+                                   "Datagrams given to the endpoint.")),
       dropped_(registry, "gaugevalve_agent_datagrams_dropped_total",
                "Datagrams that were neither relayed nor passed on, by reason.",
                daemon::ReasonNames<flow::DropReason>(flow::kDropReasonCount)),
--- a/daemons/agent/src/http3_service.cpp
+++ b/daemons/agent/src/http3_service.cpp
@@ -18,11 +18,6 @@
 // disagree about addresses.
 constexpr std::uint8_t kMaxIssuerHops = flow::kMaxHops;
 
-prometheus::Counter& MakeCounter(prometheus::Registry& registry, const std::string& name,
-                                 const std::string& help) {
-  return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-}
-
 prometheus::Gauge* MakeGauge(prometheus::Registry& registry, const std::string& name,
                              const std::string& help) {
   return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -88,13 +83,15 @@
       dropped_quic_(registry, "gaugevalve_agent_datagrams_dropped_total",
                     "Datagrams that were neither relayed nor passed on, by reason.",
                     daemon::ReasonNames<Http3Drop>(kHttp3DropCount)),
-      opened_(MakeCounter(registry, "gaugevalve_agent_flows_opened_total", "Flows opened.")),
-      refused_(MakeCounter(registry, "gaugevalve_agent_connections_refused_total",
-                           "Connections refused because the agent is full or leaving.")),
-      retries_(MakeCounter(registry, "gaugevalve_agent_quic_retries_total",
-                           "Callers asked to prove their address before a connection is opened.")),
-      resets_(MakeCounter(registry, "gaugevalve_agent_stateless_resets_total",
-                          "Callers told that their connection is gone.")),
+      opened_(
+          daemon::MakeCounter(registry, "gaugevalve_agent_flows_opened_total", "Flows opened.")),
+      refused_(daemon::MakeCounter(registry, "gaugevalve_agent_connections_refused_total",
+                                   "Connections refused because the agent is full or leaving.")),
+      retries_(daemon::MakeCounter(
+          registry, "gaugevalve_agent_quic_retries_total",
+          "Callers asked to prove their address before a connection is opened.")),
+      resets_(daemon::MakeCounter(registry, "gaugevalve_agent_stateless_resets_total",
+                                  "Callers told that their connection is gone.")),
       connections_(MakeGauge(registry, "gaugevalve_agent_open_flows", "Flows that are open now.")),
       requests_(MakeGauge(registry, "gaugevalve_agent_open_requests",
                           "Requests in progress, event streams included.")) {}
--- a/daemons/balancer/src/datagram_forwarder.cpp
+++ b/daemons/balancer/src/datagram_forwarder.cpp
@@ -9,11 +9,6 @@
 
 constexpr std::size_t kBatchSize = 64;
 
-prometheus::Counter& MakeCounter(prometheus::Registry& registry, const std::string& name,
-                                 const std::string& help) {
-  return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-}
-
 }  // namespace
 
 DatagramForwarder::DatagramForwarder(const flow::SourceLimiterSettings& source_limit,
@@ -22,12 +17,13 @@
     : core_(source_limit, router),
       received_(kBatchSize),
       outgoing_(kBatchSize),
-      received_count_(MakeCounter(registry, "gaugevalve_balancer_datagrams_received_total",
-                                  "Datagrams received from the fabric.")),
-      forwarded_count_(MakeCounter(registry, "gaugevalve_balancer_datagrams_forwarded_total",
-                                   "Datagrams sent on to agents.")),
-      unsent_count_(MakeCounter(registry, "gaugevalve_balancer_datagrams_unsent_total",
-                                "Datagrams that the system did not take for sending.")),
+      received_count_(daemon::MakeCounter(registry, "gaugevalve_balancer_datagrams_received_total",
+                                          "Datagrams received from the fabric.")),
+      forwarded_count_(daemon::MakeCounter(registry,
+                                           "gaugevalve_balancer_datagrams_forwarded_total",
+                                           "Datagrams sent on to agents.")),
+      unsent_count_(daemon::MakeCounter(registry, "gaugevalve_balancer_datagrams_unsent_total",
+                                        "Datagrams that the system did not take for sending.")),
       malformed_(registry, "gaugevalve_balancer_datagrams_malformed_total",
                  "Datagrams that could not be decoded, by reason.",
                  daemon::ReasonNames<wire::DecodeError>(wire::kDecodeErrorCount)),
--- a/daemons/common/include/gaugevalve/daemon/reason_counters.h
+++ b/daemons/common/include/gaugevalve/daemon/reason_counters.h
@@ -1,4 +1,4 @@
-// Counters by reason that the data path can bump for next to nothing.
+// Counters, also by reason, that the data path can bump for next to nothing.
 #pragma once
 
 #include <cstdint>
@@ -12,6 +12,10 @@
 
 namespace gaugevalve::daemon {
 
+// Registers a counter without labels. The registry owns it.
+prometheus::Counter& MakeCounter(prometheus::Registry& registry, const std::string& name,
+                                 const std::string& help);
+
 // A plain counter of one thread, carried over into a metric that other threads may read.
 class PublishedCounter {
  public:
--- a/daemons/common/src/reason_counters.cpp
+++ b/daemons/common/src/reason_counters.cpp
@@ -2,6 +2,11 @@
 
 namespace gaugevalve::daemon {
 
+prometheus::Counter& MakeCounter(prometheus::Registry& registry, const std::string& name,
+                                 const std::string& help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
 void PublishedCounter::Publish() {
   if (pending_ > 0) {
     metric_->Increment(static_cast<double>(pending_));
