--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -0,0 +1,112 @@
+/// @file
+/// An agent's decisions: what reaches the endpoint beside it, and where the endpoint's packets go.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/agent_report.h"
+#include "gaugevalve/placement/endpoint_gate.h"
+#include "gaugevalve/placement/flow_packet.h"
+#include "gaugevalve/placement/forward_header.h"
+
+namespace gaugevalve::placement {
+
+struct AgentCoreSettings {
+  base::Incarnation life;
+  base::ServiceId service;
+  std::string zone;
+  base::Duration announcement_period = std::chrono::seconds(1);
+  base::Duration drain_limit = std::chrono::seconds(3);  ///< see EndpointGate's memory limit
+  std::size_t flow_limit = 50'000;
+  std::size_t balancer_limit = 2'048;
+};
+
+enum class AgentVerdict : std::uint8_t { kDeliver, kReturn, kToClient, kDrop };
+
+/// What to do with one packet.
+struct AgentDecision {
+  AgentVerdict verdict = AgentVerdict::kDrop;
+  std::uint32_t mark = 0;        ///< for kDeliver: the endpoint gives it back if it doesn't take it
+  base::SocketAddress balancer;  ///< for kReturn
+  ForwardHeader header;          ///< for kReturn
+  /// For kToClient: a balancer that searches for this flow's owner and is to be told.
+  std::optional<base::SocketAddress> searcher;
+};
+
+/// Decision core. Not thread-safe.
+class AgentCore {
+ public:
+  explicit AgentCore(AgentCoreSettings settings);
+
+  /// A client's packet that `balancer` passed on.
+  AgentDecision OnForwarded(const FlowPacket& packet, const ForwardHeader& header,
+                            const base::SocketAddress& balancer, base::TimePoint now);
+
+  /// A packet from the endpoint. @param mark  what it carries back when it is bounced
+  AgentDecision OnEndpointPacket(const FlowPacket& packet, std::uint32_t mark, base::TimePoint now);
+
+  EndpointGate& Gate() { return m_gate; }
+
+  /// From now on the agent takes no new flow: its process ends.
+  void Stop() { m_is_stopping = true; }
+
+  /// Returns the agent's account of itself.
+  AgentReport MakeReport(base::TimePoint now);
+
+  /// Returns the endpoint's standing as reported.
+  EndpointStanding Standing(base::TimePoint now) const;
+
+  /// Updates averages and forgets idle flows. Call every `kTickPeriod`.
+  void Tick(base::TimePoint now);
+  static constexpr base::Duration kTickPeriod = std::chrono::milliseconds(50);
+
+  std::size_t FlowCount() const { return m_flows.size(); }
+
+ private:
+  enum class FlowState : std::uint8_t { kOpening, kIdle, kWaiting };
+
+  struct FlowRecord {
+    FlowState state = FlowState::kIdle;
+    base::TimePoint since{};        // of the state
+    base::TimePoint last_packet{};
+    std::uint32_t client_end = 0;   // the client's data is known up to here
+    bool has_client_end = false;
+    bool client_closed = false;
+    bool endpoint_closed = false;
+    std::optional<base::SocketAddress> searcher;
+  };
+
+  AgentDecision OnForwardedOpening(const FlowPacket& packet, const ForwardHeader& header,
+                                   const base::SocketAddress& balancer, base::TimePoint now);
+  AgentDecision OnBounced(const FlowPacket& packet, std::uint32_t mark);
+  AgentDecision Return(const ForwardHeader& header, const base::SocketAddress& balancer,
+                       ReturnReason reason) const;
+  std::uint32_t MarkFor(const base::SocketAddress& balancer, std::uint8_t attempt);
+  void NoteClientPacket(FlowRecord& record, const FlowPacket& packet, base::TimePoint now);
+  void NoteEndpointPacket(FlowRecord& record, const FlowPacket& packet, base::TimePoint now);
+  void SetState(FlowRecord& record, FlowState state, base::TimePoint now);
+  void Forget(const FlowKey& flow);
+  bool IsIdle(const FlowRecord& record, base::TimePoint now) const;
+  std::uint32_t Busy() const { return m_waiting + m_opening; }
+
+  AgentCoreSettings m_settings;
+  EndpointGate m_gate;
+  absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
+  std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
+  std::uint64_t m_report_sequence = 0;
+  std::uint32_t m_waiting = 0;
+  std::uint32_t m_opening = 0;
+  std::uint32_t m_open_flows = 0;  // as of the last sweep
+  double m_busy_average = 0;
+  base::Duration m_answer_time{0};
+  base::TimePoint m_swept_at{};
+  bool m_is_stopping = false;
+};
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -0,0 +1,74 @@
+/// @file
+/// The agents that a balancer knows, from their reports.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/agent_report.h"
+
+namespace gaugevalve::placement {
+
+/// One agent as its last report has it, and what this balancer has sent it since.
+struct KnownAgent {
+  base::SocketAddress address;
+  AgentReport report;
+  base::Incarnation previous_life;  ///< of the agent; what still comes from it is late
+  base::TimePoint heard_at{};
+  std::uint32_t placed_since_report = 0;  ///< opening packets passed to it since the last report
+  double placed_share = 0;                ///< of this balancer's openings, decaying; for ties
+  /// The newest report that knew the endpoint, also of an earlier life: a restarted agent asks for
+  /// it.
+  std::optional<AgentReport> memory;
+  base::TimePoint memory_at{};
+};
+
+/// What a report changed.
+enum class ReportOutcome : std::uint8_t {
+  kNew,              ///< an agent not known before, or another life of one
+  kStandingChanged,  ///< its endpoint may or may not take new flows from now on
+  kTaken,
+  kLate,  ///< older than one taken before
+};
+
+/// Bounded by `limit` agents; when full, agents not known yet are ignored. Not thread-safe.
+class AgentDirectory {
+ public:
+  /// @param fresh_for  how long a report speaks for the agent's present state
+  AgentDirectory(std::size_t limit, base::Duration fresh_for)
+      : m_limit(limit), m_fresh_for(fresh_for) {}
+
+  ReportOutcome Take(const base::SocketAddress& address, const AgentReport& report,
+                     base::TimePoint now);
+
+  /// Forgets agents not heard for `silence`.
+  /// @return  how many
+  std::size_t ForgetSilent(base::Duration silence, base::TimePoint now);
+
+  KnownAgent* Find(const base::SocketAddress& address);
+
+  /// Returns the agents of a service in an order that is the same on every balancer. Valid until
+  /// the next change of the directory.
+  std::vector<KnownAgent*> OfService(base::ServiceId service);
+
+  bool IsFresh(const KnownAgent& agent, base::TimePoint now) const {
+    return now - agent.heard_at <= m_fresh_for;
+  }
+
+  /// Returns all agents, for listings.
+  std::vector<const KnownAgent*> All() const;
+  bool IsEmpty() const { return m_agents.empty(); }
+
+ private:
+  std::size_t m_limit;
+  base::Duration m_fresh_for;
+  absl::flat_hash_map<base::SocketAddress, KnownAgent> m_agents;
+};
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -0,0 +1,37 @@
+/// @file
+/// An agent's account of itself and of the endpoint beside it, as a plain value.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/endpoint_gate.h"
+
+namespace gaugevalve::placement {
+
+/// How busy an endpoint is.
+struct EndpointLoad {
+  std::uint32_t capacity = 1;      ///< requests at a time
+  std::uint32_t busy = 0;          ///< requests without an answer yet, and openings under way
+  double busy_average = 0;         ///< of the last second or so
+  std::uint32_t open_flows = 0;    ///< as far as the agent knows
+  base::Duration answer_time{0};   ///< average from a request to its answer's first byte
+  base::Duration warm_up_left{0};  ///< how much longer it is slow from its start
+};
+
+struct AgentReport {
+  base::Incarnation life;      ///< of the agent's process; any number of its own, without order
+  std::uint64_t sequence = 0;  ///< rises with each report of this life
+  base::ServiceId service;
+  std::string zone;
+  EndpointStanding standing = EndpointStanding::kUnknown;
+  std::string endpoint;            ///< identifier of the endpoint's incarnation; may be empty
+  std::uint64_t announcement = 0;  ///< sequence of the newest announcement taken from it
+  EndpointLoad load;
+  bool wants_memory = false;  ///< the agent hasn't heard its endpoint since it started
+};
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -0,0 +1,136 @@
+/// @file
+/// A balancer's decisions: which agent gets each packet of a client.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/base/random_source.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/agent_directory.h"
+#include "gaugevalve/placement/endpoint_chooser.h"
+#include "gaugevalve/placement/flow_packet.h"
+#include "gaugevalve/placement/forward_header.h"
+#include "gaugevalve/placement/route_table.h"
+
+namespace gaugevalve::placement {
+
+struct BalancerSettings {
+  std::string zone;
+  std::size_t flow_limit = 200'000;  ///< flows remembered; more are searched for at each packet
+  std::size_t agent_limit = 8'192;
+  base::Duration fresh_for = std::chrono::milliseconds(800);  ///< life of a report
+  /// A balancer this young doesn't know all agents yet: it drops where it would reset.
+  base::Duration learning_time = std::chrono::milliseconds(1500);
+  /// A flow without a packet for this long is forgotten, at least; see RouteTable::idle_timeout.
+  base::Duration flow_memory = std::chrono::seconds(60);
+};
+
+enum class BalancerVerdict : std::uint8_t { kForward, kReset, kDrop };
+
+/// Why a packet was reset or dropped, or how its agent was found.
+enum class BalancerReason : std::uint8_t {
+  kRemembered,     ///< the flow's agent is known
+  kPlaced,         ///< a new flow
+  kSearched,       ///< an unknown flow is offered to an agent
+  kNoRoutes,       ///< no configuration is known yet
+  kNoRoute,        ///< the virtual address has no route
+  kRouteRemoved,   ///< the flow's route is gone
+  kNoEndpoint,     ///< no endpoint of the service admits new flows
+  kAllRefused,     ///< each endpoint returned the opening packet
+  kHeldByNone,     ///< each endpoint returned the packet: the flow has ended
+  kNotSure,        ///< nothing is known of the flow, and not all agents could be asked
+  kTooManyPasses,  ///< the packet was passed on too often
+  kReset,          ///< a client's reset of a flow that isn't known
+};
+inline constexpr std::size_t kBalancerReasonCount =
+    static_cast<std::size_t>(BalancerReason::kReset) + 1;
+
+/// Returns the reason's name for logs and metrics.
+const char* BalancerReasonName(BalancerReason reason);
+
+/// What to do with one packet.
+struct BalancerDecision {
+  BalancerVerdict verdict = BalancerVerdict::kDrop;
+  BalancerReason reason = BalancerReason::kNoRoute;
+  base::SocketAddress agent;         ///< for kForward
+  ForwardHeader header;              ///< for kForward
+  std::uint32_t reset_sequence = 0;  ///< for kReset: one that the client takes
+};
+
+/// Decision core. An opening packet goes to the least loaded endpoint of its route's service; where
+/// an agent returns it, to the next. The flow's agent is remembered. A packet of an unknown flow is
+/// offered to the agents of the route's services in turn until one doesn't return it: the endpoints
+/// know which flows they hold, so flows outlive every process of ours. Not thread-safe.
+class BalancerCore {
+ public:
+  BalancerCore(BalancerSettings settings, base::RandomSource& random, base::TimePoint now);
+
+  /// Swaps the route table; an older version than the one in force is ignored.
+  /// @return  whether it was taken
+  bool SetRoutes(RouteTable routes);
+  const RouteTable& Routes() const { return m_routes; }
+
+  /// A packet that came from a client.
+  BalancerDecision OnClientPacket(const FlowPacket& packet, base::TimePoint now);
+
+  /// A packet that an agent returned.
+  BalancerDecision OnReturnedPacket(const FlowPacket& packet, const ForwardHeader& header,
+                                    const base::SocketAddress& agent, base::TimePoint now);
+
+  /// An agent says that its endpoint holds a flow that was searched for.
+  void OnHolding(const FlowKey& flow, const base::SocketAddress& agent, base::TimePoint now);
+
+  ReportOutcome OnReport(const base::SocketAddress& address, const AgentReport& report,
+                         base::TimePoint now);
+
+  /// Forgets idle flows and silent agents. Call a few times a second.
+  void Tick(base::TimePoint now);
+
+  AgentDirectory& Agents() { return m_agents; }
+  std::size_t FlowCount() const { return m_flows.size(); }
+
+ private:
+  struct FlowRecord {
+    base::SocketAddress agent;
+    base::ServiceId service;
+    base::TimePoint last_packet{};
+    std::uint32_t opening_sequence = 0;
+    bool is_open = false;      // a packet beyond the opening one has come from the client
+    bool is_confirmed = false;  // the agent's endpoint was seen to hold the flow
+    std::vector<base::SocketAddress> refused;  // agents that returned it
+    std::vector<base::SocketAddress> busy;     // those of them that did so for their load
+  };
+
+  BalancerDecision OnOpening(const FlowPacket& packet, base::TimePoint now);
+  BalancerDecision OnLater(const FlowPacket& packet, base::TimePoint now);
+  BalancerDecision Place(const FlowPacket& packet, const Route& route, FlowRecord& record,
+                         std::uint8_t attempt, base::TimePoint now);
+  BalancerDecision PlaceBusy(const FlowPacket& packet, FlowRecord& record, std::uint8_t attempt,
+                             base::TimePoint now);
+  BalancerDecision Search(const FlowPacket& packet, const Route& route, FlowRecord& record,
+                          std::uint8_t attempt, base::TimePoint now);
+  BalancerDecision OnAllRefused(const FlowPacket& packet, FlowRecord& record, base::TimePoint now);
+  BalancerDecision ForwardTo(const FlowRecord& record, BalancerReason reason,
+                             std::uint8_t attempt) const;
+  std::vector<KnownAgent*> SearchOrder(const FlowPacket& packet, const Route& route,
+                                       base::TimePoint now);
+  FlowRecord* Remember(const FlowKey& flow);
+  bool IsLearning(base::TimePoint now) const { return now - m_started_at < m_settings.learning_time; }
+
+  BalancerSettings m_settings;
+  AgentDirectory m_agents;
+  EndpointChooser m_chooser;
+  RouteTable m_routes;
+  // Services that ever stood behind an address: open flows stay where they are.
+  absl::flat_hash_map<base::SocketAddress, std::vector<base::ServiceId>> m_past_services;
+  absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
+  FlowRecord m_overflow;  // stands in for a record when there is no room
+  base::TimePoint m_started_at;
+  base::TimePoint m_swept_at;
+};
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/balancer_list.h
@@ -0,0 +1,57 @@
+/// @file
+/// The balancers that a node knows, with the time each was last heard of by anybody.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <span>
+#include <vector>
+
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+
+namespace gaugevalve::placement {
+
+/// A balancer that somebody heard `age` ago.
+struct BalancerAge {
+  base::SocketAddress address;
+  base::Duration age{0};
+};
+
+/// Grown from seeds and from what peers tell; a balancer that nobody has heard for a while is
+/// forgotten, unless it is a seed. Not thread-safe.
+class BalancerList {
+ public:
+  /// @param self  is never listed
+  /// @param alive_for  a balancer counts as alive this long after it was heard
+  BalancerList(const base::SocketAddress& self, base::Duration alive_for)
+      : m_self(self), m_alive_for(alive_for) {}
+
+  /// Sets the addresses that are asked for as long as nobody else answers.
+  void SetSeeds(std::vector<base::SocketAddress> seeds) { m_seeds = std::move(seeds); }
+
+  /// Notes that `address` was heard `age` ago.
+  /// @return  whether it wasn't known as alive before
+  bool Note(const base::SocketAddress& address, base::Duration age, base::TimePoint now);
+
+  /// Notes that a balancer said that it leaves.
+  void Forget(const base::SocketAddress& address) { m_heard_at.erase(address); }
+
+  /// Returns those to write to: all that are known, and the seeds while fewer than `enough` others
+  /// are alive.
+  std::vector<base::SocketAddress> Targets(std::size_t enough, base::TimePoint now) const;
+
+  /// Returns those alive, with their ages.
+  std::vector<BalancerAge> Alive(base::TimePoint now) const;
+
+  /// Drops what nobody has heard for `silence`.
+  void ForgetSilent(base::Duration silence, base::TimePoint now);
+
+ private:
+  base::SocketAddress m_self;
+  base::Duration m_alive_for;
+  std::vector<base::SocketAddress> m_seeds;
+  absl::flat_hash_map<base::SocketAddress, base::TimePoint> m_heard_at;
+};
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/node_message.h
@@ -0,0 +1,42 @@
+/// @file
+/// What nodes tell each other about themselves, and its bytes (protobuf behind a ForwardHeader).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/agent_report.h"
+#include "gaugevalve/placement/balancer_list.h"
+
+namespace gaugevalve::placement {
+
+/// What a balancer tells agents and other balancers.
+struct BalancerGreeting {
+  base::Incarnation life;
+  std::uint64_t routes_version = 0;     ///< 0 for none
+  std::vector<BalancerAge> balancers;   ///< alive; without the sender
+  std::vector<base::SocketAddress> agents;
+  bool wants_answer = false;            ///< the receiver is asked for a report or a greeting
+  std::optional<AgentReport> memory;    ///< of the endpoint beside the agent written to
+  base::Duration memory_age{0};
+  bool is_leaving = false;
+};
+
+using NodeMessage = std::variant<AgentReport, BalancerGreeting>;
+
+/// Returns the message's datagram.
+std::string EncodeNodeMessage(const NodeMessage& message);
+
+/// Returns the message behind a control header, or nothing when it is malformed.
+/// @param datagram  the whole datagram
+/// @param port  the port of all nodes
+std::optional<NodeMessage> DecodeNodeMessage(std::span<const std::uint8_t> datagram,
+                                             std::uint16_t port);
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -0,0 +1,46 @@
+/// @file
+/// Virtual addresses and the services behind them, as one configuration version has them.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <vector>
+
+#include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+
+namespace gaugevalve::placement {
+
+/// A service's part of a route's new flows.
+struct WeightedService {
+  base::ServiceId service;
+  std::uint32_t weight = 1;  ///< relative to the route's other services; 0 gets no new flow
+
+  friend bool operator==(const WeightedService&, const WeightedService&) = default;
+};
+
+/// Where new flows to one virtual address go.
+struct Route {
+  base::SocketAddress address;
+  std::vector<WeightedService> services;  ///< at least one
+  base::Duration target_latency{0};       ///< of one request; 0 when not given
+
+  /// Returns the service for a new flow: the same one for the same `hash`, shares by weight.
+  base::ServiceId Choose(std::uint64_t hash) const;
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+/// One version of all routes. Built once, then only read; swapped whole.
+struct RouteTable {
+  std::uint64_t version = 0;  ///< 0: none is known yet
+  base::Duration idle_timeout = std::chrono::seconds(60);
+  absl::flat_hash_map<base::SocketAddress, Route> routes;
+
+  /// Returns the route of a virtual address, or null.
+  const Route* Find(const base::SocketAddress& address) const;
+};
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/agent_core.cpp
@@ -0,0 +1,255 @@
+#include "gaugevalve/placement/agent_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gaugevalve::placement {
+namespace {
+
+// An opening without a request counts as a coming request for this long.
+constexpr base::Duration kOpeningTime = std::chrono::milliseconds(300);
+// A request without an answer for this long no longer counts: the client has given up, or a packet
+// was misread.
+constexpr base::Duration kWaitingLimit = std::chrono::seconds(6);
+constexpr base::Duration kIdleLimit = std::chrono::seconds(60);
+// A flow both of whose ends have closed is kept for late packets.
+constexpr base::Duration kClosedLimit = std::chrono::seconds(2);
+constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(250);
+// Weights of the newest value in the moving averages.
+constexpr double kBusyWeight = 0.06;  // a time constant of 0.8 s at kTickPeriod
+constexpr int kAnswerTimeDivisor = 10;
+// A mark: the balancer's index in the upper bits, the attempt in the lower ones.
+constexpr unsigned kAttemptBits = 8;
+constexpr std::uint32_t kAttemptMask = (1U << kAttemptBits) - 1;
+
+// Whether byte number `left` comes after `right`, around the end of the number range.
+bool IsAfter(std::uint32_t left, std::uint32_t right) {
+  return static_cast<std::int32_t>(left - right) > 0;
+}
+
+}  // namespace
+
+AgentCore::AgentCore(AgentCoreSettings settings)
+    : m_settings(std::move(settings)),
+      m_gate(m_settings.announcement_period, m_settings.drain_limit * 2 / 3) {}
+
+AgentDecision AgentCore::OnForwarded(const FlowPacket& packet, const ForwardHeader& header,
+                                     const base::SocketAddress& balancer, base::TimePoint now) {
+  if (header.service != m_settings.service) {
+    return Return(header, balancer, ReturnReason::kOtherService);
+  }
+  if (packet.is_opening) {
+    return OnForwardedOpening(packet, header, balancer, now);
+  }
+  const bool has_room = m_flows.size() < m_settings.flow_limit || m_flows.contains(packet.flow);
+  if (has_room) {
+    FlowRecord& record = m_flows[packet.flow];
+    if (header.is_search) {
+      record.searcher = balancer;
+    }
+    NoteClientPacket(record, packet, now);
+  }
+  AgentDecision decision;
+  decision.verdict = AgentVerdict::kDeliver;
+  decision.mark = MarkFor(balancer, header.attempt);
+  return decision;
+}
+
+AgentDecision AgentCore::OnForwardedOpening(const FlowPacket& packet, const ForwardHeader& header,
+                                            const base::SocketAddress& balancer,
+                                            base::TimePoint now) {
+  if (Standing(now) != EndpointStanding::kAdmitting) {
+    return Return(header, balancer, ReturnReason::kNotAdmitting);
+  }
+  const bool is_known = m_flows.contains(packet.flow);
+  const bool is_full = Busy() >= std::max(1U, m_gate.Newest().capacity);
+  if (!is_known && is_full && !header.must_accept) {
+    return Return(header, balancer, ReturnReason::kBusy);
+  }
+  if (!is_known && m_flows.size() >= m_settings.flow_limit) {
+    return Return(header, balancer, ReturnReason::kBusy);
+  }
+  FlowRecord& record = m_flows[packet.flow];
+  record.last_packet = now;
+  if (!is_known) {
+    SetState(record, FlowState::kOpening, now);
+  }
+  m_gate.NoteOpening(now);
+  AgentDecision decision;
+  decision.verdict = AgentVerdict::kDeliver;
+  decision.mark = MarkFor(balancer, header.attempt);
+  return decision;
+}
+
+AgentDecision AgentCore::OnEndpointPacket(const FlowPacket& packet, std::uint32_t mark,
+                                          base::TimePoint now) {
+  m_gate.NoteLife();
+  if (packet.is_bounced) {
+    return OnBounced(packet, mark);
+  }
+  AgentDecision decision;
+  decision.verdict = AgentVerdict::kToClient;
+  const auto found = m_flows.find(packet.flow);
+  if (found == m_flows.end()) {
+    if (!packet.is_reset && !packet.is_closing && m_flows.size() < m_settings.flow_limit) {
+      NoteEndpointPacket(m_flows[packet.flow], packet, now);
+    }
+    return decision;
+  }
+  FlowRecord& record = found->second;
+  // A flow is held by the endpoint that goes on with it, not by one that answers an opening.
+  if (!packet.is_synchronizing && record.searcher) {
+    decision.searcher = std::exchange(record.searcher, std::nullopt);
+  }
+  NoteEndpointPacket(record, packet, now);
+  if (packet.is_reset) {
+    Forget(packet.flow);
+  }
+  return decision;
+}
+
+AgentDecision AgentCore::OnBounced(const FlowPacket& packet, std::uint32_t mark) {
+  Forget(packet.flow);
+  const std::size_t index = mark >> kAttemptBits;
+  if (index >= m_balancers.size()) {
+    return {};  // not marked in this life of the process
+  }
+  ForwardHeader header;
+  header.service = m_settings.service;
+  header.attempt = static_cast<std::uint8_t>(mark & kAttemptMask);
+  return Return(header, m_balancers[index], ReturnReason::kNotHeld);
+}
+
+AgentDecision AgentCore::Return(const ForwardHeader& header, const base::SocketAddress& balancer,
+                                ReturnReason reason) const {
+  AgentDecision decision;
+  decision.verdict = AgentVerdict::kReturn;
+  decision.balancer = balancer;
+  decision.header = header;
+  decision.header.kind = MessageKind::kReturned;
+  decision.header.reason = reason;
+  return decision;
+}
+
+std::uint32_t AgentCore::MarkFor(const base::SocketAddress& balancer, std::uint8_t attempt) {
+  auto found = std::find(m_balancers.begin(), m_balancers.end(), balancer);
+  if (found == m_balancers.end()) {
+    if (m_balancers.size() >= m_settings.balancer_limit) {
+      m_balancers.clear();  // packets on their way to the endpoint lose their way back
+    }
+    m_balancers.push_back(balancer);
+    found = m_balancers.end() - 1;
+  }
+  const auto index = static_cast<std::uint32_t>(found - m_balancers.begin());
+  return (index << kAttemptBits) | attempt;
+}
+
+void AgentCore::NoteClientPacket(FlowRecord& record, const FlowPacket& packet,
+                                 base::TimePoint now) {
+  record.last_packet = now;
+  record.client_closed = record.client_closed || packet.is_closing || packet.is_reset;
+  if (packet.is_reset) {
+    SetState(record, FlowState::kIdle, now);
+    return;
+  }
+  const std::uint32_t end = packet.sequence + packet.data_size;
+  const bool is_new = !record.has_client_end || IsAfter(end, record.client_end);
+  if (packet.data_size == 0 || !is_new) {
+    return;
+  }
+  record.client_end = end;
+  record.has_client_end = true;
+  if (record.state != FlowState::kWaiting) {
+    SetState(record, FlowState::kWaiting, now);
+  }
+}
+
+void AgentCore::NoteEndpointPacket(FlowRecord& record, const FlowPacket& packet,
+                                   base::TimePoint now) {
+  record.last_packet = now;
+  record.endpoint_closed = record.endpoint_closed || packet.is_closing || packet.is_reset;
+  const bool is_answer = packet.data_size > 0 || packet.is_closing;
+  if (record.state != FlowState::kWaiting || !is_answer) {
+    return;
+  }
+  const base::Duration taken = now - record.since;
+  m_answer_time = m_answer_time.count() == 0
+                      ? taken
+                      : m_answer_time + (taken - m_answer_time) / kAnswerTimeDivisor;
+  SetState(record, FlowState::kIdle, now);
+}
+
+void AgentCore::SetState(FlowRecord& record, FlowState state, base::TimePoint now) {
+  m_waiting -= record.state == FlowState::kWaiting ? 1 : 0;
+  m_opening -= record.state == FlowState::kOpening ? 1 : 0;
+  record.state = state;
+  record.since = now;
+  m_waiting += state == FlowState::kWaiting ? 1 : 0;
+  m_opening += state == FlowState::kOpening ? 1 : 0;
+}
+
+void AgentCore::Forget(const FlowKey& flow) {
+  const auto found = m_flows.find(flow);
+  if (found != m_flows.end()) {
+    SetState(found->second, FlowState::kIdle, {});
+    m_flows.erase(found);
+  }
+}
+
+EndpointStanding AgentCore::Standing(base::TimePoint now) const {
+  const EndpointStanding standing = m_gate.Standing(now);
+  const bool would_admit = standing == EndpointStanding::kAdmitting;
+  return m_is_stopping && would_admit ? EndpointStanding::kStopping : standing;
+}
+
+AgentReport AgentCore::MakeReport(base::TimePoint now) {
+  AgentReport report;
+  report.life = m_settings.life;
+  report.sequence = ++m_report_sequence;
+  report.service = m_settings.service;
+  report.zone = m_settings.zone;
+  report.standing = Standing(now);
+  report.endpoint = m_gate.Newest().id;
+  report.announcement = m_gate.Newest().sequence;
+  report.load.capacity = std::max(1U, m_gate.Newest().capacity);
+  report.load.busy = Busy();
+  report.load.busy_average = m_busy_average;
+  report.load.open_flows = m_open_flows;
+  report.load.answer_time = m_answer_time;
+  report.load.warm_up_left = m_gate.WarmUpLeft(now);
+  report.wants_memory = !m_gate.IsKnownFirstHand();
+  return report;
+}
+
+bool AgentCore::IsIdle(const FlowRecord& record, base::TimePoint now) const {
+  const bool is_closed = record.client_closed && record.endpoint_closed;
+  return now - record.last_packet > (is_closed ? kClosedLimit : kIdleLimit);
+}
+
+void AgentCore::Tick(base::TimePoint now) {
+  m_busy_average += (m_waiting - m_busy_average) * kBusyWeight;
+  if (now - m_swept_at < kSweepPeriod) {
+    return;
+  }
+  m_swept_at = now;
+  m_open_flows = 0;
+  for (auto& [flow, record] : m_flows) {
+    const bool is_stuck_opening =
+        record.state == FlowState::kOpening && now - record.since > kOpeningTime;
+    const bool is_stuck_waiting =
+        record.state == FlowState::kWaiting && now - record.since > kWaitingLimit;
+    m_open_flows += record.client_closed || record.endpoint_closed ? 0 : 1;
+    if (is_stuck_opening || is_stuck_waiting) {
+      SetState(record, FlowState::kIdle, now);
+    }
+  }
+  absl::erase_if(m_flows, [&](auto& entry) {
+    const bool is_idle = IsIdle(entry.second, now);
+    if (is_idle) {
+      SetState(entry.second, FlowState::kIdle, now);
+    }
+    return is_idle;
+  });
+}
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/agent_directory.cpp
@@ -0,0 +1,90 @@
+#include "gaugevalve/placement/agent_directory.h"
+
+#include <algorithm>
+
+namespace gaugevalve::placement {
+namespace {
+
+// How much of the share of openings is forgotten with each report of the agent.
+constexpr double kShareKept = 0.9;
+
+void Adopt(KnownAgent& agent, const AgentReport& report, base::TimePoint now) {
+  const bool was_replaced = report.service != agent.report.service;
+  const bool is_known = report.standing != EndpointStanding::kUnknown;
+  if (was_replaced) {
+    agent.memory.reset();
+  }
+  if (is_known && !report.wants_memory) {
+    agent.memory = report;
+    agent.memory_at = now;
+  }
+  agent.report = report;
+  agent.heard_at = now;
+}
+
+}  // namespace
+
+ReportOutcome AgentDirectory::Take(const base::SocketAddress& address, const AgentReport& report,
+                                   base::TimePoint now) {
+  const auto found = m_agents.find(address);
+  if (found == m_agents.end()) {
+    if (m_agents.size() >= m_limit) {
+      return ReportOutcome::kLate;
+    }
+    KnownAgent& agent = m_agents[address];
+    agent.address = address;
+    Adopt(agent, report, now);
+    return ReportOutcome::kNew;
+  }
+  KnownAgent& agent = found->second;
+  const bool is_same_life = report.life == agent.report.life;
+  const bool is_older_life = !is_same_life && report.life == agent.previous_life;
+  if (is_older_life || (is_same_life && report.sequence <= agent.report.sequence)) {
+    return ReportOutcome::kLate;
+  }
+  if (!is_same_life) {
+    agent.previous_life = agent.report.life;
+  }
+  const bool standing_changed = report.standing != agent.report.standing;
+  Adopt(agent, report, now);
+  agent.placed_since_report = 0;
+  agent.placed_share *= kShareKept;
+  if (!is_same_life) {
+    return ReportOutcome::kNew;
+  }
+  return standing_changed ? ReportOutcome::kStandingChanged : ReportOutcome::kTaken;
+}
+
+std::size_t AgentDirectory::ForgetSilent(base::Duration silence, base::TimePoint now) {
+  return absl::erase_if(
+      m_agents, [&](const auto& entry) { return now - entry.second.heard_at > silence; });
+}
+
+KnownAgent* AgentDirectory::Find(const base::SocketAddress& address) {
+  const auto found = m_agents.find(address);
+  return found == m_agents.end() ? nullptr : &found->second;
+}
+
+std::vector<KnownAgent*> AgentDirectory::OfService(base::ServiceId service) {
+  std::vector<KnownAgent*> agents;
+  for (auto& [address, agent] : m_agents) {
+    if (agent.report.service == service) {
+      agents.push_back(&agent);
+    }
+  }
+  std::sort(agents.begin(), agents.end(), [](const KnownAgent* left, const KnownAgent* right) {
+    return left->address < right->address;
+  });
+  return agents;
+}
+
+std::vector<const KnownAgent*> AgentDirectory::All() const {
+  std::vector<const KnownAgent*> agents;
+  agents.reserve(m_agents.size());
+  for (const auto& [address, agent] : m_agents) {
+    agents.push_back(&agent);
+  }
+  return agents;
+}
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/balancer_core.cpp
@@ -0,0 +1,325 @@
+#include "gaugevalve/placement/balancer_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gaugevalve/placement/flow_hash.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+constexpr base::Duration kSweepPeriod = std::chrono::seconds(1);
+// Added to the idle time-out, by which clients and endpoints may differ.
+constexpr base::Duration kIdleSlack = std::chrono::seconds(3);
+// A packet is passed on at most this often more than there are agents to ask.
+constexpr std::size_t kSparePasses = 8;
+constexpr std::size_t kMostPasses = 250;
+// Past services that are remembered for an address.
+constexpr std::size_t kPastServiceLimit = 8;
+
+template <class Item>
+bool Contains(const std::vector<Item>& items, const Item& item) {
+  return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+BalancerDecision Drop(BalancerReason reason) { return {BalancerVerdict::kDrop, reason, {}, {}, 0}; }
+
+// The client takes a reset near what it has acknowledged, and any while the flow isn't open.
+BalancerDecision Reset(BalancerReason reason, const FlowPacket& packet) {
+  return {BalancerVerdict::kReset, reason, {}, {}, packet.acknowledged};
+}
+
+// How long a new request would wait at an endpoint all of whose slots are in use.
+base::Duration ExpectedWait(const KnownAgent& agent) {
+  const EndpointLoad& load = agent.report.load;
+  const std::uint32_t busy = load.busy + agent.placed_since_report;
+  const std::uint32_t capacity = std::max(1U, load.capacity);
+  const std::uint32_t ahead = busy < capacity ? 0 : busy - capacity + 1;
+  return load.answer_time * ahead / capacity;
+}
+
+}  // namespace
+
+const char* BalancerReasonName(BalancerReason reason) {
+  constexpr const char* kNames[kBalancerReasonCount] = {
+      "remembered", "placed",      "searched",      "no_routes",    "no_route", "route_removed",
+      "no_endpoint", "all_refused", "held_by_none", "not_sure", "too_many_passes", "reset"};
+  return kNames[static_cast<std::size_t>(reason)];
+}
+
+BalancerCore::BalancerCore(BalancerSettings settings, base::RandomSource& random,
+                           base::TimePoint now)
+    : m_settings(std::move(settings)),
+      m_agents(m_settings.agent_limit, m_settings.fresh_for),
+      m_chooser(m_settings.zone, random),
+      m_started_at(now),
+      m_swept_at(now) {}
+
+bool BalancerCore::SetRoutes(RouteTable routes) {
+  if (routes.version <= m_routes.version) {
+    return false;
+  }
+  m_routes = std::move(routes);
+  for (const auto& [address, route] : m_routes.routes) {
+    std::vector<base::ServiceId>& past = m_past_services[address];
+    for (const WeightedService& part : route.services) {
+      if (!Contains(past, part.service)) {
+        past.push_back(part.service);
+      }
+    }
+    if (past.size() > kPastServiceLimit) {
+      past.erase(past.begin());
+    }
+  }
+  absl::erase_if(m_past_services,
+                 [this](const auto& entry) { return m_routes.Find(entry.first) == nullptr; });
+  return true;
+}
+
+BalancerDecision BalancerCore::OnClientPacket(const FlowPacket& packet, base::TimePoint now) {
+  if (m_routes.version == 0) {
+    return Drop(BalancerReason::kNoRoutes);
+  }
+  return packet.is_opening ? OnOpening(packet, now) : OnLater(packet, now);
+}
+
+BalancerDecision BalancerCore::OnOpening(const FlowPacket& packet, base::TimePoint now) {
+  const Route* route = m_routes.Find(packet.flow.destination);
+  if (route == nullptr) {
+    return Reset(BalancerReason::kNoRoute, packet);
+  }
+  FlowRecord& record = *Remember(packet.flow);
+  record.last_packet = now;
+  if (record.opening_sequence != packet.sequence) {
+    record = {};
+    record.last_packet = now;
+    record.opening_sequence = packet.sequence;
+  }
+  const KnownAgent* agent = m_agents.Find(record.agent);
+  const bool is_copy = agent != nullptr && agent->report.service == record.service;
+  const bool is_alive = is_copy && m_agents.IsFresh(*agent, now) &&
+                        agent->report.standing == EndpointStanding::kAdmitting;
+  if (is_copy && (record.is_open || is_alive)) {
+    return ForwardTo(record, BalancerReason::kRemembered, 0);
+  }
+  return Place(packet, *route, record, 0, now);
+}
+
+BalancerDecision BalancerCore::Place(const FlowPacket& packet, const Route& route,
+                                     FlowRecord& record, std::uint8_t attempt,
+                                     base::TimePoint now) {
+  if (record.service == base::ServiceId()) {
+    record.service = route.Choose(FlowHash(packet.flow));
+  }
+  std::vector<KnownAgent*> fresh;
+  std::vector<KnownAgent*> stale;
+  const std::vector<KnownAgent*> all = m_agents.OfService(record.service);
+  for (KnownAgent* agent : all) {
+    const bool may_open = agent->report.standing == EndpointStanding::kAdmitting &&
+                          !Contains(record.refused, agent->address);
+    if (may_open) {
+      (m_agents.IsFresh(*agent, now) ? fresh : stale).push_back(agent);
+    }
+  }
+  KnownAgent* chosen = m_chooser.Choose(fresh.empty() ? stale : fresh, now);
+  if (chosen == nullptr) {
+    return PlaceBusy(packet, record, attempt, now);
+  }
+  record.agent = chosen->address;
+  chosen->placed_since_report += 1;
+  chosen->placed_share += 1.0 / std::max(1U, chosen->report.load.capacity);
+  return ForwardTo(record, BalancerReason::kPlaced, attempt);
+}
+
+BalancerDecision BalancerCore::PlaceBusy(const FlowPacket& packet, FlowRecord& record,
+                                         std::uint8_t attempt, base::TimePoint now) {
+  const Route* route = m_routes.Find(packet.flow.destination);
+  KnownAgent* best = nullptr;
+  for (const base::SocketAddress& address : record.busy) {
+    KnownAgent* agent = m_agents.Find(address);
+    const bool may_open = agent != nullptr && agent->report.service == record.service &&
+                          agent->report.standing == EndpointStanding::kAdmitting;
+    if (may_open && (best == nullptr || ExpectedWait(*agent) < ExpectedWait(*best))) {
+      best = agent;
+    }
+  }
+  record.busy.clear();  // once: what comes back now is final
+  const bool is_worth_it =
+      best != nullptr && route != nullptr &&
+      (route->target_latency.count() == 0 ||
+       ExpectedWait(*best) + best->report.load.answer_time < route->target_latency);
+  if (is_worth_it) {
+    record.agent = best->address;
+    best->placed_since_report += 1;
+    BalancerDecision decision = ForwardTo(record, BalancerReason::kPlaced, attempt);
+    decision.header.must_accept = true;
+    return decision;
+  }
+  const bool had_any = !record.refused.empty();
+  m_flows.erase(packet.flow);
+  if (best == nullptr && IsLearning(now)) {
+    return Drop(BalancerReason::kNotSure);
+  }
+  return Reset(had_any ? BalancerReason::kAllRefused : BalancerReason::kNoEndpoint, packet);
+}
+
+BalancerDecision BalancerCore::OnLater(const FlowPacket& packet, base::TimePoint now) {
+  const Route* route = m_routes.Find(packet.flow.destination);
+  const auto found = m_flows.find(packet.flow);
+  const bool is_known = found != m_flows.end() && found->second.agent != base::SocketAddress();
+  if (route == nullptr) {
+    // Without a record there is no telling a removed route from one not heard of yet.
+    if (!is_known) {
+      return Drop(BalancerReason::kNoRoute);
+    }
+    m_flows.erase(found);
+    return Reset(BalancerReason::kRouteRemoved, packet);
+  }
+  FlowRecord& record = *Remember(packet.flow);
+  record.last_packet = now;
+  record.is_open = true;
+  if (is_known) {
+    return ForwardTo(record, BalancerReason::kRemembered, 0);
+  }
+  return Search(packet, *route, record, 0, now);
+}
+
+std::vector<KnownAgent*> BalancerCore::SearchOrder(const FlowPacket& packet, const Route& route,
+                                                   base::TimePoint now) {
+  std::vector<KnownAgent*> order;
+  const auto past = m_past_services.find(route.address);
+  if (past == m_past_services.end()) {
+    return order;
+  }
+  for (const base::ServiceId service : past->second) {
+    const std::vector<KnownAgent*> agents = m_agents.OfService(service);
+    order.insert(order.end(), agents.begin(), agents.end());
+  }
+  const std::uint64_t hash = FlowHash(packet.flow);
+  const auto rank = [&](const KnownAgent* agent) {
+    return std::pair(!m_agents.IsFresh(*agent, now), base::HashPair(hash, AddressHash(agent->address)));
+  };
+  std::sort(order.begin(), order.end(), [&](const KnownAgent* left, const KnownAgent* right) {
+    return rank(left) < rank(right);
+  });
+  return order;
+}
+
+BalancerDecision BalancerCore::Search(const FlowPacket& packet, const Route& route,
+                                      FlowRecord& record, std::uint8_t attempt,
+                                      base::TimePoint now) {
+  for (const KnownAgent* agent : SearchOrder(packet, route, now)) {
+    if (!Contains(record.refused, agent->address)) {
+      record.agent = agent->address;
+      record.service = agent->report.service;
+      return ForwardTo(record, BalancerReason::kSearched, attempt);
+    }
+  }
+  return OnAllRefused(packet, record, now);
+}
+
+BalancerDecision BalancerCore::OnAllRefused(const FlowPacket& packet, FlowRecord& record,
+                                            base::TimePoint now) {
+  const bool knew_any = !record.refused.empty();
+  m_flows.erase(packet.flow);  // the next packet starts anew
+  if (packet.is_reset) {
+    return Drop(BalancerReason::kReset);
+  }
+  return IsLearning(now) || !knew_any ? Drop(BalancerReason::kNotSure)
+                                      : Reset(BalancerReason::kHeldByNone, packet);
+}
+
+BalancerDecision BalancerCore::OnReturnedPacket(const FlowPacket& packet,
+                                                const ForwardHeader& header,
+                                                const base::SocketAddress& agent,
+                                                base::TimePoint now) {
+  const Route* route = m_routes.Find(packet.flow.destination);
+  if (route == nullptr) {
+    return Drop(BalancerReason::kNoRoute);
+  }
+  FlowRecord& record = *Remember(packet.flow);
+  record.last_packet = now;
+  const std::size_t passes_limit =
+      std::min(kMostPasses, 2 * SearchOrder(packet, *route, now).size() + kSparePasses);
+  if (header.attempt >= passes_limit) {
+    return Drop(BalancerReason::kTooManyPasses);
+  }
+  const auto attempt = static_cast<std::uint8_t>(header.attempt + 1);
+  const bool is_answer_to_guess =
+      record.agent == agent || record.agent == base::SocketAddress();
+  if (!is_answer_to_guess && !Contains(record.refused, record.agent)) {
+    return ForwardTo(record, BalancerReason::kRemembered, attempt);
+  }
+  if (!Contains(record.refused, agent)) {
+    record.refused.push_back(agent);
+  }
+  if (packet.is_opening) {
+    if (header.reason == ReturnReason::kBusy) {
+      record.busy.push_back(agent);
+    }
+    return Place(packet, *route, record, attempt, now);
+  }
+  if (record.is_confirmed && header.reason == ReturnReason::kNotHeld) {
+    m_flows.erase(packet.flow);  // its endpoint has lost it
+    return packet.is_reset ? Drop(BalancerReason::kReset)
+                           : Reset(BalancerReason::kHeldByNone, packet);
+  }
+  record.is_confirmed = false;
+  return Search(packet, *route, record, attempt, now);
+}
+
+void BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
+                             base::TimePoint now) {
+  FlowRecord& record = *Remember(flow);
+  const KnownAgent* known = m_agents.Find(agent);
+  record.agent = agent;
+  record.service = known == nullptr ? record.service : known->report.service;
+  record.is_open = true;
+  record.is_confirmed = true;
+  record.refused.clear();
+  record.last_packet = now;
+}
+
+ReportOutcome BalancerCore::OnReport(const base::SocketAddress& address, const AgentReport& report,
+                                     base::TimePoint now) {
+  return m_agents.Take(address, report, now);
+}
+
+BalancerDecision BalancerCore::ForwardTo(const FlowRecord& record, BalancerReason reason,
+                                         std::uint8_t attempt) const {
+  BalancerDecision decision;
+  decision.verdict = BalancerVerdict::kForward;
+  decision.reason = reason;
+  decision.agent = record.agent;
+  decision.header.kind = MessageKind::kForward;
+  decision.header.is_search = record.is_open && !record.is_confirmed;
+  decision.header.attempt = attempt;
+  decision.header.service = record.service;
+  decision.header.routes_version = m_routes.version;
+  return decision;
+}
+
+BalancerCore::FlowRecord* BalancerCore::Remember(const FlowKey& flow) {
+  const auto found = m_flows.find(flow);
+  if (found != m_flows.end()) {
+    return &found->second;
+  }
+  if (m_flows.size() >= m_settings.flow_limit) {
+    m_overflow = {};  // forgotten after this packet
+    return &m_overflow;
+  }
+  return &m_flows[flow];
+}
+
+void BalancerCore::Tick(base::TimePoint now) {
+  if (now - m_swept_at < kSweepPeriod) {
+    return;
+  }
+  m_swept_at = now;
+  const base::Duration idle = std::min(m_settings.flow_memory, m_routes.idle_timeout + kIdleSlack);
+  absl::erase_if(m_flows,
+                 [&](const auto& entry) { return now - entry.second.last_packet > idle; });
+  m_agents.ForgetSilent(m_settings.flow_memory, now);
+}
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/balancer_list.cpp
@@ -0,0 +1,54 @@
+#include "gaugevalve/placement/balancer_list.h"
+
+#include <algorithm>
+
+namespace gaugevalve::placement {
+
+bool BalancerList::Note(const base::SocketAddress& address, base::Duration age,
+                        base::TimePoint now) {
+  if (address == m_self) {
+    return false;
+  }
+  const base::TimePoint heard_at = now - age;
+  const auto [entry, is_new] = m_heard_at.try_emplace(address, heard_at);
+  const bool was_alive = !is_new && now - entry->second <= m_alive_for;
+  entry->second = std::max(entry->second, heard_at);
+  return !was_alive && age <= m_alive_for;
+}
+
+std::vector<base::SocketAddress> BalancerList::Targets(std::size_t enough,
+                                                       base::TimePoint now) const {
+  std::vector<base::SocketAddress> targets;
+  std::size_t alive = 0;
+  for (const auto& [address, heard_at] : m_heard_at) {
+    targets.push_back(address);
+    alive += now - heard_at <= m_alive_for ? 1 : 0;
+  }
+  if (alive >= enough) {
+    return targets;
+  }
+  for (const base::SocketAddress& seed : m_seeds) {
+    const bool is_listed = m_heard_at.contains(seed);
+    if (!is_listed && seed != m_self) {
+      targets.push_back(seed);
+    }
+  }
+  return targets;
+}
+
+std::vector<BalancerAge> BalancerList::Alive(base::TimePoint now) const {
+  std::vector<BalancerAge> alive;
+  for (const auto& [address, heard_at] : m_heard_at) {
+    const base::Duration age = now - heard_at;
+    if (age <= m_alive_for) {
+      alive.push_back({address, age});
+    }
+  }
+  return alive;
+}
+
+void BalancerList::ForgetSilent(base::Duration silence, base::TimePoint now) {
+  absl::erase_if(m_heard_at, [&](const auto& entry) { return now - entry.second > silence; });
+}
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/endpoint_chooser.cpp
@@ -0,0 +1,77 @@
+#include "gaugevalve/placement/endpoint_chooser.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace gaugevalve::placement {
+namespace {
+
+// Part of the present number of requests in the load; the rest is their average.
+constexpr double kPresentPart = 0.5;
+// An open flow without a request weighs this much of a request: it may bring one at any time.
+constexpr double kIdleFlowWeight = 0.05;
+// A cold endpoint counts as this much more loaded.
+constexpr double kColdFactor = 1.6;
+// An endpoint's answers count as slow from this multiple of the service's usual time.
+constexpr double kSlowFrom = 1.3;
+// Small preference against endpoints that this balancer has used more than others lately.
+constexpr double kShareWeight = 0.02;
+// A candidate of another zone must be better by this much of its capacity.
+constexpr double kZoneMargin = 0.04;
+constexpr double kChanceMargin = 0.02;
+
+double SlownessOf(const KnownAgent& agent, base::Duration ordinary) {
+  if (ordinary.count() <= 0 || agent.report.load.answer_time.count() <= 0) {
+    return 1;
+  }
+  const double ratio = static_cast<double>(agent.report.load.answer_time.count()) /
+                       static_cast<double>(ordinary.count());
+  return ratio > kSlowFrom ? ratio : 1;
+}
+
+base::Duration MedianAnswerTime(std::span<KnownAgent* const> candidates) {
+  std::vector<base::Duration> times;
+  for (const KnownAgent* agent : candidates) {
+    if (agent->report.load.answer_time.count() > 0) {
+      times.push_back(agent->report.load.answer_time);
+    }
+  }
+  if (times.empty()) {
+    return base::Duration(0);
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+}  // namespace
+
+double ExpectedLoad(const KnownAgent& agent, base::Duration ordinary_answer_time,
+                    base::TimePoint now) {
+  const EndpointLoad& load = agent.report.load;
+  const double present = load.busy * kPresentPart + load.busy_average * (1 - kPresentPart);
+  double requests = present + agent.placed_since_report + kIdleFlowWeight * load.open_flows + 1;
+  if (load.warm_up_left > now - agent.heard_at) {
+    requests *= kColdFactor;
+  }
+  requests *= SlownessOf(agent, ordinary_answer_time);
+  return requests / std::max(1U, load.capacity) + kShareWeight * agent.placed_share;
+}
+
+KnownAgent* EndpointChooser::Choose(std::span<KnownAgent* const> candidates, base::TimePoint now) {
+  const base::Duration ordinary = MedianAnswerTime(candidates);
+  KnownAgent* best = nullptr;
+  double best_load = 0;
+  for (KnownAgent* agent : candidates) {
+    const bool is_near = agent->report.zone == m_own_zone;
+    const double load = ExpectedLoad(*agent, ordinary, now) + (is_near ? 0 : kZoneMargin) +
+                        kChanceMargin * m_random.NextUnit();
+    if (best == nullptr || load < best_load) {
+      best = agent;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/forward_header.cpp
@@ -0,0 +1,83 @@
+#include "gaugevalve/placement/forward_header.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+constexpr std::uint8_t kSearchFlag = 1;
+constexpr std::uint8_t kMustAcceptFlag = 2;
+constexpr std::uint8_t kKnownFlags = kSearchFlag | kMustAcceptFlag;
+constexpr unsigned kBitsPerByte = 8;
+constexpr std::size_t kServiceOffset = 4;
+constexpr std::size_t kVersionOffset = 8;
+
+template <class Number>
+void WriteNumber(std::span<std::uint8_t> bytes, std::size_t offset, Number number) {
+  for (std::size_t index = 0; index < sizeof(Number); ++index) {
+    bytes[offset + index] = static_cast<std::uint8_t>(number >> (kBitsPerByte * index));
+  }
+}
+
+template <class Number>
+Number ReadNumber(std::span<const std::uint8_t> bytes, std::size_t offset) {
+  Number number = 0;
+  for (std::size_t index = 0; index < sizeof(Number); ++index) {
+    number |= static_cast<Number>(bytes[offset + index]) << (kBitsPerByte * index);
+  }
+  return number;
+}
+
+}  // namespace
+
+const char* ReturnReasonName(ReturnReason reason) {
+  switch (reason) {
+    case ReturnReason::kNotHeld:
+      return "not_held";
+    case ReturnReason::kNotAdmitting:
+      return "not_admitting";
+    case ReturnReason::kBusy:
+      return "busy";
+    case ReturnReason::kOtherService:
+      return "other_service";
+    default:
+      return "none";
+  }
+}
+
+std::array<std::uint8_t, ForwardHeader::kSize> EncodeForwardHeader(const ForwardHeader& header) {
+  std::array<std::uint8_t, ForwardHeader::kSize> bytes{};
+  bytes[0] = static_cast<std::uint8_t>(header.kind);
+  bytes[1] = static_cast<std::uint8_t>((header.is_search ? kSearchFlag : 0) |
+                                       (header.must_accept ? kMustAcceptFlag : 0));
+  bytes[2] = header.attempt;
+  bytes[3] = static_cast<std::uint8_t>(header.reason);
+  WriteNumber(std::span(bytes), kServiceOffset, header.service.value());
+  WriteNumber(std::span(bytes), kVersionOffset, header.routes_version);
+  return bytes;
+}
+
+std::optional<ForwardHeader> DecodeForwardHeader(std::span<const std::uint8_t> datagram) {
+  if (datagram.size() < ForwardHeader::kSize) {
+    return std::nullopt;
+  }
+  const std::uint8_t kind = datagram[0];
+  const std::uint8_t flags = datagram[1];
+  const std::uint8_t reason = datagram[3];
+  const bool has_known_kind = kind >= static_cast<std::uint8_t>(MessageKind::kForward) &&
+                              kind <= static_cast<std::uint8_t>(MessageKind::kControl);
+  const bool has_known_flags = (flags & ~kKnownFlags) == 0;
+  const bool has_known_reason = reason <= static_cast<std::uint8_t>(ReturnReason::kOtherService);
+  if (!has_known_kind || !has_known_flags || !has_known_reason) {
+    return std::nullopt;
+  }
+  ForwardHeader header;
+  header.kind = static_cast<MessageKind>(kind);
+  header.is_search = (flags & kSearchFlag) != 0;
+  header.must_accept = (flags & kMustAcceptFlag) != 0;
+  header.attempt = datagram[2];
+  header.reason = static_cast<ReturnReason>(reason);
+  header.service = base::ServiceId(ReadNumber<std::uint32_t>(datagram, kServiceOffset));
+  header.routes_version = ReadNumber<std::uint64_t>(datagram, kVersionOffset);
+  return header;
+}
+
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/src/node_message.cpp
@@ -0,0 +1,155 @@
+#include "gaugevalve/placement/node_message.h"
+
+#include <algorithm>
+
+#include "gaugevalve/placement/forward_header.h"
+#include "gaugevalve/placement/placement.pb.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kMostMilliseconds = 3'600'000;  // an hour; more is malformed
+constexpr std::size_t kMostText = 200;                  // bytes of a zone's or endpoint's name
+
+std::uint32_t ToMilliseconds(base::Duration duration) {
+  const auto count = duration_cast<milliseconds>(duration).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(count, 0, static_cast<std::int64_t>(kMostMilliseconds)));
+}
+
+base::Duration FromMilliseconds(std::uint32_t count) {
+  return milliseconds(std::min(count, kMostMilliseconds));
+}
+
+std::uint32_t ToNumber(const base::SocketAddress& address) {
+  constexpr unsigned kBitsPerByte = 8;
+  std::uint32_t number = 0;
+  for (std::size_t index = 0; index < sizeof(number); ++index) {
+    number = (number << kBitsPerByte) | address.address[index];
+  }
+  return number;
+}
+
+void Fill(const AgentReport& report, proto::AgentReport& message) {
+  message.set_life(report.life.value());
+  message.set_sequence(report.sequence);
+  message.set_service(report.service.value());
+  message.set_zone(report.zone);
+  message.set_standing(static_cast<std::uint32_t>(report.standing));
+  message.set_endpoint(report.endpoint);
+  message.set_announcement(report.announcement);
+  message.set_capacity(report.load.capacity);
+  message.set_busy(report.load.busy);
+  message.set_busy_average(static_cast<float>(report.load.busy_average));
+  message.set_open_flows(report.load.open_flows);
+  message.set_warm_up_left_ms(ToMilliseconds(report.load.warm_up_left));
+  message.set_answer_time_us(static_cast<std::uint32_t>(report.load.answer_time.count()));
+  message.set_wants_memory(report.wants_memory);
+}
+
+std::optional<AgentReport> ReadReport(const proto::AgentReport& message) {
+  const bool has_known_standing =
+      message.standing() <= static_cast<std::uint32_t>(EndpointStanding::kStopping);
+  const bool has_short_text =
+      message.zone().size() <= kMostText && message.endpoint().size() <= kMostText;
+  if (!has_known_standing || !has_short_text) {
+    return std::nullopt;
+  }
+  AgentReport report;
+  report.life = base::Incarnation(message.life());
+  report.sequence = message.sequence();
+  report.service = base::ServiceId(message.service());
+  report.zone = message.zone();
+  report.standing = static_cast<EndpointStanding>(message.standing());
+  report.endpoint = message.endpoint();
+  report.announcement = message.announcement();
+  report.load.capacity = message.capacity();
+  report.load.busy = message.busy();
+  report.load.busy_average = message.busy_average();
+  report.load.open_flows = message.open_flows();
+  report.load.warm_up_left = FromMilliseconds(message.warm_up_left_ms());
+  report.load.answer_time = base::Duration(message.answer_time_us());
+  report.wants_memory = message.wants_memory();
+  return report;
+}
+
+void Fill(const BalancerGreeting& greeting, proto::BalancerGreeting& message) {
+  message.set_life(greeting.life.value());
+  message.set_routes_version(greeting.routes_version);
+  for (const BalancerAge& balancer : greeting.balancers) {
+    proto::KnownNode& node = *message.add_balancers();
+    node.set_address(ToNumber(balancer.address));
+    node.set_age_ms(ToMilliseconds(balancer.age));
+  }
+  for (const base::SocketAddress& agent : greeting.agents) {
+    message.add_agents()->set_address(ToNumber(agent));
+  }
+  message.set_wants_answer(greeting.wants_answer);
+  if (greeting.memory) {
+    Fill(*greeting.memory, *message.mutable_memory());
+    message.set_memory_age_ms(ToMilliseconds(greeting.memory_age));
+  }
+  message.set_is_leaving(greeting.is_leaving);
+}
+
+BalancerGreeting ReadGreeting(const proto::BalancerGreeting& message, std::uint16_t port) {
+  BalancerGreeting greeting;
+  greeting.life = base::Incarnation(message.life());
+  greeting.routes_version = message.routes_version();
+  for (const proto::KnownNode& node : message.balancers()) {
+    greeting.balancers.push_back(
+        {base::SocketAddress::Ipv4(node.address(), port), FromMilliseconds(node.age_ms())});
+  }
+  for (const proto::KnownNode& node : message.agents()) {
+    greeting.agents.push_back(base::SocketAddress::Ipv4(node.address(), port));
+  }
+  greeting.wants_answer = message.wants_answer();
+  if (message.has_memory()) {
+    greeting.memory = ReadReport(message.memory());
+    greeting.memory_age = FromMilliseconds(message.memory_age_ms());
+  }
+  greeting.is_leaving = message.is_leaving();
+  return greeting;
+}
+
+}  // namespace
+
+std::string EncodeNodeMessage(const NodeMessage& message) {
+  proto::NodeMessage content;
+  if (const auto* report = std::get_if<AgentReport>(&message)) {
+    Fill(*report, *content.mutable_report());
+  } else {
+    Fill(std::get<BalancerGreeting>(message), *content.mutable_greeting());
+  }
+  ForwardHeader header;
+  header.kind = MessageKind::kControl;
+  const auto bytes = EncodeForwardHeader(header);
+  std::string datagram(bytes.begin(), bytes.end());
+  content.AppendToString(&datagram);
+  return datagram;
+}
+
+std::optional<NodeMessage> DecodeNodeMessage(std::span<const std::uint8_t> datagram,
+                                             std::uint16_t port) {
+  if (datagram.size() < ForwardHeader::kSize) {
+    return std::nullopt;
+  }
+  const std::span<const std::uint8_t> body = datagram.subspan(ForwardHeader::kSize);
+  proto::NodeMessage content;
+  if (!content.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    return std::nullopt;
+  }
+  if (content.has_report()) {
+    const std::optional<AgentReport> report = ReadReport(content.report());
+    return report ? std::optional<NodeMessage>(*report) : std::nullopt;
+  }
+  if (content.has_greeting()) {
+    return ReadGreeting(content.greeting(), port);
+  }
+  return std::nullopt;
+}
+
+}  // namespace gaugevalve::placement
