--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -53,7 +53,8 @@
 
   EndpointGate& Gate() { return m_gate; }
 
-  /// From now on the agent takes no new flow: its process ends.
+  /// From now on the agent takes no new flow: its process ends. Its endpoint, if it said that it
+  /// leaves, has ended by then.
   void Stop() { m_is_stopping = true; }
 
   /// Returns the agent's account of itself.
--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -21,6 +21,7 @@
   AgentReport report;
   base::Incarnation previous_life;  ///< of the agent; what still comes from it is late
   base::TimePoint heard_at{};
+  bool is_only_listed = false;  ///< by somebody else; not heard here
   std::uint32_t placed_since_report = 0;  ///< opening packets passed to it since the last report
   double placed_share = 0;                ///< of this balancer's openings, decaying; for ties
   /// The newest report that knew the endpoint, also of an earlier life: a restarted agent asks for
@@ -47,6 +48,10 @@
   ReportOutcome Take(const base::SocketAddress& address, const AgentReport& report,
                      base::TimePoint now);
 
+  /// Notes an agent that somebody else has heard: it isn't fresh until it reports, but may hold
+  /// flows. Known agents are left as they are.
+  void NoteListed(const base::SocketAddress& address, base::ServiceId service, base::TimePoint now);
+
   /// Forgets agents not heard for `silence`.
   /// @return  how many
   std::size_t ForgetSilent(base::Duration silence, base::TimePoint now);
@@ -58,7 +63,7 @@
   std::vector<KnownAgent*> OfService(base::ServiceId service);
 
   bool IsFresh(const KnownAgent& agent, base::TimePoint now) const {
-    return now - agent.heard_at <= m_fresh_for;
+    return !agent.is_only_listed && now - agent.heard_at <= m_fresh_for;
   }
 
   /// Returns all agents, for listings.
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -24,7 +24,7 @@
   std::size_t agent_limit = 8'192;
   base::Duration fresh_for = std::chrono::milliseconds(800);  ///< life of a report
   /// A balancer this young doesn't know all agents yet: it drops where it would reset.
-  base::Duration learning_time = std::chrono::milliseconds(1500);
+  base::Duration learning_time = std::chrono::milliseconds(700);
   /// A flow without a packet for this long is forgotten, at least; see RouteTable::idle_timeout.
   base::Duration flow_memory = std::chrono::seconds(60);
 };
--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "gaugevalve/base/time.h"
@@ -16,6 +17,7 @@
   kLeaving = 2,    ///< it said that it drains or ends
   kSilent = 3,     ///< it doesn't answer
   kStopping = 4,   ///< the agent itself is about to end
+  kAbsent = 5,     ///< nothing listens at its address: it holds no flow
 };
 
 /// Returns the standing's name for logs.
@@ -36,6 +38,14 @@
   kLate,  ///< an older one than the last of its incarnation, or of one that has left
 };
 
+/// What a health check of the endpoint found.
+enum class ProbeResult : std::uint8_t {
+  kHealthy,    ///< it is ready for work
+  kUnhealthy,  ///< it answered otherwise: it leaves, or fails
+  kRefused,    ///< nothing listens at its address
+  kNoAnswer,
+};
+
 /// The last gate before an endpoint: after it has acknowledged that the endpoint leaves, it admits
 /// no new flow, however stale the balancers' knowledge is. A restarted agent knows nothing and
 /// admits nothing until the endpoint is heard, or a balancer's recent memory is taken for a while.
@@ -56,9 +66,14 @@
   /// @param sequence  of the announcement behind the memory
   void Remember(const Announcement& announcement, EndpointStanding standing, base::TimePoint now);
 
+  /// Tells whether a health check is due: the endpoint isn't known, or doesn't answer. Notes it as
+  /// begun.
+  bool TakeProbe(base::TimePoint now);
+  void NoteProbe(ProbeResult result, base::TimePoint now);
+
   /// Notes that an opening packet went to the endpoint, and that the endpoint sent something.
   void NoteOpening(base::TimePoint now);
-  void NoteLife() { m_unanswered = 0; }
+  void NoteLife();
 
   EndpointStanding Standing(base::TimePoint now) const;
   bool IsKnownFirstHand() const { return m_is_first_hand; }
@@ -78,6 +93,9 @@
   base::TimePoint m_heard_at{};
   unsigned m_unanswered = 0;
   base::TimePoint m_unanswered_since{};
+  bool m_is_absent = false;
+  std::optional<base::TimePoint> m_healthy_at;  // by a probe, while nothing is known first hand
+  std::optional<base::TimePoint> m_probed_at;
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/node_message.h
+++ b/libs/placement/include/gaugevalve/placement/node_message.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/agent_report.h"
@@ -16,12 +17,19 @@
 
 namespace gaugevalve::placement {
 
+/// An agent that a balancer has heard, though perhaps not lately.
+struct ListedAgent {
+  base::SocketAddress address;
+  base::ServiceId service;
+};
+
 /// What a balancer tells agents and other balancers.
 struct BalancerGreeting {
   base::Incarnation life;
   std::uint64_t routes_version = 0;     ///< 0 for none
   std::vector<BalancerAge> balancers;   ///< alive; without the sender
-  std::vector<base::SocketAddress> agents;
+  std::vector<ListedAgent> agents;
+  std::string health_path;              ///< of the service of the agent written to; may be empty
   bool wants_answer = false;            ///< the receiver is asked for a report or a greeting
   std::optional<AgentReport> memory;    ///< of the endpoint beside the agent written to
   base::Duration memory_age{0};
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -38,6 +38,9 @@
   if (header.service != m_settings.service) {
     return Return(header, balancer, ReturnReason::kOtherService);
   }
+  if (m_gate.Standing(now) == EndpointStanding::kAbsent) {
+    return Return(header, balancer, ReturnReason::kNotHeld);
+  }
   if (packet.is_opening) {
     return OnForwardedOpening(packet, header, balancer, now);
   }
@@ -198,8 +201,11 @@
 
 EndpointStanding AgentCore::Standing(base::TimePoint now) const {
   const EndpointStanding standing = m_gate.Standing(now);
-  const bool would_admit = standing == EndpointStanding::kAdmitting;
-  return m_is_stopping && would_admit ? EndpointStanding::kStopping : standing;
+  if (!m_is_stopping) {
+    return standing;
+  }
+  return standing == EndpointStanding::kLeaving ? EndpointStanding::kAbsent
+                                                : EndpointStanding::kStopping;
 }
 
 AgentReport AgentCore::MakeReport(base::TimePoint now) {
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -20,6 +20,7 @@
   }
   agent.report = report;
   agent.heard_at = now;
+  agent.is_only_listed = false;
 }
 
 }  // namespace
@@ -42,7 +43,8 @@
   if (is_older_life || (is_same_life && report.sequence <= agent.report.sequence)) {
     return ReportOutcome::kLate;
   }
-  if (!is_same_life) {
+  const bool was_only_listed = agent.is_only_listed;
+  if (!is_same_life && !was_only_listed) {
     agent.previous_life = agent.report.life;
   }
   const bool standing_changed = report.standing != agent.report.standing;
@@ -55,6 +57,18 @@
   return standing_changed ? ReportOutcome::kStandingChanged : ReportOutcome::kTaken;
 }
 
+void AgentDirectory::NoteListed(const base::SocketAddress& address, base::ServiceId service,
+                                base::TimePoint now) {
+  if (m_agents.size() >= m_limit || m_agents.contains(address)) {
+    return;
+  }
+  KnownAgent& agent = m_agents[address];
+  agent.address = address;
+  agent.report.service = service;
+  agent.heard_at = now;
+  agent.is_only_listed = true;
+}
+
 std::size_t AgentDirectory::ForgetSilent(base::Duration silence, base::TimePoint now) {
   return absl::erase_if(
       m_agents, [&](const auto& entry) { return now - entry.second.heard_at > silence; });
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -192,8 +192,11 @@
     return order;
   }
   for (const base::ServiceId service : past->second) {
-    const std::vector<KnownAgent*> agents = m_agents.OfService(service);
-    order.insert(order.end(), agents.begin(), agents.end());
+    for (KnownAgent* agent : m_agents.OfService(service)) {
+      if (agent->report.standing != EndpointStanding::kAbsent) {
+        order.push_back(agent);
+      }
+    }
   }
   const std::uint64_t hash = FlowHash(packet.flow);
   const auto rank = [&](const KnownAgent* agent) {
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -11,6 +11,8 @@
 constexpr base::Duration kUnansweredTime = std::chrono::milliseconds(150);
 // Announcements may be seconds late; an endpoint is given up after this many missed ones.
 constexpr int kMissedLimit = 6;
+// Between two health checks of an endpoint that isn't known.
+constexpr base::Duration kProbePeriod = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -24,6 +26,8 @@
       return "silent";
     case EndpointStanding::kStopping:
       return "stopping";
+    case EndpointStanding::kAbsent:
+      return "absent";
     default:
       return "unknown";
   }
@@ -50,6 +54,7 @@
   m_is_leaving = announcement.is_draining;
   m_heard_at = now;
   m_unanswered = 0;
+  m_is_absent = false;
   return AnnouncementOutcome::kTaken;
 }
 
@@ -84,6 +89,32 @@
   m_heard_at = now;
 }
 
+bool EndpointGate::TakeProbe(base::TimePoint now) {
+  const EndpointStanding standing = Standing(now);
+  const bool is_in_doubt = standing == EndpointStanding::kUnknown ||
+                           standing == EndpointStanding::kSilent ||
+                           standing == EndpointStanding::kAbsent;
+  const bool is_due = !m_probed_at || now - *m_probed_at >= kProbePeriod;
+  if (!is_in_doubt || !is_due) {
+    return false;
+  }
+  m_probed_at = now;
+  return true;
+}
+
+void EndpointGate::NoteProbe(ProbeResult result, base::TimePoint now) {
+  m_is_absent = result == ProbeResult::kRefused;
+  if (result == ProbeResult::kHealthy) {
+    m_healthy_at = now;
+    m_unanswered = 0;
+  }
+}
+
+void EndpointGate::NoteLife() {
+  m_unanswered = 0;
+  m_is_absent = false;
+}
+
 void EndpointGate::NoteOpening(base::TimePoint now) {
   if (m_unanswered == 0) {
     m_unanswered_since = now;
@@ -92,14 +123,16 @@
 }
 
 EndpointStanding EndpointGate::Standing(base::TimePoint now) const {
-  if (!m_is_known) {
-    return EndpointStanding::kUnknown;
+  if (m_is_absent) {
+    return EndpointStanding::kAbsent;
   }
-  if (m_is_leaving) {
+  if (m_is_known && m_is_leaving) {
     return EndpointStanding::kLeaving;
   }
-  if (!m_is_first_hand && now - m_heard_at > m_memory_limit) {
-    return EndpointStanding::kUnknown;
+  const bool was_healthy = m_healthy_at && now - *m_healthy_at <= m_memory_limit;
+  const bool is_remembered = m_is_known && now - m_heard_at <= m_memory_limit;
+  if (!m_is_first_hand) {
+    return was_healthy || is_remembered ? EndpointStanding::kAdmitting : EndpointStanding::kUnknown;
   }
   const bool is_unresponsive =
       m_unanswered >= kUnansweredLimit && now - m_unanswered_since > kUnansweredTime;
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -52,7 +52,7 @@
 
 std::optional<AgentReport> ReadReport(const proto::AgentReport& message) {
   const bool has_known_standing =
-      message.standing() <= static_cast<std::uint32_t>(EndpointStanding::kStopping);
+      message.standing() <= static_cast<std::uint32_t>(EndpointStanding::kAbsent);
   const bool has_short_text =
       message.zone().size() <= kMostText && message.endpoint().size() <= kMostText;
   if (!has_known_standing || !has_short_text) {
@@ -84,9 +84,12 @@
     node.set_address(ToNumber(balancer.address));
     node.set_age_ms(ToMilliseconds(balancer.age));
   }
-  for (const base::SocketAddress& agent : greeting.agents) {
-    message.add_agents()->set_address(ToNumber(agent));
+  for (const ListedAgent& agent : greeting.agents) {
+    proto::KnownNode& node = *message.add_agents();
+    node.set_address(ToNumber(agent.address));
+    node.set_service(agent.service.value());
   }
+  message.set_health_path(greeting.health_path);
   message.set_wants_answer(greeting.wants_answer);
   if (greeting.memory) {
     Fill(*greeting.memory, *message.mutable_memory());
@@ -104,7 +107,11 @@
         {base::SocketAddress::Ipv4(node.address(), port), FromMilliseconds(node.age_ms())});
   }
   for (const proto::KnownNode& node : message.agents()) {
-    greeting.agents.push_back(base::SocketAddress::Ipv4(node.address(), port));
+    greeting.agents.push_back(
+        {base::SocketAddress::Ipv4(node.address(), port), base::ServiceId(node.service())});
+  }
+  if (message.health_path().size() <= kMostText) {
+    greeting.health_path = message.health_path();
   }
   greeting.wants_answer = message.wants_answer();
   if (message.has_memory()) {
