--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -175,7 +175,9 @@
   if (record.state != FlowState::kWaiting || !is_answer) {
     return;
   }
-  const base::Duration taken = now - record.since;
+  // The endpoint's own work: where more requests than slots are there, the rest was waiting.
+  const std::uint32_t capacity = std::max(1U, m_gate.Newest().capacity);
+  const base::Duration taken = (now - record.since) * capacity / std::max(capacity, m_waiting);
   m_answer_time = m_answer_time.count() == 0
                       ? taken
                       : m_answer_time + (taken - m_answer_time) / kAnswerTimeDivisor;
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -14,6 +14,8 @@
 // A packet is passed on at most this often more than there are agents to ask.
 constexpr std::size_t kSparePasses = 8;
 constexpr std::size_t kMostPasses = 250;
+// A request that would wait for longer than this part of its target latency is refused at once.
+constexpr int kWaitPercent = 60;
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
@@ -147,7 +149,7 @@
   const bool is_worth_it =
       best != nullptr && route != nullptr &&
       (route->target_latency.count() == 0 ||
-       ExpectedWait(*best) + best->report.load.answer_time < route->target_latency);
+       ExpectedWait(*best) + best->report.load.answer_time < route->target_latency * kWaitPercent / 100);
   if (is_worth_it) {
     record.agent = best->address;
     best->placed_since_report += 1;
