--- /dev/null
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -0,0 +1,196 @@
+#include "gaugevalve/placement/agent_core.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "placement_fixture.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::At;
+using testing::Data;
+using testing::Flow;
+using testing::kOrders;
+using testing::Node;
+using testing::Opening;
+
+FlowPacket Answer(const FlowKey& flow, std::uint16_t size = 100) {
+  FlowPacket packet;
+  packet.flow = flow;
+  packet.is_acknowledging = true;
+  packet.data_size = size;
+  return packet;
+}
+
+FlowPacket OpeningAnswer(const FlowKey& flow) {
+  FlowPacket packet = Answer(flow, 0);
+  packet.is_synchronizing = true;
+  return packet;
+}
+
+class AgentCoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AgentCoreTest);
+  CPPUNIT_TEST(OpeningsWaitForTheEndpointToBeKnown);
+  CPPUNIT_TEST(LaterPacketsNeedNoAdmission);
+  CPPUNIT_TEST(AfterALeaveNoOpeningIsDelivered);
+  CPPUNIT_TEST(AnotherServicesPacketsAreReturned);
+  CPPUNIT_TEST(AFullEndpointReturnsOpeningsUnlessItMustAccept);
+  CPPUNIT_TEST(CopiesOfAnOpeningAreDeliveredAlsoWhenFull);
+  CPPUNIT_TEST(ABouncedPacketGoesBackToItsBalancer);
+  CPPUNIT_TEST(AnUnknownMarkIsDropped);
+  CPPUNIT_TEST(TheSearcherIsToldByAPacketOfTheOpenFlow);
+  CPPUNIT_TEST(RequestsCountUntilTheirAnswerBegins);
+  CPPUNIT_TEST(ARepeatedRequestPacketCountsOnce);
+  CPPUNIT_TEST(OpeningsCountForAWhile);
+  CPPUNIT_TEST(AnAgentThatStopsSaysSo);
+  CPPUNIT_TEST(AnAbsentEndpointHoldsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OpeningsWaitForTheEndpointToBeKnown() {
+    ExpectReturn(ReturnReason::kNotAdmitting, Forward(Opening(Flow(1))));
+    Announce();
+    CPPUNIT_ASSERT(Forward(Opening(Flow(1))).verdict == AgentVerdict::kDeliver);
+  }
+
+  void LaterPacketsNeedNoAdmission() {
+    CPPUNIT_ASSERT(Forward(Data(Flow(1), 101)).verdict == AgentVerdict::kDeliver);
+  }
+
+  void AfterALeaveNoOpeningIsDelivered() {
+    Announce();
+    m_core.Gate().Announce({"a", true, 2, milliseconds(0), 2}, m_now);
+    ExpectReturn(ReturnReason::kNotAdmitting, Forward(Opening(Flow(1))));
+    m_header.must_accept = true;
+    ExpectReturn(ReturnReason::kNotAdmitting, Forward(Opening(Flow(1))));
+  }
+
+  void AnotherServicesPacketsAreReturned() {
+    Announce();
+    m_header.service = testing::kDrawings;
+    ExpectReturn(ReturnReason::kOtherService, Forward(Opening(Flow(1))));
+    ExpectReturn(ReturnReason::kOtherService, Forward(Data(Flow(1), 101)));
+  }
+
+  void AFullEndpointReturnsOpeningsUnlessItMustAccept() {
+    Announce();
+    Forward(Opening(Flow(1)));
+    Forward(Opening(Flow(2)));
+    ExpectReturn(ReturnReason::kBusy, Forward(Opening(Flow(3))));
+    m_header.must_accept = true;
+    CPPUNIT_ASSERT(Forward(Opening(Flow(3))).verdict == AgentVerdict::kDeliver);
+  }
+
+  void CopiesOfAnOpeningAreDeliveredAlsoWhenFull() {
+    Announce();
+    Forward(Opening(Flow(1)));
+    Forward(Opening(Flow(2)));
+    CPPUNIT_ASSERT(Forward(Opening(Flow(2))).verdict == AgentVerdict::kDeliver);
+  }
+
+  void ABouncedPacketGoesBackToItsBalancer() {
+    Announce();
+    Forward(Data(Flow(1), 101));
+    m_header.attempt = 3;
+    const AgentDecision delivered = m_core.OnForwarded(Data(Flow(2), 101), m_header, Node(8), m_now);
+    FlowPacket bounced = Data(Flow(2), 101);
+    bounced.is_bounced = true;
+    const AgentDecision decision = m_core.OnEndpointPacket(bounced, delivered.mark, m_now);
+    ExpectReturn(ReturnReason::kNotHeld, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(8), decision.balancer);
+    CPPUNIT_ASSERT_EQUAL(3, +decision.header.attempt);
+    CPPUNIT_ASSERT(decision.header.kind == MessageKind::kReturned);
+  }
+
+  void AnUnknownMarkIsDropped() {
+    FlowPacket bounced = Data(Flow(2), 101);
+    bounced.is_bounced = true;
+    CPPUNIT_ASSERT(m_core.OnEndpointPacket(bounced, 0x12345, m_now).verdict == AgentVerdict::kDrop);
+  }
+
+  void TheSearcherIsToldByAPacketOfTheOpenFlow() {
+    Announce();
+    m_header.is_search = true;
+    Forward(Data(Flow(1), 101));
+    CPPUNIT_ASSERT(!m_core.OnEndpointPacket(OpeningAnswer(Flow(1)), 0, m_now).searcher);
+    const AgentDecision decision = m_core.OnEndpointPacket(Answer(Flow(1)), 0, m_now);
+    CPPUNIT_ASSERT(decision.verdict == AgentVerdict::kToClient);
+    CPPUNIT_ASSERT(decision.searcher == Node(5));
+    CPPUNIT_ASSERT(!m_core.OnEndpointPacket(Answer(Flow(1)), 0, m_now).searcher);
+  }
+
+  void RequestsCountUntilTheirAnswerBegins() {
+    Announce();
+    Forward(Opening(Flow(1)));
+    CPPUNIT_ASSERT_EQUAL(1U, Busy());
+    Forward(Data(Flow(1), 101));
+    CPPUNIT_ASSERT_EQUAL(1U, Busy());
+    m_now += milliseconds(40);
+    m_core.OnEndpointPacket(Answer(Flow(1)), 0, m_now);
+    CPPUNIT_ASSERT_EQUAL(0U, Busy());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{40'000},
+                         std::int64_t{m_core.MakeReport(m_now).load.answer_time.count()});
+  }
+
+  void ARepeatedRequestPacketCountsOnce() {
+    Announce();
+    Forward(Data(Flow(1), 101));
+    m_core.OnEndpointPacket(Answer(Flow(1)), 0, m_now);
+    Forward(Data(Flow(1), 101));  // the client missed the acknowledgement
+    CPPUNIT_ASSERT_EQUAL(0U, Busy());
+    Forward(Data(Flow(1), 111));
+    CPPUNIT_ASSERT_EQUAL(1U, Busy());
+  }
+
+  void OpeningsCountForAWhile() {
+    Announce();
+    Forward(Opening(Flow(1)));
+    m_now += milliseconds(600);
+    m_core.Tick(m_now);
+    CPPUNIT_ASSERT_EQUAL(0U, Busy());
+  }
+
+  void AnAgentThatStopsSaysSo() {
+    Announce();
+    m_core.Stop();
+    CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kStopping);
+    ExpectReturn(ReturnReason::kNotAdmitting, Forward(Opening(Flow(1))));
+    m_core.Gate().Deregister("a", m_now);
+    CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kAbsent);
+  }
+
+  void AnAbsentEndpointHoldsNothing() {
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    ExpectReturn(ReturnReason::kNotHeld, Forward(Data(Flow(1), 101)));
+    ExpectReturn(ReturnReason::kNotHeld, Forward(Opening(Flow(1))));
+  }
+
+ private:
+  void Announce() { m_core.Gate().Announce({"a", false, 2, milliseconds(0), 1}, m_now); }
+
+  AgentDecision Forward(const FlowPacket& packet) {
+    return m_core.OnForwarded(packet, m_header, Node(5), m_now);
+  }
+
+  std::uint32_t Busy() { return m_core.MakeReport(m_now).load.busy; }
+
+  static void ExpectReturn(ReturnReason reason, const AgentDecision& decision) {
+    CPPUNIT_ASSERT(decision.verdict == AgentVerdict::kReturn);
+    CPPUNIT_ASSERT_EQUAL(std::string(ReturnReasonName(reason)),
+                         std::string(ReturnReasonName(decision.header.reason)));
+  }
+
+  AgentCore m_core{AgentCoreSettings{.life = base::Incarnation(1),
+                                     .service = kOrders,
+                                     .zone = "east",
+                                     .announcement_period = milliseconds(1000),
+                                     .drain_limit = milliseconds(3000)}};
+  ForwardHeader m_header{.service = kOrders};
+  base::TimePoint m_now = At(1000);
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentCoreTest);
+
+}  // namespace
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -0,0 +1,347 @@
+#include "gaugevalve/placement/balancer_core.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "placement_fixture.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+using testing::At;
+using testing::Data;
+using testing::Flow;
+using testing::kOrders;
+using testing::Node;
+using testing::Opening;
+using testing::Report;
+using testing::Routes;
+
+constexpr std::int64_t kLearned = 5000;  // ms; the balancer has learned of all agents
+
+class BalancerCoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BalancerCoreTest);
+  CPPUNIT_TEST(WithoutRoutesNothingIsDecided);
+  CPPUNIT_TEST(UnknownAddressIsResetAtOnce);
+  CPPUNIT_TEST(TheLeastLoadedEndpointGetsTheFlow);
+  CPPUNIT_TEST(CopiesAndLaterPacketsStayWithTheAgent);
+  CPPUNIT_TEST(ACopyLeavesAnAgentThatFellSilent);
+  CPPUNIT_TEST(AnOpeningThatIsReturnedGoesToAnother);
+  CPPUNIT_TEST(AnOpeningThatAllReturnIsResetAtOnce);
+  CPPUNIT_TEST(WhereAllAreBusyTheShortestQueueMustAccept);
+  CPPUNIT_TEST(WhereAllQueuesAreTooLongItIsResetAtOnce);
+  CPPUNIT_TEST(AnUnknownFlowIsOfferedToEachAgentOnce);
+  CPPUNIT_TEST(AFlowThatNobodyHoldsIsReset);
+  CPPUNIT_TEST(AYoungBalancerDoesNotReset);
+  CPPUNIT_TEST(AnAgentNotHeardYetMayHoldTheFlow);
+  CPPUNIT_TEST(AnAgentWithoutEndpointIsNotAsked);
+  CPPUNIT_TEST(TheHolderIsRemembered);
+  CPPUNIT_TEST(AHolderThatLostTheFlowEndsIt);
+  CPPUNIT_TEST(APacketReturnedByAFormerGuessFollowsTheNewOne);
+  CPPUNIT_TEST(ARemovedRouteCutsItsFlows);
+  CPPUNIT_TEST(AFlowOfARouteNotHeardOfIsNotReset);
+  CPPUNIT_TEST(AnOlderTableIsRefused);
+  CPPUNIT_TEST(OpenFlowsStayWhereTheyAreWhenWeightsChange);
+  CPPUNIT_TEST(AReturnedPacketIsPassedOnBoundedly);
+  CPPUNIT_TEST(AFullTableSearchesForEachPacket);
+  CPPUNIT_TEST(IdleFlowsAreForgotten);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_core.emplace(BalancerSettings{.zone = "east", .flow_limit = 100}, m_random, At(0));
+  }
+
+  void WithoutRoutesNothingIsDecided() {
+    Hear(1);
+    Expect(BalancerVerdict::kDrop, BalancerReason::kNoRoutes, Send(Opening(Flow(1))));
+  }
+
+  void UnknownAddressIsResetAtOnce() {
+    Start();
+    const FlowKey flow = Flow(1, base::SocketAddress::Ipv4(0xc6120009, 443));
+    Expect(BalancerVerdict::kReset, BalancerReason::kNoRoute, Send(Opening(flow)));
+  }
+
+  void TheLeastLoadedEndpointGetsTheFlow() {
+    Start();
+    Hear(1, 3);
+    Hear(2, 0);
+    Hear(3, 4);
+    const BalancerDecision decision = Send(Opening(Flow(1)));
+    Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(2), decision.agent);
+    CPPUNIT_ASSERT(kOrders == decision.header.service);
+  }
+
+  void CopiesAndLaterPacketsStayWithTheAgent() {
+    Start();
+    HearThree();
+    const base::SocketAddress agent = Send(Opening(Flow(1))).agent;
+    CPPUNIT_ASSERT_EQUAL(agent, Send(Opening(Flow(1))).agent);
+    CPPUNIT_ASSERT_EQUAL(agent, Send(Data(Flow(1), 101)).agent);
+    // Another opening from the same port is another flow.
+    Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, Send(Opening(Flow(1), 777)));
+  }
+
+  void ACopyLeavesAnAgentThatFellSilent() {
+    Start();
+    Hear(1);
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Opening(Flow(1))).agent);
+    m_now = At(kLearned + 2000);
+    Hear(2);
+    CPPUNIT_ASSERT_EQUAL(Node(2), Send(Opening(Flow(1))).agent);
+  }
+
+  void AnOpeningThatIsReturnedGoesToAnother() {
+    Start();
+    HearThree();
+    const BalancerDecision first = Send(Opening(Flow(1)));
+    const BalancerDecision second = Return(Opening(Flow(1)), first, ReturnReason::kNotAdmitting);
+    Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, second);
+    CPPUNIT_ASSERT(first.agent != second.agent);
+    CPPUNIT_ASSERT_EQUAL(1, +second.header.attempt);
+  }
+
+  void AnOpeningThatAllReturnIsResetAtOnce() {
+    Start();
+    HearThree();
+    BalancerDecision decision = Send(Opening(Flow(1)));
+    for (int count = 0; count < 3; ++count) {
+      Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, decision);
+      decision = Return(Opening(Flow(1)), decision, ReturnReason::kNotHeld);
+    }
+    Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
+  }
+
+  void WhereAllAreBusyTheShortestQueueMustAccept() {
+    Start();
+    Hear(1, 6);
+    Hear(2, 5);
+    Hear(3, 7);
+    BalancerDecision decision = Send(Opening(Flow(1)));
+    for (int count = 0; count < 3; ++count) {
+      CPPUNIT_ASSERT(!decision.header.must_accept);
+      decision = Return(Opening(Flow(1)), decision, ReturnReason::kBusy);
+    }
+    Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, decision);
+    CPPUNIT_ASSERT(decision.header.must_accept);
+    CPPUNIT_ASSERT_EQUAL(Node(2), decision.agent);
+    // Whoever returns it now has the last word.
+    decision = Return(Opening(Flow(1)), decision, ReturnReason::kNotHeld);
+    Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
+  }
+
+  void WhereAllQueuesAreTooLongItIsResetAtOnce() {
+    Start();
+    Hear(1, 30);
+    const BalancerDecision decision =
+        Return(Opening(Flow(1)), Send(Opening(Flow(1))), ReturnReason::kBusy);
+    Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
+  }
+
+  void AnUnknownFlowIsOfferedToEachAgentOnce() {
+    Start();
+    HearThree();
+    std::set<base::SocketAddress> asked;
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    for (int count = 0; count < 3; ++count) {
+      Expect(BalancerVerdict::kForward, BalancerReason::kSearched, decision);
+      CPPUNIT_ASSERT(decision.header.is_search);
+      asked.insert(decision.agent);
+      decision = Return(Data(Flow(1), 101), decision, ReturnReason::kNotHeld);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked.size());
+  }
+
+  void AFlowThatNobodyHoldsIsReset() {
+    Start();
+    HearThree();
+    const BalancerDecision decision = SearchToTheEnd(Data(Flow(1), 101));
+    Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, decision);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{5000}, decision.reset_sequence);
+  }
+
+  void AYoungBalancerDoesNotReset() {
+    m_now = At(100);
+    m_core->SetRoutes(Routes(1));
+    HearThree();
+    Expect(BalancerVerdict::kDrop, BalancerReason::kNotSure, SearchToTheEnd(Data(Flow(1), 101)));
+  }
+
+  void AnAgentNotHeardYetMayHoldTheFlow() {
+    Start();
+    HearThree();
+    m_core->Agents().NoteListed(Node(9), kOrders, m_now);
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    for (int count = 0; count < 3; ++count) {
+      CPPUNIT_ASSERT(decision.agent != Node(9));
+      decision = Return(Data(Flow(1), 101), decision, ReturnReason::kNotHeld);
+    }
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(9), decision.agent);
+  }
+
+  void AnAgentWithoutEndpointIsNotAsked() {
+    Start();
+    Hear(1);
+    m_core->OnReport(Node(2), Report(1, 0, EndpointStanding::kAbsent), m_now);
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    CPPUNIT_ASSERT_EQUAL(Node(1), decision.agent);
+    decision = Return(Data(Flow(1), 101), decision, ReturnReason::kNotHeld);
+    Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, decision);
+  }
+
+  void TheHolderIsRemembered() {
+    Start();
+    HearThree();
+    Send(Data(Flow(1), 101));
+    m_core->OnHolding(Flow(1), Node(3), m_now);
+    const BalancerDecision decision = Send(Data(Flow(1), 111));
+    Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(3), decision.agent);
+    CPPUNIT_ASSERT(!decision.header.is_search);
+  }
+
+  void AHolderThatLostTheFlowEndsIt() {
+    Start();
+    HearThree();
+    m_core->OnHolding(Flow(1), Node(3), m_now);
+    const BalancerDecision decision =
+        Return(Data(Flow(1), 111), Send(Data(Flow(1), 111)), ReturnReason::kNotHeld);
+    Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, decision);
+  }
+
+  void APacketReturnedByAFormerGuessFollowsTheNewOne() {
+    Start();
+    HearThree();
+    const BalancerDecision first = Send(Data(Flow(1), 101));
+    Send(Data(Flow(1), 111));  // to the same agent, behind it
+    const BalancerDecision second = Return(Data(Flow(1), 101), first, ReturnReason::kNotHeld);
+    const BalancerDecision third = Return(Data(Flow(1), 111), first, ReturnReason::kNotHeld);
+    CPPUNIT_ASSERT_EQUAL(second.agent, third.agent);
+  }
+
+  void ARemovedRouteCutsItsFlows() {
+    Start();
+    HearThree();
+    Send(Opening(Flow(1)));
+    Send(Data(Flow(1), 101));
+    RouteTable none;
+    none.version = 9;
+    CPPUNIT_ASSERT(m_core->SetRoutes(none));
+    Expect(BalancerVerdict::kReset, BalancerReason::kRouteRemoved, Send(Data(Flow(1), 111)));
+    Expect(BalancerVerdict::kDrop, BalancerReason::kNoRoute, Send(Data(Flow(1), 121)));
+  }
+
+  void AFlowOfARouteNotHeardOfIsNotReset() {
+    Start();
+    const FlowKey flow = Flow(1, base::SocketAddress::Ipv4(0xc6120009, 443));
+    Expect(BalancerVerdict::kDrop, BalancerReason::kNoRoute, Send(Data(flow, 101)));
+  }
+
+  void AnOlderTableIsRefused() {
+    Start();
+    CPPUNIT_ASSERT(!m_core->SetRoutes(Routes(1)));
+    CPPUNIT_ASSERT(m_core->SetRoutes(Routes(4)));
+    CPPUNIT_ASSERT(!m_core->SetRoutes(Routes(3)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, m_core->Routes().version);
+  }
+
+  void OpenFlowsStayWhereTheyAreWhenWeightsChange() {
+    Start();
+    Hear(1);
+    Send(Opening(Flow(1)));
+    RouteTable moved = Routes(2);
+    moved.routes[testing::kVirtual].services = {{testing::kDrawings, 1}};
+    CPPUNIT_ASSERT(m_core->SetRoutes(moved));
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Data(Flow(1), 101)).agent);
+    // Also where the flow isn't remembered: the former service's agents are asked.
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Data(Flow(2), 101)).agent);
+  }
+
+  void AReturnedPacketIsPassedOnBoundedly() {
+    Start();
+    HearThree();
+    const BalancerDecision decision = Send(Data(Flow(1), 101));
+    ForwardHeader header = decision.header;
+    header.reason = ReturnReason::kNotHeld;
+    header.attempt = 14;
+    Expect(BalancerVerdict::kDrop, BalancerReason::kTooManyPasses,
+           m_core->OnReturnedPacket(Data(Flow(1), 101), header, decision.agent, m_now));
+  }
+
+  void AFullTableSearchesForEachPacket() {
+    Start();
+    Hear(1);
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+      Send(Opening(Flow(port)));
+    }
+    Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, Send(Opening(Flow(200))));
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, Send(Data(Flow(200), 101)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, m_core->FlowCount());
+  }
+
+  void IdleFlowsAreForgotten() {
+    Start();
+    Hear(1);
+    Send(Opening(Flow(1)));
+    m_core->Tick(m_now + std::chrono::seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_core->FlowCount());
+    m_core->Tick(m_now + std::chrono::seconds(61));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_core->FlowCount());
+  }
+
+ private:
+  void Start() {
+    m_now = At(kLearned);
+    CPPUNIT_ASSERT(m_core->SetRoutes(Routes(1)));
+  }
+
+  void Hear(std::uint32_t number, std::uint32_t busy = 0) {
+    m_core->OnReport(Node(number), Report(++m_sequence, busy), m_now);
+  }
+
+  void HearThree() {
+    for (std::uint32_t number = 1; number <= 3; ++number) {
+      Hear(number);
+    }
+  }
+
+  BalancerDecision Send(const FlowPacket& packet) { return m_core->OnClientPacket(packet, m_now); }
+
+  BalancerDecision Return(const FlowPacket& packet, const BalancerDecision& decision,
+                          ReturnReason reason) {
+    ForwardHeader header = decision.header;
+    header.kind = MessageKind::kReturned;
+    header.reason = reason;
+    return m_core->OnReturnedPacket(packet, header, decision.agent, m_now);
+  }
+
+  // Lets each agent return the packet; returns what became of it.
+  BalancerDecision SearchToTheEnd(const FlowPacket& packet) {
+    BalancerDecision decision = Send(packet);
+    while (decision.verdict == BalancerVerdict::kForward) {
+      decision = Return(packet, decision, ReturnReason::kNotHeld);
+    }
+    return decision;
+  }
+
+  static void Expect(BalancerVerdict verdict, BalancerReason reason,
+                     const BalancerDecision& decision) {
+    CPPUNIT_ASSERT_EQUAL(std::string(BalancerReasonName(reason)),
+                         std::string(BalancerReasonName(decision.reason)));
+    CPPUNIT_ASSERT(verdict == decision.verdict);
+  }
+
+  base::RandomSource m_random{1};
+  std::optional<BalancerCore> m_core;
+  base::TimePoint m_now = At(0);
+  std::uint64_t m_sequence = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BalancerCoreTest);
+
+}  // namespace
+}  // namespace gaugevalve::placement
--- /dev/null
+++ b/libs/placement/tests/endpoint_gate_test.cpp
@@ -0,0 +1,157 @@
+#include "gaugevalve/placement/endpoint_gate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "placement_fixture.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::At;
+
+Announcement Ready(const std::string& id, std::uint64_t sequence) {
+  return {id, false, 4, milliseconds(0), sequence};
+}
+
+Announcement Draining(const std::string& id, std::uint64_t sequence) {
+  return {id, true, 4, milliseconds(0), sequence};
+}
+
+class EndpointGateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndpointGateTest);
+  CPPUNIT_TEST(NothingIsAdmittedBeforeTheEndpointIsHeard);
+  CPPUNIT_TEST(ALateAnnouncementDoesNotReopenTheGate);
+  CPPUNIT_TEST(DeregistrationWithoutDrainingCloses);
+  CPPUNIT_TEST(AnotherIncarnationAtTheSameAddressIsAdmitted);
+  CPPUNIT_TEST(ADrainingStrangerDoesNotCloseTheGate);
+  CPPUNIT_TEST(MemoryIsUsedForALimitedTimeOnly);
+  CPPUNIT_TEST(ARememberedLeaveIsKept);
+  CPPUNIT_TEST(MemoryNeverOverridesWhatWasHeard);
+  CPPUNIT_TEST(MissedAnnouncementsMakeItSilent);
+  CPPUNIT_TEST(UnansweredOpeningsMakeItSilent);
+  CPPUNIT_TEST(ARefusedProbeMakesItAbsentUntilItSpeaks);
+  CPPUNIT_TEST(AHealthyProbeAdmitsForALimitedTime);
+  CPPUNIT_TEST(ProbesAreSpacedAndOnlyInDoubt);
+  CPPUNIT_TEST(WarmUpRunsOut);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NothingIsAdmittedBeforeTheEndpointIsHeard() {
+    Expect(EndpointStanding::kUnknown, 0);
+    m_gate.Announce(Ready("a", 1), At(10));
+    Expect(EndpointStanding::kAdmitting, 10);
+  }
+
+  void ALateAnnouncementDoesNotReopenTheGate() {
+    m_gate.Announce(Ready("a", 5), At(0));
+    m_gate.Announce(Draining("a", 6), At(100));
+    const AnnouncementOutcome outcome = m_gate.Announce(Ready("a", 4), At(200));
+    CPPUNIT_ASSERT(outcome == AnnouncementOutcome::kLate);
+    Expect(EndpointStanding::kLeaving, 200);
+  }
+
+  void DeregistrationWithoutDrainingCloses() {
+    m_gate.Announce(Ready("a", 5), At(0));
+    m_gate.Deregister("a", At(100));
+    Expect(EndpointStanding::kLeaving, 100);
+    // Sent before the deregistration, but with a number that wasn't seen yet.
+    m_gate.Announce(Ready("a", 6), At(900));
+    Expect(EndpointStanding::kLeaving, 900);
+  }
+
+  void AnotherIncarnationAtTheSameAddressIsAdmitted() {
+    m_gate.Announce(Ready("a", 9), At(0));
+    m_gate.Deregister("a", At(100));
+    m_gate.Announce(Ready("b", 1), At(3000));
+    Expect(EndpointStanding::kAdmitting, 3000);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+  }
+
+  void ADrainingStrangerDoesNotCloseTheGate() {
+    m_gate.Announce(Ready("b", 1), At(0));
+    m_gate.Announce(Draining("a", 30), At(10));
+    Expect(EndpointStanding::kAdmitting, 10);
+    m_gate.Deregister("a", At(20));
+    Expect(EndpointStanding::kAdmitting, 20);
+  }
+
+  void MemoryIsUsedForALimitedTimeOnly() {
+    m_gate.Remember(Ready("a", 5), EndpointStanding::kAdmitting, At(0));
+    Expect(EndpointStanding::kAdmitting, 2000);
+    Expect(EndpointStanding::kUnknown, 2001);
+  }
+
+  void ARememberedLeaveIsKept() {
+    m_gate.Remember(Ready("a", 5), EndpointStanding::kAdmitting, At(0));
+    m_gate.Remember(Ready("a", 5), EndpointStanding::kLeaving, At(0));
+    Expect(EndpointStanding::kLeaving, 100);
+    m_gate.Announce(Ready("a", 6), At(200));
+    Expect(EndpointStanding::kLeaving, 200);
+  }
+
+  void MemoryNeverOverridesWhatWasHeard() {
+    m_gate.Announce(Draining("a", 5), At(0));
+    m_gate.Remember(Ready("a", 9), EndpointStanding::kAdmitting, At(10));
+    Expect(EndpointStanding::kLeaving, 10);
+  }
+
+  void MissedAnnouncementsMakeItSilent() {
+    m_gate.Announce(Ready("a", 1), At(0));
+    Expect(EndpointStanding::kAdmitting, 6000);
+    Expect(EndpointStanding::kSilent, 6001);
+  }
+
+  void UnansweredOpeningsMakeItSilent() {
+    m_gate.Announce(Ready("a", 1), At(0));
+    for (int count = 0; count < 4; ++count) {
+      m_gate.NoteOpening(At(10));
+    }
+    Expect(EndpointStanding::kAdmitting, 100);
+    Expect(EndpointStanding::kSilent, 200);
+    m_gate.NoteLife();
+    Expect(EndpointStanding::kAdmitting, 200);
+  }
+
+  void ARefusedProbeMakesItAbsentUntilItSpeaks() {
+    m_gate.NoteProbe(ProbeResult::kRefused, At(0));
+    Expect(EndpointStanding::kAbsent, 5000);
+    m_gate.Announce(Ready("a", 1), At(5000));
+    Expect(EndpointStanding::kAdmitting, 5000);
+  }
+
+  void AHealthyProbeAdmitsForALimitedTime() {
+    m_gate.NoteProbe(ProbeResult::kHealthy, At(0));
+    Expect(EndpointStanding::kAdmitting, 2000);
+    Expect(EndpointStanding::kUnknown, 2001);
+    m_gate.NoteProbe(ProbeResult::kUnhealthy, At(2001));
+    Expect(EndpointStanding::kUnknown, 2001);
+  }
+
+  void ProbesAreSpacedAndOnlyInDoubt() {
+    CPPUNIT_ASSERT(m_gate.TakeProbe(At(0)));
+    CPPUNIT_ASSERT(!m_gate.TakeProbe(At(999)));
+    CPPUNIT_ASSERT(m_gate.TakeProbe(At(1000)));
+    m_gate.Announce(Ready("a", 1), At(1100));
+    CPPUNIT_ASSERT(!m_gate.TakeProbe(At(5000)));
+  }
+
+  void WarmUpRunsOut() {
+    m_gate.Announce({"a", false, 4, milliseconds(500), 1}, At(0));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{300'000}, std::int64_t{m_gate.WarmUpLeft(At(200)).count()});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, std::int64_t{m_gate.WarmUpLeft(At(600)).count()});
+  }
+
+ private:
+  void Expect(EndpointStanding standing, std::int64_t at) const {
+    CPPUNIT_ASSERT_EQUAL(std::string(EndpointStandingName(standing)),
+                         std::string(EndpointStandingName(m_gate.Standing(At(at)))));
+  }
+
+  EndpointGate m_gate{milliseconds(1000), milliseconds(2000)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointGateTest);
+
+}  // namespace
+}  // namespace gaugevalve::placement
