--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -82,7 +82,9 @@
                                     const base::SocketAddress& agent, base::TimePoint now);
 
   /// An agent says that its endpoint holds a flow that was searched for.
-  void OnHolding(const FlowKey& flow, const base::SocketAddress& agent, base::TimePoint now);
+  /// @param service  of that endpoint; the agent may not have reported yet
+  void OnHolding(const FlowKey& flow, const base::SocketAddress& agent, base::ServiceId service,
+                 base::TimePoint now);
 
   ReportOutcome OnReport(const base::SocketAddress& address, const AgentReport& report,
                          base::TimePoint now);
@@ -118,6 +120,7 @@
                              std::uint8_t attempt) const;
   std::vector<KnownAgent*> SearchOrder(const FlowPacket& packet, const Route& route,
                                        base::TimePoint now);
+  static void NoteOpen(FlowRecord& record);
   FlowRecord* Remember(const FlowKey& flow);
   bool IsLearning(base::TimePoint now) const { return now - m_started_at < m_settings.learning_time; }
 
--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -76,7 +76,9 @@
   void NoteLife();
 
   EndpointStanding Standing(base::TimePoint now) const;
-  bool IsKnownFirstHand() const { return m_is_first_hand; }
+  /// Tells whether others may take this gate's word: the endpoint said itself that it leaves, or
+  /// more than once that it is ready.
+  bool IsCertain() const { return m_is_first_hand && (m_is_repeated || m_is_leaving); }
   const Announcement& Newest() const { return m_current; }
 
   /// Returns how much longer the endpoint is slow from its start.
@@ -88,6 +90,7 @@
   Announcement m_current;
   bool m_is_known = false;
   bool m_is_first_hand = false;
+  bool m_is_repeated = false;  // a later announcement has confirmed the first, which may be late
   bool m_is_leaving = false;
   std::string m_left_id;  // the last incarnation that said it leaves
   base::TimePoint m_heard_at{};
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -225,7 +225,7 @@
   report.load.open_flows = m_open_flows;
   report.load.answer_time = m_answer_time;
   report.load.warm_up_left = m_gate.WarmUpLeft(now);
-  report.wants_memory = !m_gate.IsKnownFirstHand();
+  report.wants_memory = !m_gate.IsCertain();
   return report;
 }
 
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -179,13 +179,22 @@
   }
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
-  record.is_open = true;
+  NoteOpen(record);
   if (is_known) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
   return Search(packet, *route, record, 0, now);
 }
 
+void BalancerCore::NoteOpen(FlowRecord& record) {
+  if (!record.is_open) {
+    record.is_open = true;
+    // Who refused the opening may have taken a copy of it that came another way.
+    record.refused.clear();
+    record.busy.clear();
+  }
+}
+
 std::vector<KnownAgent*> BalancerCore::SearchOrder(const FlowPacket& packet, const Route& route,
                                                    base::TimePoint now) {
   std::vector<KnownAgent*> order;
@@ -255,6 +264,12 @@
   if (!is_answer_to_guess && !Contains(record.refused, record.agent)) {
     return ForwardTo(record, BalancerReason::kRemembered, attempt);
   }
+  if (packet.is_opening && record.is_open) {
+    return Drop(BalancerReason::kRemembered);  // a late copy: the flow is open
+  }
+  if (!packet.is_opening) {
+    NoteOpen(record);
+  }
   if (!Contains(record.refused, agent)) {
     record.refused.push_back(agent);
   }
@@ -274,11 +289,10 @@
 }
 
 void BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
-                             base::TimePoint now) {
+                             base::ServiceId service, base::TimePoint now) {
   FlowRecord& record = *Remember(flow);
-  const KnownAgent* known = m_agents.Find(agent);
   record.agent = agent;
-  record.service = known == nullptr ? record.service : known->report.service;
+  record.service = service;
   record.is_open = true;
   record.is_confirmed = true;
   record.refused.clear();
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -48,6 +48,8 @@
   if (is_stranger && announcement.is_draining) {
     return AnnouncementOutcome::kTaken;
   }
+  const bool is_next = m_is_first_hand && announcement.sequence > m_current.sequence;
+  m_is_repeated = is_same && (m_is_repeated || is_next);
   m_current = announcement;
   m_is_known = true;
   m_is_first_hand = true;
@@ -129,17 +131,21 @@
   if (m_is_known && m_is_leaving) {
     return EndpointStanding::kLeaving;
   }
-  const bool was_healthy = m_healthy_at && now - *m_healthy_at <= m_memory_limit;
-  const bool is_remembered = m_is_known && now - m_heard_at <= m_memory_limit;
-  if (!m_is_first_hand) {
-    return was_healthy || is_remembered ? EndpointStanding::kAdmitting : EndpointStanding::kUnknown;
-  }
   const bool is_unresponsive =
       m_unanswered >= kUnansweredLimit && now - m_unanswered_since > kUnansweredTime;
-  if (is_unresponsive || now - m_heard_at > m_period * kMissedLimit) {
+  if (is_unresponsive) {
     return EndpointStanding::kSilent;
   }
-  return EndpointStanding::kAdmitting;
+  const bool was_healthy = m_healthy_at && now - *m_healthy_at <= m_memory_limit;
+  const bool was_heard = m_is_known && now - m_heard_at <= m_memory_limit;
+  if (was_healthy || was_heard) {
+    return EndpointStanding::kAdmitting;
+  }
+  if (!m_is_repeated) {
+    return EndpointStanding::kUnknown;
+  }
+  const bool is_missed = now - m_heard_at > m_period * kMissedLimit;
+  return is_missed ? EndpointStanding::kSilent : EndpointStanding::kAdmitting;
 }
 
 base::Duration EndpointGate::WarmUpLeft(base::TimePoint now) const {
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ACopyLeavesAnAgentThatFellSilent);
   CPPUNIT_TEST(AnOpeningThatIsReturnedGoesToAnother);
   CPPUNIT_TEST(AnOpeningThatAllReturnIsResetAtOnce);
+  CPPUNIT_TEST(ALateCopyOfAnOpenFlowsOpeningResetsNothing);
   CPPUNIT_TEST(WhereAllAreBusyTheShortestQueueMustAccept);
   CPPUNIT_TEST(WhereAllQueuesAreTooLongItIsResetAtOnce);
   CPPUNIT_TEST(AnUnknownFlowIsOfferedToEachAgentOnce);
@@ -37,6 +38,8 @@
   CPPUNIT_TEST(AnAgentNotHeardYetMayHoldTheFlow);
   CPPUNIT_TEST(AnAgentWithoutEndpointIsNotAsked);
   CPPUNIT_TEST(TheHolderIsRemembered);
+  CPPUNIT_TEST(AHolderIsBelievedBeforeItsFirstReport);
+  CPPUNIT_TEST(AnAgentThatRefusedTheOpeningMayHoldTheFlow);
   CPPUNIT_TEST(AHolderThatLostTheFlowEndsIt);
   CPPUNIT_TEST(APacketReturnedByAFormerGuessFollowsTheNewOne);
   CPPUNIT_TEST(ARemovedRouteCutsItsFlows);
@@ -115,6 +118,17 @@
     Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
   }
 
+  // Found by placement_proof.
+  void ALateCopyOfAnOpenFlowsOpeningResetsNothing() {
+    Start();
+    Hear(1);
+    const BalancerDecision copy = Send(Opening(Flow(1)));
+    Send(Data(Flow(1), 101));
+    const BalancerDecision decision = Return(Opening(Flow(1)), copy, ReturnReason::kNotAdmitting);
+    Expect(BalancerVerdict::kDrop, BalancerReason::kRemembered, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Data(Flow(1), 111)).agent);
+  }
+
   void WhereAllAreBusyTheShortestQueueMustAccept() {
     Start();
     Hear(1, 6);
@@ -197,17 +211,42 @@
     Start();
     HearThree();
     Send(Data(Flow(1), 101));
-    m_core->OnHolding(Flow(1), Node(3), m_now);
+    m_core->OnHolding(Flow(1), Node(3), kOrders, m_now);
     const BalancerDecision decision = Send(Data(Flow(1), 111));
     Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
     CPPUNIT_ASSERT_EQUAL(Node(3), decision.agent);
     CPPUNIT_ASSERT(!decision.header.is_search);
   }
 
+  // Found by placement_proof: the record's service was unknown, so the holder returned the packet.
+  void AHolderIsBelievedBeforeItsFirstReport() {
+    Start();
+    m_core->OnHolding(Flow(1), Node(3), kOrders, m_now);
+    const BalancerDecision decision = Send(Data(Flow(1), 111));
+    Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
+    CPPUNIT_ASSERT(kOrders == decision.header.service);
+  }
+
+  // A copy of the opening, through another balancer, may have opened the flow at an agent that had
+  // refused it here.
+  void AnAgentThatRefusedTheOpeningMayHoldTheFlow() {
+    Start();
+    Hear(1);
+    Hear(2);
+    const BalancerDecision first = Send(Opening(Flow(1)));
+    const BalancerDecision second = Return(Opening(Flow(1)), first, ReturnReason::kBusy);
+    CPPUNIT_ASSERT(first.agent != second.agent);
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    CPPUNIT_ASSERT_EQUAL(second.agent, decision.agent);
+    decision = Return(Data(Flow(1), 101), decision, ReturnReason::kNotHeld);
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, decision);
+    CPPUNIT_ASSERT_EQUAL(first.agent, decision.agent);
+  }
+
   void AHolderThatLostTheFlowEndsIt() {
     Start();
     HearThree();
-    m_core->OnHolding(Flow(1), Node(3), m_now);
+    m_core->OnHolding(Flow(1), Node(3), kOrders, m_now);
     const BalancerDecision decision =
         Return(Data(Flow(1), 111), Send(Data(Flow(1), 111)), ReturnReason::kNotHeld);
     Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, decision);
--- a/libs/placement/tests/endpoint_gate_test.cpp
+++ b/libs/placement/tests/endpoint_gate_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(MemoryIsUsedForALimitedTimeOnly);
   CPPUNIT_TEST(ARememberedLeaveIsKept);
   CPPUNIT_TEST(MemoryNeverOverridesWhatWasHeard);
+  CPPUNIT_TEST(ASingleAnnouncementIsBelievedForALimitedTime);
   CPPUNIT_TEST(MissedAnnouncementsMakeItSilent);
   CPPUNIT_TEST(UnansweredOpeningsMakeItSilent);
   CPPUNIT_TEST(ARefusedProbeMakesItAbsentUntilItSpeaks);
@@ -96,8 +97,21 @@
     Expect(EndpointStanding::kLeaving, 10);
   }
 
+  // Found by placement_proof: a restarted agent heard a late "ready" of an endpoint that had
+  // deregistered at the agent's former life.
+  void ASingleAnnouncementIsBelievedForALimitedTime() {
+    m_gate.Announce(Ready("a", 8), At(0));
+    Expect(EndpointStanding::kAdmitting, 2000);
+    Expect(EndpointStanding::kUnknown, 2001);
+    CPPUNIT_ASSERT(!m_gate.IsCertain());  // a balancer that remembers it would prolong its life
+    m_gate.Announce(Ready("a", 9), At(2100));
+    Expect(EndpointStanding::kAdmitting, 5000);
+    CPPUNIT_ASSERT(m_gate.IsCertain());
+  }
+
   void MissedAnnouncementsMakeItSilent() {
     m_gate.Announce(Ready("a", 1), At(0));
+    m_gate.Announce(Ready("a", 2), At(0));
     Expect(EndpointStanding::kAdmitting, 6000);
     Expect(EndpointStanding::kSilent, 6001);
   }
@@ -133,6 +147,7 @@
     CPPUNIT_ASSERT(!m_gate.TakeProbe(At(999)));
     CPPUNIT_ASSERT(m_gate.TakeProbe(At(1000)));
     m_gate.Announce(Ready("a", 1), At(1100));
+    m_gate.Announce(Ready("a", 2), At(2100));
     CPPUNIT_ASSERT(!m_gate.TakeProbe(At(5000)));
   }
 
--- /dev/null
+++ b/proofs/placement/src/placement_proof.cpp
@@ -0,0 +1,142 @@
+// Stateful fuzzing of balancers and agents that place flows by load: open flows are never reset and
+// always found, endpoints that have left get no new flow, and none reaches another service,
+// whatever is restarted. Each protection is also taken away in turn; the rules must then break.
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <array>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "gaugevalve/testing/proof.h"
+#include "placement_world.h"
+
+namespace gaugevalve::proofs {
+namespace {
+
+struct NamedStep {
+  const char* name;
+  void (*run)(PlacementWorld& world, std::uint32_t choice);
+};
+
+constexpr std::array<NamedStep, 13> kSteps = {{
+    {"open", [](PlacementWorld& world, std::uint32_t choice) { world.OpenFlow(choice); }},
+    {"copy", [](PlacementWorld& world, std::uint32_t choice) { world.CopyOpening(choice); }},
+    {"data", [](PlacementWorld& world, std::uint32_t choice) { world.SendData(choice); }},
+    {"deliver", [](PlacementWorld& world, std::uint32_t choice) { world.Deliver(choice); }},
+    {"lose", [](PlacementWorld& world, std::uint32_t choice) { world.Lose(choice); }},
+    {"advance", [](PlacementWorld& world, std::uint32_t) { world.Advance(); }},
+    {"restart balancer",
+     [](PlacementWorld& world, std::uint32_t choice) { world.RestartBalancer(choice); }},
+    {"restart agent",
+     [](PlacementWorld& world, std::uint32_t choice) { world.RestartAgent(choice); }},
+    {"restart all", [](PlacementWorld& world, std::uint32_t) { world.RestartAll(); }},
+    {"leave", [](PlacementWorld& world, std::uint32_t choice) { world.Leave(choice); }},
+    {"replace", [](PlacementWorld& world, std::uint32_t choice) { world.Replace(choice); }},
+    {"announce late",
+     [](PlacementWorld& world, std::uint32_t choice) { world.AnnounceLate(choice); }},
+    {"rest", [](PlacementWorld& world, std::uint32_t) { world.Rest(); }},
+}};
+
+struct Model {};
+
+using PlacementCommand = rc::state::Command<Model, PlacementWorld>;
+
+// One step of the clients or the adversary.
+class Perform final : public PlacementCommand {
+ public:
+  Perform()
+      : step_(*rc::gen::weightedElement<std::size_t>({{10, 0},
+                                                      {6, 1},
+                                                      {16, 2},
+                                                      {50, 3},
+                                                      {2, 4},
+                                                      {16, 5},
+                                                      {2, 6},
+                                                      {2, 7},
+                                                      {1, 8},
+                                                      {2, 9},
+                                                      {2, 10},
+                                                      {2, 11},
+                                                      {3, 12}})),
+        choice_(*rc::gen::inRange<std::uint32_t>(0, 1'000'000)) {}
+
+  void run(const Model& /*model*/, PlacementWorld& world) const override {
+    kSteps.at(step_).run(world, choice_);
+    if (world.Violation()) {
+      RC_FAIL(*world.Violation());
+    }
+  }
+
+  void show(std::ostream& stream) const override {
+    stream << kSteps.at(step_).name << " " << choice_;
+  }
+
+ private:
+  std::size_t step_;
+  std::uint32_t choice_;
+};
+
+struct Totals {
+  std::size_t flows_opened = 0;
+  std::size_t searches_ended = 0;
+  std::size_t resets = 0;
+};
+
+void Explore(const PlacementWorldSettings& settings, Totals& totals) {
+  PlacementWorld world(settings);
+  rc::state::check(Model(), world, rc::state::gen::execOneOfWithArgs<Perform>());
+  world.Heal();
+  totals.flows_opened += world.FlowsOpened();
+  totals.searches_ended += world.SearchesEnded();
+  totals.resets += world.Resets();
+  if (world.Violation()) {
+    RC_FAIL(*world.Violation());
+  }
+}
+
+testing::Coverage CoverageOf(const Totals& totals) {
+  constexpr std::size_t kEnough = 1000;
+  std::ostringstream counts;
+  counts << "flows opened " << totals.flows_opened << ", holders found by searches "
+         << totals.searches_ended << ", resets " << totals.resets;
+  const bool is_enough = totals.flows_opened > kEnough && totals.searches_ended > kEnough &&
+                         totals.resets > 0;
+  return {is_enough, counts.str()};
+}
+
+testing::RegisteredProof Holds(std::string name, const PlacementWorldSettings& settings) {
+  const auto totals = std::make_shared<Totals>();
+  return {std::move(name),
+          testing::ProofKind::kHolds,
+          [settings, totals] { Explore(settings, *totals); },
+          {.counter_example = "", .coverage = [totals] { return CoverageOf(*totals); }}};
+}
+
+testing::RegisteredProof IsCaught(std::string name, const PlacementWorldSettings& settings,
+                                  std::string counter_example) {
+  return {std::move(name),
+          testing::ProofKind::kMutantIsCaught,
+          [settings] {
+            Totals unused;
+            Explore(settings, unused);
+          },
+          {.counter_example = std::move(counter_example), .coverage = nullptr}};
+}
+
+const testing::RegisteredProof flows_stay =
+    Holds("flows_stay_and_left_endpoints_get_none", PlacementWorldSettings{});
+const testing::RegisteredProof without_learning =
+    IsCaught("without_learning_time", {.learning_time = base::Duration(0)}, "was reset");
+const testing::RegisteredProof with_long_memory =
+    IsCaught("with_a_memory_beyond_the_drain_limit", {.memory_limit = std::chrono::minutes(5)},
+             "had left");
+const testing::RegisteredProof without_service_check =
+    IsCaught("without_service_check", {.checks_service = false}, "another service");
+const testing::RegisteredProof without_returns =
+    IsCaught("without_returned_packets", {.returns_bounced = false}, "never reached");
+
+}  // namespace
+}  // namespace gaugevalve::proofs
--- /dev/null
+++ b/proofs/placement/src/placement_world.cpp
@@ -0,0 +1,446 @@
+#include "placement_world.h"
+
+#include <cstdlib>
+
+namespace gaugevalve::proofs {
+namespace {
+
+using placement::AgentDecision;
+using placement::AgentVerdict;
+using placement::BalancerDecision;
+using placement::BalancerVerdict;
+using placement::FlowPacket;
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t kNodePort = 7000;
+constexpr std::uint32_t kCapacity = 3;
+constexpr base::Duration kAnnouncementPeriod = std::chrono::seconds(1);
+constexpr base::Duration kStep = milliseconds(100);
+constexpr base::Duration kDrainLimit = std::chrono::seconds(3);
+constexpr std::int32_t kResetWindow = 76'800;
+constexpr std::size_t kMostWaiting = 400;
+
+const base::ServiceId kServices[2] = {base::ServiceId(11), base::ServiceId(22)};
+
+base::SocketAddress AgentAddress(std::size_t index) {
+  return base::SocketAddress::Ipv4(0x0a000100 + static_cast<std::uint32_t>(index), kNodePort);
+}
+
+base::SocketAddress BalancerAddress(std::size_t index) {
+  return base::SocketAddress::Ipv4(0x0a000200 + static_cast<std::uint32_t>(index), kNodePort);
+}
+
+std::size_t IndexOf(const base::SocketAddress& address) { return address.address[3]; }
+
+base::SocketAddress VirtualAddress(std::size_t service) {
+  return base::SocketAddress::Ipv4(0xc6120001 + static_cast<std::uint32_t>(service), 443);
+}
+
+placement::RouteTable MakeRoutes() {
+  placement::RouteTable table;
+  table.version = 1;
+  for (std::size_t service = 0; service < 2; ++service) {
+    placement::Route route;
+    route.address = VirtualAddress(service);
+    route.services = {{kServices[service], 1}};
+    table.routes[route.address] = route;
+  }
+  return table;
+}
+
+}  // namespace
+
+PlacementWorld::PlacementWorld(const PlacementWorldSettings& settings)
+    : settings_(settings), balancers_(kBalancers), agents_(kAgents) {
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    agents_[index].endpoint.service = kServices[index % 2];
+    agents_[index].endpoint.incarnation = 1;
+    MakeAgent(index);
+    Announce(agents_[index]);
+  }
+  for (std::size_t index = 0; index < kBalancers; ++index) {
+    MakeBalancer(index);
+  }
+  Report();
+  now_ += std::chrono::seconds(1);
+  Report();
+}
+
+void PlacementWorld::MakeBalancer(std::size_t index) {
+  placement::BalancerSettings settings;
+  settings.learning_time = settings_.learning_time;
+  settings.fresh_for = std::chrono::seconds(1);
+  balancers_[index] = std::make_unique<placement::BalancerCore>(settings, random_, now_);
+  balancers_[index]->SetRoutes(MakeRoutes());
+}
+
+void PlacementWorld::MakeAgent(std::size_t index) {
+  placement::AgentCoreSettings settings;
+  settings.life = base::Incarnation(next_life_++);
+  settings.service = agents_[index].endpoint.service;
+  settings.announcement_period = kAnnouncementPeriod;
+  settings.drain_limit = settings_.memory_limit;
+  agents_[index].core = std::make_unique<placement::AgentCore>(settings);
+}
+
+void PlacementWorld::Announce(Agent& agent) {
+  placement::Announcement announcement;
+  announcement.id = std::to_string(agent.endpoint.incarnation);
+  announcement.is_draining = agent.endpoint.left_at.has_value();
+  announcement.capacity = kCapacity;
+  announcement.sequence = ++agent.endpoint.announcement;
+  agent.core->Gate().Announce(announcement, now_);
+}
+
+// Agents report to all balancers, which tell a restarted agent what they remember.
+void PlacementWorld::Report() {
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    Agent& agent = agents_[index];
+    agent.core->Tick(now_);
+    for (const auto& balancer : balancers_) {
+      const placement::AgentReport report = agent.core->MakeReport(now_);
+      const auto outcome = balancer->OnReport(AgentAddress(index), report, now_);
+      const placement::KnownAgent* known = balancer->Agents().Find(AgentAddress(index));
+      const bool may_help = outcome == placement::ReportOutcome::kNew && report.wants_memory;
+      if (may_help && known->memory) {
+        placement::Announcement announcement;
+        announcement.id = known->memory->endpoint;
+        announcement.capacity = known->memory->load.capacity;
+        announcement.sequence = known->memory->announcement;
+        agent.core->Gate().Remember(announcement, known->memory->standing, known->memory_at);
+      }
+    }
+  }
+  for (const auto& balancer : balancers_) {
+    balancer->Tick(now_);
+  }
+}
+
+std::optional<std::size_t> PlacementWorld::PickFlow(std::uint32_t choice,
+                                                    bool must_be_open) const {
+  std::vector<std::size_t> fit;
+  for (std::size_t index = 0; index < flows_.size(); ++index) {
+    const bool has_answer = flows_[index].endpoint_sequence != 0;
+    if (!flows_[index].is_reset && has_answer == must_be_open) {
+      fit.push_back(index);
+    }
+  }
+  return fit.empty() ? std::nullopt : std::optional(fit[choice % fit.size()]);
+}
+
+FlowPacket PlacementWorld::MakePacket(const Flow& flow, bool is_opening) const {
+  FlowPacket packet;
+  packet.flow = flow.key;
+  packet.is_opening = is_opening;
+  packet.is_synchronizing = is_opening;
+  packet.is_acknowledging = !is_opening;
+  packet.sequence = is_opening ? 100 : flow.next_byte;
+  packet.acknowledged = is_opening ? 0 : flow.endpoint_sequence;
+  packet.data_size = is_opening ? 0 : 10;
+  return packet;
+}
+
+void PlacementWorld::OpenFlow(std::uint32_t choice) {
+  Flow flow;
+  flow.key.client =
+      base::SocketAddress::Ipv4(0x64400001, static_cast<std::uint16_t>(1000 + flows_.size()));
+  flow.key.destination = VirtualAddress(choice % 2);
+  flows_.push_back(flow);
+  SendThrough((choice / 2) % kBalancers, MakePacket(flow, true));
+}
+
+void PlacementWorld::CopyOpening(std::uint32_t choice) {
+  if (const auto flow = PickFlow(choice, false)) {
+    SendThrough(choice % kBalancers, MakePacket(flows_[*flow], true));
+  }
+}
+
+void PlacementWorld::SendData(std::uint32_t choice) {
+  if (const auto flow = PickFlow(choice / 2, true)) {
+    SendThrough(choice % kBalancers, MakePacket(flows_[*flow], false));
+  }
+}
+
+void PlacementWorld::SendThrough(std::size_t balancer, const FlowPacket& packet) {
+  Act(balancer, packet, balancers_[balancer]->OnClientPacket(packet, now_));
+}
+
+void PlacementWorld::Act(std::size_t balancer, const FlowPacket& packet,
+                         const BalancerDecision& decision) {
+  if (decision.verdict == BalancerVerdict::kReset) {
+    TakeReset(packet, decision.reset_sequence);
+  }
+  if (decision.verdict == BalancerVerdict::kForward && network_.size() < kMostWaiting) {
+    network_.push_back(
+        {Hop::kToAgent, IndexOf(decision.agent), balancer, packet, decision.header, 0, 0});
+  }
+}
+
+void PlacementWorld::Deliver(std::uint32_t choice) {
+  if (network_.empty()) {
+    return;
+  }
+  const std::size_t index = choice % network_.size();
+  const Datagram datagram = network_[index];
+  network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(index));
+  Handle(datagram);
+}
+
+void PlacementWorld::Lose(std::uint32_t choice) {
+  if (!network_.empty()) {
+    network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(choice % network_.size()));
+  }
+}
+
+void PlacementWorld::Handle(const Datagram& datagram) {
+  switch (datagram.hop) {
+    case Hop::kToAgent:
+      AtAgent(datagram);
+      break;
+    case Hop::kToEndpoint:
+      AtEndpoint(datagram);
+      break;
+    case Hop::kToBalancer:
+      Act(datagram.node, datagram.packet,
+          balancers_[datagram.node]->OnReturnedPacket(datagram.packet, datagram.header,
+                                                      AgentAddress(datagram.sender), now_));
+      break;
+    case Hop::kHolding:
+      balancers_[datagram.node]->OnHolding(datagram.packet.flow, AgentAddress(datagram.sender),
+                                           datagram.header.service, now_);
+      ++searches_ended_;
+      break;
+  }
+}
+
+void PlacementWorld::AtAgent(const Datagram& datagram) {
+  Agent& agent = agents_[datagram.node];
+  placement::ForwardHeader header = datagram.header;
+  if (!settings_.checks_service) {
+    header.service = agent.endpoint.service;
+  }
+  const AgentDecision decision = agent.core->OnForwarded(
+      datagram.packet, header, BalancerAddress(datagram.sender), now_);
+  if (decision.verdict == AgentVerdict::kReturn) {
+    network_.push_back({Hop::kToBalancer, datagram.sender, datagram.node, datagram.packet,
+                        decision.header, 0, 0});
+  } else if (decision.verdict == AgentVerdict::kDeliver) {
+    // The way from an agent to the endpoint beside it keeps the order; it may still be late.
+    AtEndpoint({Hop::kToEndpoint, datagram.node, 0, datagram.packet, {}, decision.mark,
+                agent.endpoint.incarnation});
+  }
+}
+
+void PlacementWorld::AtEndpoint(const Datagram& datagram) {
+  Agent& agent = agents_[datagram.node];
+  Endpoint& endpoint = agent.endpoint;
+  const std::uint16_t port = datagram.packet.flow.client.port;
+  if (datagram.packet.is_opening) {
+    CheckOpening(agent, datagram.packet);
+    if (endpoint.open.contains(port)) {
+      return;
+    }
+    const auto [half, is_new] = endpoint.half_open.try_emplace(port, next_sequence_);
+    next_sequence_ += is_new ? 1 : 0;
+    FlowPacket answer = datagram.packet;
+    answer.is_opening = false;
+    answer.is_acknowledging = true;
+    answer.sequence = half->second;
+    FromEndpoint(datagram.node, answer, 0);
+    return;
+  }
+  const auto half = endpoint.half_open.find(port);
+  const bool opens = half != endpoint.half_open.end() &&
+                     half->second == datagram.packet.acknowledged;
+  if (!opens && !endpoint.open.contains(port)) {
+    Bounce(datagram.node, datagram.packet, datagram.mark);
+    return;
+  }
+  if (opens) {
+    endpoint.half_open.erase(half);
+    endpoint.open.insert(port);
+    ++flows_opened_;
+  }
+  ++endpoint.arrived;
+  FlowOf(datagram.packet).next_byte += datagram.packet.data_size;
+  FlowPacket answer = datagram.packet;
+  answer.sequence = datagram.packet.acknowledged;
+  FromEndpoint(datagram.node, answer, 0);
+}
+
+void PlacementWorld::Bounce(std::size_t agent, FlowPacket packet, std::uint32_t mark) {
+  packet.is_bounced = true;
+  if (settings_.returns_bounced) {
+    FromEndpoint(agent, packet, mark);
+  }
+}
+
+void PlacementWorld::FromEndpoint(std::size_t agent, const FlowPacket& packet,
+                                  std::uint32_t mark) {
+  const AgentDecision decision = agents_[agent].core->OnEndpointPacket(packet, mark, now_);
+  FlowPacket clean = packet;
+  clean.is_bounced = false;
+  if (decision.verdict == AgentVerdict::kReturn) {
+    network_.push_back({Hop::kToBalancer, IndexOf(decision.balancer), agent, clean,
+                        decision.header, 0, 0});
+  }
+  if (decision.verdict != AgentVerdict::kToClient) {
+    return;
+  }
+  if (decision.searcher) {
+    placement::ForwardHeader header;
+    header.service = agents_[agent].endpoint.service;
+    network_.push_back({Hop::kHolding, IndexOf(*decision.searcher), agent, clean, header, 0, 0});
+  }
+  Flow& flow = FlowOf(packet);
+  if (packet.is_synchronizing && flow.endpoint_sequence == 0) {
+    flow.endpoint_sequence = packet.sequence;
+  }
+}
+
+void PlacementWorld::Advance() {
+  now_ += kStep;
+  for (Agent& agent : agents_) {
+    const bool is_due = now_.time_since_epoch() % kAnnouncementPeriod == base::Duration(0);
+    if (is_due && !agent.endpoint.is_deregistered) {
+      Announce(agent);
+    }
+  }
+  Report();
+}
+
+void PlacementWorld::Rest() {
+  constexpr int kStepsOfASecond = 10;
+  for (int count = 0; count < kStepsOfASecond; ++count) {
+    Advance();
+  }
+}
+
+void PlacementWorld::RestartBalancer(std::uint32_t choice) { MakeBalancer(choice % kBalancers); }
+
+void PlacementWorld::RestartAgent(std::uint32_t choice) { MakeAgent(choice % kAgents); }
+
+void PlacementWorld::RestartAll() {
+  for (std::size_t index = 0; index < kBalancers; ++index) {
+    MakeBalancer(index);
+  }
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    MakeAgent(index);
+  }
+}
+
+void PlacementWorld::Leave(std::uint32_t choice) {
+  Agent& agent = agents_[choice % kAgents];
+  if (agent.endpoint.left_at) {
+    return;
+  }
+  agent.endpoint.left_at = now_;
+  if (choice % 8 < kAgents) {
+    Announce(agent);
+  } else {
+    agent.endpoint.is_deregistered = true;
+    agent.core->Gate().Deregister(std::to_string(agent.endpoint.incarnation), now_);
+  }
+}
+
+// Another endpoint at the same address, perhaps of the other service; its flows are gone.
+void PlacementWorld::Replace(std::uint32_t choice) {
+  Agent& agent = agents_[choice % kAgents];
+  if (!agent.endpoint.left_at) {
+    return;
+  }
+  const std::uint32_t incarnation = agent.endpoint.incarnation + 1;
+  const bool changes_service = choice % 8 < kAgents;
+  const base::ServiceId service = agent.endpoint.service;
+  agent.endpoint = {};
+  agent.endpoint.incarnation = incarnation;
+  agent.endpoint.service =
+      !changes_service ? service : service == kServices[0] ? kServices[1] : kServices[0];
+  MakeAgent(choice % kAgents);
+  Announce(agent);
+}
+
+// An announcement that was sent before the newest one comes only now.
+void PlacementWorld::AnnounceLate(std::uint32_t choice) {
+  Agent& agent = agents_[choice % kAgents];
+  if (agent.endpoint.announcement < 2) {
+    return;
+  }
+  placement::Announcement announcement;
+  announcement.id = std::to_string(agent.endpoint.incarnation);
+  announcement.capacity = kCapacity;
+  announcement.sequence = agent.endpoint.announcement - 1;
+  // What was sent as draining isn't sent as ready.
+  announcement.is_draining =
+      agent.endpoint.left_at.has_value() && now_ - *agent.endpoint.left_at > kAnnouncementPeriod;
+  agent.core->Gate().Announce(announcement, now_);
+}
+
+PlacementWorld::Agent* PlacementWorld::OwnerOf(const Flow& flow) {
+  for (Agent& agent : agents_) {
+    if (agent.endpoint.open.contains(flow.key.client.port)) {
+      return &agent;
+    }
+  }
+  return nullptr;
+}
+
+PlacementWorld::Flow& PlacementWorld::FlowOf(const FlowPacket& packet) {
+  return flows_.at(packet.flow.client.port - 1000U);
+}
+
+// A client with an open flow takes a reset only near what it has acknowledged.
+void PlacementWorld::TakeReset(const FlowPacket& packet, std::uint32_t sequence) {
+  Flow& flow = FlowOf(packet);
+  const auto distance = static_cast<std::int32_t>(sequence - flow.endpoint_sequence);
+  if (flow.endpoint_sequence != 0 && std::abs(distance) > kResetWindow) {
+    return;
+  }
+  if (OwnerOf(flow) != nullptr) {
+    Break("an open flow was reset");
+  }
+  flow.is_reset = true;
+  ++resets_;
+}
+
+void PlacementWorld::CheckOpening(const Agent& agent, const FlowPacket& packet) {
+  const std::size_t service = packet.flow.destination == VirtualAddress(0) ? 0 : 1;
+  if (agent.endpoint.service != kServices[service]) {
+    Break("an opening packet reached another service");
+  }
+  const auto& left_at = agent.endpoint.left_at;
+  if (left_at && now_ - *left_at > kDrainLimit) {
+    Break("an endpoint that had left got an opening packet");
+  }
+}
+
+void PlacementWorld::Heal() {
+  network_.clear();
+  for (int count = 0; count < 12; ++count) {
+    Advance();
+  }
+  for (Flow& flow : flows_) {
+    Agent* owner = OwnerOf(flow);
+    if (owner == nullptr || flow.is_reset) {
+      continue;
+    }
+    for (std::size_t balancer = 0; balancer < kBalancers; ++balancer) {
+      const std::uint64_t before = owner->endpoint.arrived;
+      SendThrough(balancer, MakePacket(flow, false));
+      while (!network_.empty()) {
+        Deliver(0);
+      }
+      if (owner->endpoint.arrived == before) {
+        Break("an open flow's packet never reached its endpoint");
+      }
+    }
+  }
+}
+
+void PlacementWorld::Break(const std::string& text) {
+  if (!violation_) {
+    violation_ = text;
+  }
+}
+
+}  // namespace gaugevalve::proofs
