--- a/libs/control/include/gaugevalve/control/planner_host.h
+++ b/libs/control/include/gaugevalve/control/planner_host.h
@@ -38,6 +38,7 @@
 // An answer to a report that came before the planner ran.
 struct LateAnswer {
   base::NodeId agent;
+  base::Incarnation incarnation;
   ReportAnswer answer;
 };
 
--- a/libs/control/src/planner_host.cpp
+++ b/libs/control/src/planner_host.cpp
@@ -176,7 +176,8 @@
     return std::nullopt;
   }
   planner.NoteAnswered(report.node, report.incarnation, now);
-  return ReportAnswer{report.sequence, planner.Table().version, FlowsOutcomeOf(outcome)};
+  return ReportAnswer{report.sequence, planner.ListedSince(report.node, report.incarnation),
+                      FlowsOutcomeOf(outcome)};
 }
 
 std::vector<routing::BucketTable> PlannerHost::Tick(const PlanningContext& context,
@@ -198,7 +199,8 @@
       changed.push_back(hosted.planner->Table());
     }
     for (LateAnswer& answer : late) {
-      answer.answer.table_version = hosted.planner->Table().version;  // of the table just published
+      // The table just published may be the first that lists it.
+      answer.answer.table_version = hosted.planner->ListedSince(answer.agent, answer.incarnation);
       late_answers_.push_back(answer);
     }
     const base::TimePoint regular = now + kShortestStep;
@@ -234,7 +236,7 @@
   for (const auto& [node, report] : std::exchange(hosted.early_reports, {})) {
     const std::optional<ReportAnswer> answer = TakeAndAnswer(*hosted.planner, report, now);
     if (answer.has_value()) {
-      answers.push_back({node, *answer});
+      answers.push_back({node, report.incarnation, *answer});
     }
   }
   return answers;
--- a/libs/routing/include/gaugevalve/routing/service_planner.h
+++ b/libs/routing/include/gaugevalve/routing/service_planner.h
@@ -119,6 +119,12 @@
   // The present table; valid until the next TakeOver() or Step().
   const BucketTable& Table() const { return table_; }
 
+  // Returns the version from which on every table of this planner's lists this life of the agent,
+  // or the present one when it isn't listed. An agent that has this table or a later one needs no
+  // newer one before it may open flows: a bucket that was moved since keeps it in its chain until
+  // the agent itself reports that it has the table that says so.
+  TableVersion ListedSince(base::NodeId node, base::Incarnation incarnation) const;
+
   // Returns when the buckets of a dead agent are next free to be given away; nothing when none
   // wait.
   std::optional<base::TimePoint> NextRelease() const { return dead_agents_.NextRelease(); }
@@ -136,6 +142,13 @@
     base::TimePoint first_seen;
   };
 
+  // Since which table this planner lists a life of an agent without a break.
+  struct Listing {
+    base::Incarnation incarnation;
+    TableVersion since;
+  };
+
+  void NoteListings(const BucketTable& next, bool starts_over);
   const AgentStatus* FindStatus(base::NodeId node) const;
   bool IsDeclaredAlive(base::NodeId node) const;
   bool MayHoldFlows(base::NodeId node) const;
@@ -166,6 +179,7 @@
   std::uint32_t sequence_ = 0;
   BucketTable table_;
   std::vector<AgentStatus> agents_;  // sorted by node
+  std::map<base::NodeId, Listing> listings_;
   std::map<base::NodeId, Life> lives_;
   ReportLedger ledger_;
   DeadAgentHold dead_agents_;
--- a/libs/routing/src/service_planner.cpp
+++ b/libs/routing/src/service_planner.cpp
@@ -363,12 +363,31 @@
       next.buckets[index].version = next.version;
     }
   }
+  NoteListings(next, stamp_all);
   TableDelta delta = MakeDelta(table_, next);
   table_ = std::move(next);
   ++counters_.deltas;
   return delta;
 }
 
+// After a take-over nothing is known of what agents were told, so they need the first own table.
+void ServicePlanner::NoteListings(const BucketTable& next, bool starts_over) {
+  std::map<base::NodeId, Listing> listings;
+  for (const AgentEntry& entry : next.agents) {
+    const auto known = listings_.find(entry.node);
+    const bool goes_on =
+        !starts_over && known != listings_.end() && known->second.incarnation == entry.incarnation;
+    listings[entry.node] = goes_on ? known->second : Listing{entry.incarnation, next.version};
+  }
+  listings_ = std::move(listings);
+}
+
+TableVersion ServicePlanner::ListedSince(base::NodeId node, base::Incarnation incarnation) const {
+  const auto known = listings_.find(node);
+  const bool is_listed = known != listings_.end() && known->second.incarnation == incarnation;
+  return is_listed ? known->second.since : table_.version;
+}
+
 std::optional<TableDelta> ServicePlanner::Step(base::TimePoint now) {
   urgent_ = dead_agents_.Release(now) || urgent_;
   if (!urgent_ && now < next_step_) {
--- a/libs/routing/tests/service_planner_test.cpp
+++ b/libs/routing/tests/service_planner_test.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(ReportsFromBeforeATakeOverShortenNoChain);
   CPPUNIT_TEST(TakeOverOfANewerTableIsRefused);
   CPPUNIT_TEST(ReportsThatDontFitAreRefused);
+  CPPUNIT_TEST(AnAgentNeedsOnlyTheTableThatFirstListedIt);
   CPPUNIT_TEST(BusyAgentLosesBuckets);
   CPPUNIT_TEST(FullChainMovesOnlyBackToItsMembers);
   CPPUNIT_TEST_SUITE_END();
@@ -352,6 +353,29 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, fixture.planner.Counters().reports_refused);
   }
 
+  // Tables that come late to agents while the planner changes them with each report made agents
+  // drop first packets as stale_table: an answer named the newest table.
+  void AnAgentNeedsOnlyTheTableThatFirstListedIt() {
+    Fixture fixture = WithThreeAgents();
+    const TableVersion first = fixture.planner.Table().version;
+    fixture.planner.SetAgents({MakeStatus(1), MakeStatus(2), MakeStatus(3), MakeStatus(4)},
+                              fixture.now);
+    fixture.StepLater();
+    const TableVersion second = fixture.planner.Table().version;
+    CPPUNIT_ASSERT(first < second);
+    const base::Incarnation life(1);
+    CPPUNIT_ASSERT(fixture.planner.ListedSince(Node(1), life) == first);
+    CPPUNIT_ASSERT(fixture.planner.ListedSince(Node(4), life) == second);
+    // Another life of a node, and one that isn't listed, need the newest.
+    CPPUNIT_ASSERT(fixture.planner.ListedSince(Node(1), base::Incarnation(2)) == second);
+    CPPUNIT_ASSERT(fixture.planner.ListedSince(Node(9), life) == second);
+    // A successor can't tell what the former planner's agents were told.
+    Fixture successor = Successor(fixture.planner.Table());
+    successor.StepLater();
+    successor.StepLater(seconds(60));
+    CPPUNIT_ASSERT(second < successor.planner.ListedSince(Node(1), life));
+  }
+
   void BusyAgentLosesBuckets() {
     Fixture fixture = WithThreeAgents();
     for (int step = 0; step < 20; ++step) {
--- a/proofs/flow_ownership/src/flow_world.cpp
+++ b/proofs/flow_ownership/src/flow_world.cpp
@@ -130,8 +130,9 @@
   const std::vector<TablePointer>& tables = planner_.Tables();
   const std::size_t index = tables.size() - 1 - age % tables.size();
   const bool is_newest = index + 1 == tables.size();
+  // A report was answered: the answer names the table that first listed this life of the agent.
   if (is_newest) {
-    confirmations_[agent][index] = now_;
+    confirmations_[agent][planner_.ListedSince(NodeOf(agent))] = now_;
   }
   network_.emplace_back(TableMessage{agent, tables[index], LastConfirmation(agent, index)});
 }
--- a/proofs/flow_ownership/src/planner_model.cpp
+++ b/proofs/flow_ownership/src/planner_model.cpp
@@ -87,6 +87,19 @@
   Publish(std::move(table));
 }
 
+std::size_t PlannerModel::ListedSince(base::NodeId node) const {
+  std::size_t index = tables_.size() - 1;
+  const routing::AgentEntry* newest = Newest().FindAgent(node);
+  while (newest != nullptr && index > 0) {
+    const routing::AgentEntry* earlier = tables_[index - 1]->FindAgent(node);
+    if (earlier == nullptr || earlier->incarnation != newest->incarnation) {
+      break;
+    }
+    --index;
+  }
+  return index;
+}
+
 void PlannerModel::Publish(routing::BucketTable table) {
   if (table == Newest()) {
     return;
--- a/proofs/flow_ownership/src/planner_model.h
+++ b/proofs/flow_ownership/src/planner_model.h
@@ -37,6 +37,10 @@
   // Tells whether the newest table lists the agent.
   bool Lists(base::NodeId node) const { return Newest().FindAgent(node) != nullptr; }
 
+  // Returns the index of the first of the tables that list the newest one's life of the agent
+  // without a break; the newest table's when it doesn't list the agent.
+  std::size_t ListedSince(base::NodeId node) const;
+
   const routing::BucketTable& Newest() const { return *tables_.back(); }
 
   // All tables made, oldest first; never empty.
--- a/tools/lab/src/planner_host.cpp
+++ b/tools/lab/src/planner_host.cpp
@@ -355,7 +355,8 @@
     return;
   }
   planner_->NoteAnswered(report.node, report.incarnation, world_.Now());
-  const control::ReportAnswer answer{sent.numbered.sequence, planner_->Table().version,
+  const control::ReportAnswer answer{sent.numbered.sequence,
+                                     planner_->ListedSince(report.node, report.incarnation),
                                      control::FlowsOutcomeOf(outcome)};
   balancer.control.Add(control::EncodeAnswer(answer).size());
   const std::size_t index = sent.agent;
