--- a/docs/tests/log_events_test.py
+++ b/docs/tests/log_events_test.py
@@ -6,7 +6,7 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-SOURCE_DIRECTORIES = ["daemons", "examples", "libs", "standins", "tools"]
+SOURCE_DIRECTORIES = ["daemons", "examples", "libs", "platform", "standins", "tools"]
 _EVENT = re.compile(r'Event\([^"();]*"([a-z0-9_]+)"\)')
 _LITERAL = re.compile(r'"([a-z0-9_]+)"')
 _NAME = re.compile(r"`([a-z0-9_]+)`")
--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -74,9 +74,9 @@
 
   struct FlowRecord {
     FlowState state = FlowState::kIdle;
-    base::TimePoint since{};        // of the state
+    base::TimePoint since{};  // of the state
     base::TimePoint last_packet{};
-    std::uint32_t client_end = 0;   // the client's data is known up to here
+    std::uint32_t client_end = 0;  // the client's data is known up to here
     bool has_client_end = false;
     bool client_closed = false;
     bool endpoint_closed = false;
--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -21,7 +21,7 @@
   AgentReport report;
   base::Incarnation previous_life;  ///< of the agent; what still comes from it is late
   base::TimePoint heard_at{};
-  bool is_only_listed = false;  ///< by somebody else; not heard here
+  bool is_only_listed = false;            ///< by somebody else; not heard here
   std::uint32_t placed_since_report = 0;  ///< opening packets passed to it since the last report
   double placed_share = 0;                ///< of this balancer's openings, decaying; for ties
   /// The newest report that knew the endpoint, also of an earlier life: a restarted agent asks for
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -31,6 +31,9 @@
 
 enum class BalancerVerdict : std::uint8_t { kForward, kReset, kDrop };
 
+/// Returns the verdict's name for logs.
+const char* BalancerVerdictName(BalancerVerdict verdict);
+
 /// Why a packet was reset or dropped, or how its agent was found.
 enum class BalancerReason : std::uint8_t {
   kRemembered,     ///< the flow's agent is known
@@ -83,7 +86,8 @@
 
   /// An agent says that its endpoint holds a flow that was searched for.
   /// @param service  of that endpoint; the agent may not have reported yet
-  void OnHolding(const FlowKey& flow, const base::SocketAddress& agent, base::ServiceId service,
+  /// @return  whether that wasn't what the balancer believed
+  bool OnHolding(const FlowKey& flow, const base::SocketAddress& agent, base::ServiceId service,
                  base::TimePoint now);
 
   ReportOutcome OnReport(const base::SocketAddress& address, const AgentReport& report,
@@ -101,7 +105,7 @@
     base::ServiceId service;
     base::TimePoint last_packet{};
     std::uint32_t opening_sequence = 0;
-    bool is_open = false;      // a packet beyond the opening one has come from the client
+    bool is_open = false;       // a packet beyond the opening one has come from the client
     bool is_confirmed = false;  // the agent's endpoint was seen to hold the flow
     std::vector<base::SocketAddress> refused;  // agents that returned it
     std::vector<base::SocketAddress> busy;     // those of them that did so for their load
@@ -122,7 +126,9 @@
                                        base::TimePoint now);
   static void NoteOpen(FlowRecord& record);
   FlowRecord* Remember(const FlowKey& flow);
-  bool IsLearning(base::TimePoint now) const { return now - m_started_at < m_settings.learning_time; }
+  bool IsLearning(base::TimePoint now) const {
+    return now - m_started_at < m_settings.learning_time;
+  }
 
   BalancerSettings m_settings;
   AgentDirectory m_agents;
--- a/libs/placement/include/gaugevalve/placement/flow_hash.h
+++ b/libs/placement/include/gaugevalve/placement/flow_hash.h
@@ -17,4 +17,10 @@
   return base::HashPair(AddressHash(flow.client), AddressHash(flow.destination));
 }
 
+/// Tells whether usual decisions about this flow are logged: the same flows on every node.
+inline bool IsSampled(const FlowKey& flow) {
+  constexpr std::uint64_t kOneIn = 64;
+  return FlowHash(flow) % kOneIn == 0;
+}
+
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/forward_header.h
+++ b/libs/placement/include/gaugevalve/placement/forward_header.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -29,6 +30,9 @@
   kOtherService = 4,  ///< the endpoint belongs to another service
 };
 
+inline constexpr std::size_t kReturnReasonCount =
+    static_cast<std::size_t>(ReturnReason::kOtherService) + 1;
+
 /// Returns the reason's name for logs and metrics.
 const char* ReturnReasonName(ReturnReason reason);
 
--- a/libs/placement/include/gaugevalve/placement/node_message.h
+++ b/libs/placement/include/gaugevalve/placement/node_message.h
@@ -26,12 +26,12 @@
 /// What a balancer tells agents and other balancers.
 struct BalancerGreeting {
   base::Incarnation life;
-  std::uint64_t routes_version = 0;     ///< 0 for none
-  std::vector<BalancerAge> balancers;   ///< alive; without the sender
+  std::uint64_t routes_version = 0;    ///< 0 for none
+  std::vector<BalancerAge> balancers;  ///< alive; without the sender
   std::vector<ListedAgent> agents;
-  std::string health_path;              ///< of the service of the agent written to; may be empty
-  bool wants_answer = false;            ///< the receiver is asked for a report or a greeting
-  std::optional<AgentReport> memory;    ///< of the endpoint beside the agent written to
+  std::string health_check_path;      ///< of the service of the agent written to; may be empty
+  bool wants_answer = false;          ///< the receiver is asked for a report or a greeting
+  std::optional<AgentReport> memory;  ///< of the endpoint beside the agent written to
   base::Duration memory_age{0};
   bool is_leaving = false;
 };
--- a/libs/placement/include/gaugevalve/placement/route_table.h
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -40,7 +40,8 @@
   std::uint64_t version = 0;  ///< 0: none is known yet
   base::Duration idle_timeout = std::chrono::seconds(60);
   absl::flat_hash_map<base::SocketAddress, Route> routes;
-  absl::flat_hash_map<base::ServiceId, std::string> health_paths;  ///< of services that have one
+  absl::flat_hash_map<base::ServiceId, std::string>
+      health_check_paths;  ///< of services that have one
 
   /// Returns the route of a virtual address, or null.
   const Route* Find(const base::SocketAddress& address) const;
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -70,8 +70,8 @@
 }
 
 std::size_t AgentDirectory::ForgetSilent(base::Duration silence, base::TimePoint now) {
-  return absl::erase_if(
-      m_agents, [&](const auto& entry) { return now - entry.second.heard_at > silence; });
+  return absl::erase_if(m_agents,
+                        [&](const auto& entry) { return now - entry.second.heard_at > silence; });
 }
 
 KnownAgent* AgentDirectory::Find(const base::SocketAddress& address) {
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -44,11 +44,22 @@
 
 const char* BalancerReasonName(BalancerReason reason) {
   constexpr const char* kNames[kBalancerReasonCount] = {
-      "remembered", "placed",      "searched",      "no_routes",    "no_route", "route_removed",
-      "no_endpoint", "all_refused", "held_by_none", "not_sure", "too_many_passes", "reset"};
+      "remembered",  "placed",      "searched",     "no_routes", "no_route",        "route_removed",
+      "no_endpoint", "all_refused", "held_by_none", "not_sure",  "too_many_passes", "reset"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
+const char* BalancerVerdictName(BalancerVerdict verdict) {
+  switch (verdict) {
+    case BalancerVerdict::kForward:
+      return "forward";
+    case BalancerVerdict::kReset:
+      return "reset";
+    default:
+      return "drop";
+  }
+}
+
 BalancerCore::BalancerCore(BalancerSettings settings, base::RandomSource& random,
                            base::TimePoint now)
     : m_settings(std::move(settings)),
@@ -148,8 +159,8 @@
   record.busy.clear();  // once: what comes back now is final
   const bool is_worth_it =
       best != nullptr && route != nullptr &&
-      (route->target_latency.count() == 0 ||
-       ExpectedWait(*best) + best->report.load.answer_time < route->target_latency * kWaitPercent / 100);
+      (route->target_latency.count() == 0 || ExpectedWait(*best) + best->report.load.answer_time <
+                                                 route->target_latency * kWaitPercent / 100);
   if (is_worth_it) {
     record.agent = best->address;
     best->placed_since_report += 1;
@@ -211,7 +222,8 @@
   }
   const std::uint64_t hash = FlowHash(packet.flow);
   const auto rank = [&](const KnownAgent* agent) {
-    return std::pair(!m_agents.IsFresh(*agent, now), base::HashPair(hash, AddressHash(agent->address)));
+    return std::pair(!m_agents.IsFresh(*agent, now),
+                     base::HashPair(hash, AddressHash(agent->address)));
   };
   std::sort(order.begin(), order.end(), [&](const KnownAgent* left, const KnownAgent* right) {
     return rank(left) < rank(right);
@@ -259,8 +271,7 @@
     return Drop(BalancerReason::kTooManyPasses);
   }
   const auto attempt = static_cast<std::uint8_t>(header.attempt + 1);
-  const bool is_answer_to_guess =
-      record.agent == agent || record.agent == base::SocketAddress();
+  const bool is_answer_to_guess = record.agent == agent || record.agent == base::SocketAddress();
   if (!is_answer_to_guess && !Contains(record.refused, record.agent)) {
     return ForwardTo(record, BalancerReason::kRemembered, attempt);
   }
@@ -288,15 +299,17 @@
   return Search(packet, *route, record, attempt, now);
 }
 
-void BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
+bool BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
                              base::ServiceId service, base::TimePoint now) {
   FlowRecord& record = *Remember(flow);
+  const bool is_news = record.agent != agent || !record.refused.empty();
   record.agent = agent;
   record.service = service;
   record.is_open = true;
   record.is_confirmed = true;
   record.refused.clear();
   record.last_packet = now;
+  return is_news;
 }
 
 ReportOutcome BalancerCore::OnReport(const base::SocketAddress& address, const AgentReport& report,
@@ -336,8 +349,7 @@
   }
   m_swept_at = now;
   const base::Duration idle = std::min(m_settings.flow_memory, m_routes.idle_timeout + kIdleSlack);
-  absl::erase_if(m_flows,
-                 [&](const auto& entry) { return now - entry.second.last_packet > idle; });
+  absl::erase_if(m_flows, [&](const auto& entry) { return now - entry.second.last_packet > idle; });
   m_agents.ForgetSilent(m_settings.flow_memory, now);
 }
 
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -89,7 +89,7 @@
     node.set_address(ToNumber(agent.address));
     node.set_service(agent.service.value());
   }
-  message.set_health_path(greeting.health_path);
+  message.set_health_check_path(greeting.health_check_path);
   message.set_wants_answer(greeting.wants_answer);
   if (greeting.memory) {
     Fill(*greeting.memory, *message.mutable_memory());
@@ -110,8 +110,8 @@
     greeting.agents.push_back(
         {base::SocketAddress::Ipv4(node.address(), port), base::ServiceId(node.service())});
   }
-  if (message.health_path().size() <= kMostText) {
-    greeting.health_path = message.health_path();
+  if (message.health_check_path().size() <= kMostText) {
+    greeting.health_check_path = message.health_check_path();
   }
   greeting.wants_answer = message.wants_answer();
   if (message.has_memory()) {
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -93,7 +93,8 @@
     Announce();
     Forward(Data(Flow(1), 101));
     m_header.attempt = 3;
-    const AgentDecision delivered = m_core.OnForwarded(Data(Flow(2), 101), m_header, Node(8), m_now);
+    const AgentDecision delivered =
+        m_core.OnForwarded(Data(Flow(2), 101), m_header, Node(8), m_now);
     FlowPacket bounced = Data(Flow(2), 101);
     bounced.is_bounced = true;
     const AgentDecision decision = m_core.OnEndpointPacket(bounced, delivered.mark, m_now);
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -211,7 +211,8 @@
     Start();
     HearThree();
     Send(Data(Flow(1), 101));
-    m_core->OnHolding(Flow(1), Node(3), kOrders, m_now);
+    CPPUNIT_ASSERT(m_core->OnHolding(Flow(1), Node(3), kOrders, m_now));
+    CPPUNIT_ASSERT(!m_core->OnHolding(Flow(1), Node(3), kOrders, m_now));
     const BalancerDecision decision = Send(Data(Flow(1), 111));
     Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
     CPPUNIT_ASSERT_EQUAL(Node(3), decision.agent);
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -208,7 +208,7 @@
     greeting.routes_version = 6;
     greeting.balancers = {{Node(2), milliseconds(30)}};
     greeting.agents = {{Node(3), testing::kDrawings}};
-    greeting.health_path = "/h";
+    greeting.health_check_path = "/h";
     greeting.wants_answer = true;
     greeting.memory = Report(4);
     greeting.memory_age = milliseconds(90);
@@ -218,7 +218,7 @@
     CPPUNIT_ASSERT(result.balancers.at(0).age == base::Duration(milliseconds(30)));
     CPPUNIT_ASSERT_EQUAL(Node(3), result.agents.at(0).address);
     CPPUNIT_ASSERT(result.agents.at(0).service == testing::kDrawings);
-    CPPUNIT_ASSERT_EQUAL(std::string("/h"), result.health_path);
+    CPPUNIT_ASSERT_EQUAL(std::string("/h"), result.health_check_path);
     CPPUNIT_ASSERT(result.wants_answer && result.routes_version == 6);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, result.memory->sequence);
     CPPUNIT_ASSERT(result.memory_age == base::Duration(milliseconds(90)));
--- a/libs/telemetry/src/logging.cpp
+++ b/libs/telemetry/src/logging.cpp
@@ -5,6 +5,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
+#include "descriptor_appender.h"
 #include "native_level.h"
 
 namespace gaugevalve::telemetry {
@@ -13,15 +14,10 @@
 // UTC time with milliseconds, then the level, then the event's own text.
 constexpr char kPattern[] = "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n";
 
-}  // namespace
+// The descriptor's appender of the present session, or null. Set before other threads log.
+DescriptorAppender* descriptor_appender = nullptr;
 
-LoggingSession::LoggingSession(Level lowest_level) {
-  // log4cplus can be set up once in a process, so this outlives the session.
-  static const log4cplus::Initializer initializer;
-  constexpr bool kLogToStandardError = true;
-  constexpr bool kFlushEachLine = true;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(kLogToStandardError, kFlushEachLine));
+void StartLogging(Level lowest_level, const log4cplus::SharedAppenderPtr& appender) {
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
@@ -29,7 +25,33 @@
   root.setLogLevel(NativeLevel(lowest_level));
 }
 
-LoggingSession::~LoggingSession() { log4cplus::Logger::getRoot().removeAllAppenders(); }
+// log4cplus can be set up once in a process, so this outlives the session.
+void InitializeOnce() { static const log4cplus::Initializer initializer; }
+
+}  // namespace
+
+LoggingSession::LoggingSession(Level lowest_level) {
+  InitializeOnce();
+  constexpr bool kLogToStandardError = true;
+  constexpr bool kFlushEachLine = true;
+  StartLogging(lowest_level, log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(
+                                 kLogToStandardError, kFlushEachLine)));
+}
+
+LoggingSession::LoggingSession(Level lowest_level, int descriptor) {
+  InitializeOnce();
+  descriptor_appender = new DescriptorAppender(descriptor);  // the shared pointer owns it
+  StartLogging(lowest_level, log4cplus::SharedAppenderPtr(descriptor_appender));
+}
+
+LoggingSession::~LoggingSession() {
+  descriptor_appender = nullptr;
+  log4cplus::Logger::getRoot().removeAllAppenders();
+}
+
+std::uint64_t LogLinesLost() {
+  return descriptor_appender == nullptr ? 0 : descriptor_appender->LinesLost();
+}
 
 std::optional<Level> ParseLevel(std::string_view name) {
   if (name == "debug") {
--- a/proofs/placement/src/placement_proof.cpp
+++ b/proofs/placement/src/placement_proof.cpp
@@ -102,8 +102,8 @@
   std::ostringstream counts;
   counts << "flows opened " << totals.flows_opened << ", holders found by searches "
          << totals.searches_ended << ", resets " << totals.resets;
-  const bool is_enough = totals.flows_opened > kEnough && totals.searches_ended > kEnough &&
-                         totals.resets > 0;
+  const bool is_enough =
+      totals.flows_opened > kEnough && totals.searches_ended > kEnough && totals.resets > 0;
   return {is_enough, counts.str()};
 }
 
@@ -130,9 +130,8 @@
     Holds("flows_stay_and_left_endpoints_get_none", PlacementWorldSettings{});
 const testing::RegisteredProof without_learning =
     IsCaught("without_learning_time", {.learning_time = base::Duration(0)}, "was reset");
-const testing::RegisteredProof with_long_memory =
-    IsCaught("with_a_memory_beyond_the_drain_limit", {.memory_limit = std::chrono::minutes(5)},
-             "had left");
+const testing::RegisteredProof with_long_memory = IsCaught(
+    "with_a_memory_beyond_the_drain_limit", {.memory_limit = std::chrono::minutes(5)}, "had left");
 const testing::RegisteredProof without_service_check =
     IsCaught("without_service_check", {.checks_service = false}, "another service");
 const testing::RegisteredProof without_returns =
--- a/proofs/placement/src/placement_world.cpp
+++ b/proofs/placement/src/placement_world.cpp
@@ -116,8 +116,7 @@
   }
 }
 
-std::optional<std::size_t> PlacementWorld::PickFlow(std::uint32_t choice,
-                                                    bool must_be_open) const {
+std::optional<std::size_t> PlacementWorld::PickFlow(std::uint32_t choice, bool must_be_open) const {
   std::vector<std::size_t> fit;
   for (std::size_t index = 0; index < flows_.size(); ++index) {
     const bool has_answer = flows_[index].endpoint_sequence != 0;
@@ -219,14 +218,19 @@
   if (!settings_.checks_service) {
     header.service = agent.endpoint.service;
   }
-  const AgentDecision decision = agent.core->OnForwarded(
-      datagram.packet, header, BalancerAddress(datagram.sender), now_);
+  const AgentDecision decision =
+      agent.core->OnForwarded(datagram.packet, header, BalancerAddress(datagram.sender), now_);
   if (decision.verdict == AgentVerdict::kReturn) {
-    network_.push_back({Hop::kToBalancer, datagram.sender, datagram.node, datagram.packet,
-                        decision.header, 0, 0});
+    network_.push_back(
+        {Hop::kToBalancer, datagram.sender, datagram.node, datagram.packet, decision.header, 0, 0});
   } else if (decision.verdict == AgentVerdict::kDeliver) {
     // The way from an agent to the endpoint beside it keeps the order; it may still be late.
-    AtEndpoint({Hop::kToEndpoint, datagram.node, 0, datagram.packet, {}, decision.mark,
+    AtEndpoint({Hop::kToEndpoint,
+                datagram.node,
+                0,
+                datagram.packet,
+                {},
+                decision.mark,
                 agent.endpoint.incarnation});
   }
 }
@@ -250,8 +254,8 @@
     return;
   }
   const auto half = endpoint.half_open.find(port);
-  const bool opens = half != endpoint.half_open.end() &&
-                     half->second == datagram.packet.acknowledged;
+  const bool opens =
+      half != endpoint.half_open.end() && half->second == datagram.packet.acknowledged;
   if (!opens && !endpoint.open.contains(port)) {
     Bounce(datagram.node, datagram.packet, datagram.mark);
     return;
@@ -275,14 +279,13 @@
   }
 }
 
-void PlacementWorld::FromEndpoint(std::size_t agent, const FlowPacket& packet,
-                                  std::uint32_t mark) {
+void PlacementWorld::FromEndpoint(std::size_t agent, const FlowPacket& packet, std::uint32_t mark) {
   const AgentDecision decision = agents_[agent].core->OnEndpointPacket(packet, mark, now_);
   FlowPacket clean = packet;
   clean.is_bounced = false;
   if (decision.verdict == AgentVerdict::kReturn) {
-    network_.push_back({Hop::kToBalancer, IndexOf(decision.balancer), agent, clean,
-                        decision.header, 0, 0});
+    network_.push_back(
+        {Hop::kToBalancer, IndexOf(decision.balancer), agent, clean, decision.header, 0, 0});
   }
   if (decision.verdict != AgentVerdict::kToClient) {
     return;
@@ -354,8 +357,9 @@
   const base::ServiceId service = agent.endpoint.service;
   agent.endpoint = {};
   agent.endpoint.incarnation = incarnation;
-  agent.endpoint.service =
-      !changes_service ? service : service == kServices[0] ? kServices[1] : kServices[0];
+  agent.endpoint.service = !changes_service          ? service
+                           : service == kServices[0] ? kServices[1]
+                                                     : kServices[0];
   MakeAgent(choice % kAgents);
   Announce(agent);
 }
