--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -25,6 +25,8 @@
   base::Duration fresh_for = std::chrono::milliseconds(800);  ///< life of a report
   /// A balancer this young doesn't know all agents yet: it drops where it would reset.
   base::Duration learning_time = std::chrono::milliseconds(700);
+  /// An agent not heard for this long is no longer taken for the holder of a flow.
+  base::Duration silence_limit = std::chrono::seconds(4);
   /// A flow without a packet for this long is forgotten, at least; see RouteTable::idle_timeout.
   base::Duration flow_memory = std::chrono::seconds(60);
 };
@@ -124,6 +126,8 @@
                              std::uint8_t attempt) const;
   std::vector<KnownAgent*> SearchOrder(const FlowPacket& packet, const Route& route,
                                        base::TimePoint now);
+  bool IsGivenUp(const FlowRecord& record, base::TimePoint now);
+  bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
   static void NoteOpen(FlowRecord& record);
   FlowRecord* Remember(const FlowKey& flow);
   bool IsLearning(base::TimePoint now) const {
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -24,6 +24,13 @@
   return std::find(items.begin(), items.end(), item) != items.end();
 }
 
+template <class Item>
+void AddOnce(std::vector<Item>& items, const Item& item) {
+  if (!Contains(items, item)) {
+    items.push_back(item);
+  }
+}
+
 BalancerDecision Drop(BalancerReason reason) { return {BalancerVerdict::kDrop, reason, {}, {}, 0}; }
 
 // The client takes a reset near what it has acknowledged, and any while the flow isn't open.
@@ -191,12 +198,27 @@
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
   NoteOpen(record);
-  if (is_known) {
+  if (is_known && !IsGivenUp(record, now)) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
+  if (is_known) {
+    AddOnce(record.refused, record.agent);
+    record.is_confirmed = false;
+  }
   return Search(packet, *route, record, 0, now);
 }
 
+// Whether the agent that the flow was given to has been silent for too long, or has gone.
+bool BalancerCore::IsGivenUp(const FlowRecord& record, base::TimePoint now) {
+  const KnownAgent* agent = m_agents.Find(record.agent);
+  return agent != nullptr && !MayHoldFlows(*agent, now);
+}
+
+bool BalancerCore::MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
+  return agent.report.standing != EndpointStanding::kAbsent &&
+         now - agent.heard_at <= m_settings.silence_limit;
+}
+
 void BalancerCore::NoteOpen(FlowRecord& record) {
   if (!record.is_open) {
     record.is_open = true;
@@ -215,7 +237,7 @@
   }
   for (const base::ServiceId service : past->second) {
     for (KnownAgent* agent : m_agents.OfService(service)) {
-      if (agent->report.standing != EndpointStanding::kAbsent) {
+      if (MayHoldFlows(*agent, now)) {
         order.push_back(agent);
       }
     }
@@ -281,9 +303,7 @@
   if (!packet.is_opening) {
     NoteOpen(record);
   }
-  if (!Contains(record.refused, agent)) {
-    record.refused.push_back(agent);
-  }
+  AddOnce(record.refused, agent);
   if (packet.is_opening) {
     if (header.reason == ReturnReason::kBusy) {
       record.busy.push_back(agent);
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(AYoungBalancerDoesNotReset);
   CPPUNIT_TEST(AnAgentNotHeardYetMayHoldTheFlow);
   CPPUNIT_TEST(AnAgentWithoutEndpointIsNotAsked);
+  CPPUNIT_TEST(AnAgentThatIsSilentForLongIsGivenUp);
   CPPUNIT_TEST(TheHolderIsRemembered);
   CPPUNIT_TEST(AHolderIsBelievedBeforeItsFirstReport);
   CPPUNIT_TEST(AnAgentThatRefusedTheOpeningMayHoldTheFlow);
@@ -207,6 +208,21 @@
     Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, decision);
   }
 
+  // Seen on a day with a power loss: a machine came back for a second, was heard once and taken
+  // away; searches ended at it, and clients of dead flows waited for their deadline.
+  void AnAgentThatIsSilentForLongIsGivenUp() {
+    Start();
+    Hear(1);
+    m_now += std::chrono::milliseconds(3900);
+    Hear(2);
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    CPPUNIT_ASSERT_EQUAL(Node(2), decision.agent);
+    decision = Return(Data(Flow(1), 101), decision, ReturnReason::kNotHeld);
+    CPPUNIT_ASSERT_EQUAL(Node(1), decision.agent);  // it may come back
+    m_now += std::chrono::milliseconds(200);
+    Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, Send(Data(Flow(1), 101)));
+  }
+
   void TheHolderIsRemembered() {
     Start();
     HearThree();
