--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -11,9 +11,9 @@
 using testing::At;
 using testing::Data;
 using testing::Flow;
-using testing::kOrders;
 using testing::Node;
 using testing::Opening;
+using testing::orders_service;
 
 FlowPacket Answer(const FlowKey& flow, std::uint16_t size = 100) {
   FlowPacket packet;
@@ -68,7 +68,7 @@
 
   void AnotherServicesPacketsAreReturned() {
     Announce();
-    m_header.service = testing::kDrawings;
+    m_header.service = testing::drawings_service;
     ExpectReturn(ReturnReason::kOtherService, Forward(Opening(Flow(1))));
     ExpectReturn(ReturnReason::kOtherService, Forward(Data(Flow(1), 101)));
   }
@@ -183,11 +183,11 @@
   }
 
   AgentCore m_core{AgentCoreSettings{.life = base::Incarnation(1),
-                                     .service = kOrders,
+                                     .service = orders_service,
                                      .zone = "east",
                                      .announcement_period = milliseconds(1000),
                                      .drain_limit = milliseconds(3000)}};
-  ForwardHeader m_header{.service = kOrders};
+  ForwardHeader m_header{.service = orders_service};
   base::TimePoint m_now = At(1000);
 };
 
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -12,9 +12,9 @@
 using testing::At;
 using testing::Data;
 using testing::Flow;
-using testing::kOrders;
 using testing::Node;
 using testing::Opening;
+using testing::orders_service;
 using testing::Report;
 using testing::Routes;
 
@@ -76,7 +76,7 @@
     const BalancerDecision decision = Send(Opening(Flow(1)));
     Expect(BalancerVerdict::kForward, BalancerReason::kPlaced, decision);
     CPPUNIT_ASSERT_EQUAL(Node(2), decision.agent);
-    CPPUNIT_ASSERT(kOrders == decision.header.service);
+    CPPUNIT_ASSERT(orders_service == decision.header.service);
   }
 
   void CopiesAndLaterPacketsStayWithTheAgent() {
@@ -188,7 +188,7 @@
   void AnAgentNotHeardYetMayHoldTheFlow() {
     Start();
     HearThree();
-    m_core->Agents().NoteListed(Node(9), kOrders, m_now);
+    m_core->Agents().NoteListed(Node(9), orders_service, m_now);
     BalancerDecision decision = Send(Data(Flow(1), 101));
     for (int count = 0; count < 3; ++count) {
       CPPUNIT_ASSERT(decision.agent != Node(9));
@@ -227,8 +227,8 @@
     Start();
     HearThree();
     Send(Data(Flow(1), 101));
-    CPPUNIT_ASSERT(m_core->OnHolding(Flow(1), Node(3), kOrders, m_now));
-    CPPUNIT_ASSERT(!m_core->OnHolding(Flow(1), Node(3), kOrders, m_now));
+    CPPUNIT_ASSERT(m_core->OnHolding(Flow(1), Node(3), orders_service, m_now));
+    CPPUNIT_ASSERT(!m_core->OnHolding(Flow(1), Node(3), orders_service, m_now));
     const BalancerDecision decision = Send(Data(Flow(1), 111));
     Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
     CPPUNIT_ASSERT_EQUAL(Node(3), decision.agent);
@@ -238,10 +238,10 @@
   // Found by placement_proof: the record's service was unknown, so the holder returned the packet.
   void AHolderIsBelievedBeforeItsFirstReport() {
     Start();
-    m_core->OnHolding(Flow(1), Node(3), kOrders, m_now);
+    m_core->OnHolding(Flow(1), Node(3), orders_service, m_now);
     const BalancerDecision decision = Send(Data(Flow(1), 111));
     Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
-    CPPUNIT_ASSERT(kOrders == decision.header.service);
+    CPPUNIT_ASSERT(orders_service == decision.header.service);
   }
 
   // A copy of the opening, through another balancer, may have opened the flow at an agent that had
@@ -263,7 +263,7 @@
   void AHolderThatLostTheFlowEndsIt() {
     Start();
     HearThree();
-    m_core->OnHolding(Flow(1), Node(3), kOrders, m_now);
+    m_core->OnHolding(Flow(1), Node(3), orders_service, m_now);
     const BalancerDecision decision =
         Return(Data(Flow(1), 111), Send(Data(Flow(1), 111)), ReturnReason::kNotHeld);
     Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, decision);
@@ -310,7 +310,7 @@
     Hear(1);
     Send(Opening(Flow(1)));
     RouteTable moved = Routes(2);
-    moved.routes[testing::kVirtual].services = {{testing::kDrawings, 1}};
+    moved.routes[testing::virtual_address].services = {{testing::drawings_service, 1}};
     CPPUNIT_ASSERT(m_core->SetRoutes(moved));
     CPPUNIT_ASSERT_EQUAL(Node(1), Send(Data(Flow(1), 101)).agent);
     // Also where the flow isn't remembered: the former service's agents are asked.
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -70,15 +70,15 @@
     CPPUNIT_ASSERT(agent->memory->standing == EndpointStanding::kAdmitting);
     CPPUNIT_ASSERT(agent->memory_at == At(0));
     restarted.sequence = 2;
-    restarted.service = testing::kDrawings;
+    restarted.service = testing::drawings_service;
     m_agents.Take(Node(1), restarted, At(600));
     CPPUNIT_ASSERT(!m_agents.Find(Node(1))->memory.has_value());
   }
 
   void AListedAgentIsNotFresh() {
-    m_agents.NoteListed(Node(1), testing::kOrders, At(0));
+    m_agents.NoteListed(Node(1), testing::orders_service, At(0));
     CPPUNIT_ASSERT(!m_agents.IsFresh(*m_agents.Find(Node(1)), At(0)));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_agents.OfService(testing::kOrders).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_agents.OfService(testing::orders_service).size());
     CPPUNIT_ASSERT(m_agents.Take(Node(1), Report(1), At(1)) == ReportOutcome::kNew);
     CPPUNIT_ASSERT(m_agents.IsFresh(*m_agents.Find(Node(1)), At(2)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_agents.ForgetSilent(seconds(1), At(2000)));
@@ -102,7 +102,7 @@
     m_agents.Take(Node(1), Report(1), At(0));
     m_agents.Take(Node(2), Report(1, 1), At(0));
     EndpointChooser chooser("west", m_random);
-    std::vector<KnownAgent*> agents = m_agents.OfService(testing::kOrders);
+    std::vector<KnownAgent*> agents = m_agents.OfService(testing::orders_service);
     CPPUNIT_ASSERT_EQUAL(Node(1), chooser.Choose(agents, At(0))->address);
     m_agents.Find(Node(1))->placed_since_report = 2;
     CPPUNIT_ASSERT_EQUAL(Node(2), chooser.Choose(agents, At(0))->address);
@@ -115,7 +115,7 @@
     m_agents.Take(Node(2), Report(1), At(0));
     EndpointChooser chooser("east", m_random);
     for (int count = 0; count < 50; ++count) {
-      const auto agents = m_agents.OfService(testing::kOrders);
+      const auto agents = m_agents.OfService(testing::orders_service);
       CPPUNIT_ASSERT_EQUAL(Node(2), chooser.Choose(agents, At(0))->address);
     }
     CPPUNIT_ASSERT(chooser.Choose({}, At(0)) == nullptr);
@@ -142,24 +142,24 @@
 
   void WeightsGiveShares() {
     Route route;
-    route.services = {{testing::kOrders, 90}, {testing::kDrawings, 10}};
+    route.services = {{testing::orders_service, 90}, {testing::drawings_service, 10}};
     int drawings = 0;
     constexpr int kFlows = 20'000;
     for (int port = 0; port < kFlows; ++port) {
       const auto flow = testing::Flow(static_cast<std::uint16_t>(port));
-      drawings += route.Choose(FlowHash(flow)) == testing::kDrawings ? 1 : 0;
+      drawings += route.Choose(FlowHash(flow)) == testing::drawings_service ? 1 : 0;
     }
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, drawings / double{kFlows}, 0.01);
   }
 
   void AWeightOfZeroGetsNothing() {
     Route route;
-    route.services = {{testing::kOrders, 0}, {testing::kDrawings, 3}};
+    route.services = {{testing::orders_service, 0}, {testing::drawings_service, 3}};
     for (std::uint64_t hash = 0; hash < 10; ++hash) {
-      CPPUNIT_ASSERT(route.Choose(hash) == testing::kDrawings);
+      CPPUNIT_ASSERT(route.Choose(hash) == testing::drawings_service);
     }
-    route.services = {{testing::kOrders, 0}};
-    CPPUNIT_ASSERT(route.Choose(5) == testing::kOrders);
+    route.services = {{testing::orders_service, 0}};
+    CPPUNIT_ASSERT(route.Choose(5) == testing::orders_service);
   }
 
   void HeadersAreReadAsWritten() {
@@ -207,7 +207,7 @@
     greeting.life = base::Incarnation(8);
     greeting.routes_version = 6;
     greeting.balancers = {{Node(2), milliseconds(30)}};
-    greeting.agents = {{Node(3), testing::kDrawings}};
+    greeting.agents = {{Node(3), testing::drawings_service}};
     greeting.health_check_path = "/h";
     greeting.wants_answer = true;
     greeting.memory = Report(4);
@@ -217,7 +217,7 @@
     CPPUNIT_ASSERT_EQUAL(Node(2), result.balancers.at(0).address);
     CPPUNIT_ASSERT(result.balancers.at(0).age == base::Duration(milliseconds(30)));
     CPPUNIT_ASSERT_EQUAL(Node(3), result.agents.at(0).address);
-    CPPUNIT_ASSERT(result.agents.at(0).service == testing::kDrawings);
+    CPPUNIT_ASSERT(result.agents.at(0).service == testing::drawings_service);
     CPPUNIT_ASSERT_EQUAL(std::string("/h"), result.health_check_path);
     CPPUNIT_ASSERT(result.wants_answer && result.routes_version == 6);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, result.memory->sequence);
--- a/libs/placement/tests/placement_fixture.h
+++ b/libs/placement/tests/placement_fixture.h
@@ -11,9 +11,9 @@
 namespace gaugevalve::placement::testing {
 
 inline constexpr std::uint16_t kNodePort = 7000;
-inline const base::ServiceId kOrders = base::MakeServiceId("orders");
-inline const base::ServiceId kDrawings = base::MakeServiceId("drawings");
-inline const base::SocketAddress kVirtual = base::SocketAddress::Ipv4(0xc6120001, 443);
+inline const base::ServiceId orders_service = base::MakeServiceId("orders");
+inline const base::ServiceId drawings_service = base::MakeServiceId("drawings");
+inline const base::SocketAddress virtual_address = base::SocketAddress::Ipv4(0xc6120001, 443);
 
 inline base::TimePoint At(std::int64_t milliseconds) {
   return base::TimePoint(std::chrono::milliseconds(milliseconds));
@@ -23,7 +23,7 @@
   return base::SocketAddress::Ipv4(0x0a000000 + number, kNodePort);
 }
 
-inline FlowKey Flow(std::uint16_t port, const base::SocketAddress& destination = kVirtual) {
+inline FlowKey Flow(std::uint16_t port, const base::SocketAddress& destination = virtual_address) {
   return {base::SocketAddress::Ipv4(0x64400007, port), destination};
 }
 
@@ -51,7 +51,7 @@
   AgentReport report;
   report.life = base::Incarnation(7);
   report.sequence = sequence;
-  report.service = kOrders;
+  report.service = orders_service;
   report.zone = "east";
   report.standing = standing;
   report.endpoint = "i-1";
@@ -66,10 +66,10 @@
   RouteTable table;
   table.version = version;
   Route route;
-  route.address = kVirtual;
-  route.services = {{kOrders, 1}};
+  route.address = virtual_address;
+  route.services = {{orders_service, 1}};
   route.target_latency = std::chrono::milliseconds(250);
-  table.routes[kVirtual] = route;
+  table.routes[virtual_address] = route;
   return table;
 }
 
--- a/proofs/placement/src/placement_world.cpp
+++ b/proofs/placement/src/placement_world.cpp
@@ -20,7 +20,7 @@
 constexpr std::int32_t kResetWindow = 76'800;
 constexpr std::size_t kMostWaiting = 400;
 
-const base::ServiceId kServices[2] = {base::ServiceId(11), base::ServiceId(22)};
+constexpr base::ServiceId kServices[2] = {base::ServiceId(11), base::ServiceId(22)};
 
 base::SocketAddress AgentAddress(std::size_t index) {
   return base::SocketAddress::Ipv4(0x0a000100 + static_cast<std::uint32_t>(index), kNodePort);
