--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -117,8 +117,11 @@
   BalancerDecision OnLater(const FlowPacket& packet, base::TimePoint now);
   BalancerDecision Place(const FlowPacket& packet, const Route& route, FlowRecord& record,
                          std::uint8_t attempt, base::TimePoint now);
-  BalancerDecision PlaceBusy(const FlowPacket& packet, FlowRecord& record, std::uint8_t attempt,
-                             base::TimePoint now);
+  BalancerDecision PlaceBusy(const FlowPacket& packet, const Route& route, FlowRecord& record,
+                             std::uint8_t attempt, base::TimePoint now);
+  std::vector<KnownAgent*> Candidates(const FlowRecord& record,
+                                      const std::vector<base::SocketAddress>& without,
+                                      base::TimePoint now);
   BalancerDecision Search(const FlowPacket& packet, const Route& route, FlowRecord& record,
                           std::uint8_t attempt, base::TimePoint now);
   BalancerDecision OnAllRefused(const FlowPacket& packet, FlowRecord& record, base::TimePoint now);
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kMostPasses = 250;
 // A request that would wait for longer than this part of its target latency is refused at once.
 constexpr int kWaitPercent = 60;
+// After this many full endpoints, the least loaded by their reports, the others are likely full
+// too.
+constexpr std::size_t kMostBusyTries = 7;
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
@@ -47,6 +50,12 @@
   return load.answer_time * ahead / capacity;
 }
 
+// Whether a new request on the route is likely to be answered in time at a full endpoint.
+bool IsWorthWaiting(const KnownAgent& agent, const Route& route) {
+  const base::Duration expected = ExpectedWait(agent) + agent.report.load.answer_time;
+  return route.target_latency.count() == 0 || expected < route.target_latency * kWaitPercent / 100;
+}
+
 }  // namespace
 
 const char* BalancerReasonName(BalancerReason reason) {
@@ -131,44 +140,55 @@
   if (record.service == base::ServiceId()) {
     record.service = route.Choose(FlowHash(packet.flow));
   }
+  const std::vector<KnownAgent*> untried = Candidates(record, record.refused, now);
+  KnownAgent* chosen =
+      record.busy.size() < kMostBusyTries ? m_chooser.Choose(untried, now) : nullptr;
+  if (chosen == nullptr) {
+    return PlaceBusy(packet, route, record, attempt, now);
+  }
+  record.agent = chosen->address;
+  chosen->placed_since_report += 1;
+  chosen->placed_share += 1.0 / std::max(1U, chosen->report.load.capacity);
+  return ForwardTo(record, BalancerReason::kPlaced, attempt);
+}
+
+std::vector<KnownAgent*> BalancerCore::Candidates(const FlowRecord& record,
+                                                  const std::vector<base::SocketAddress>& without,
+                                                  base::TimePoint now) {
   std::vector<KnownAgent*> fresh;
   std::vector<KnownAgent*> stale;
-  const std::vector<KnownAgent*> all = m_agents.OfService(record.service);
-  for (KnownAgent* agent : all) {
+  for (KnownAgent* agent : m_agents.OfService(record.service)) {
     const bool may_open = agent->report.standing == EndpointStanding::kAdmitting &&
-                          !Contains(record.refused, agent->address);
+                          !Contains(without, agent->address);
     if (may_open) {
       (m_agents.IsFresh(*agent, now) ? fresh : stale).push_back(agent);
     }
   }
-  KnownAgent* chosen = m_chooser.Choose(fresh.empty() ? stale : fresh, now);
-  if (chosen == nullptr) {
-    return PlaceBusy(packet, record, attempt, now);
-  }
-  record.agent = chosen->address;
-  chosen->placed_since_report += 1;
-  chosen->placed_share += 1.0 / std::max(1U, chosen->report.load.capacity);
-  return ForwardTo(record, BalancerReason::kPlaced, attempt);
+  return fresh.empty() ? stale : fresh;
 }
 
-BalancerDecision BalancerCore::PlaceBusy(const FlowPacket& packet, FlowRecord& record,
-                                         std::uint8_t attempt, base::TimePoint now) {
-  const Route* route = m_routes.Find(packet.flow.destination);
+// The least loaded endpoints were full: the one with the shortest queue has to take the flow, if
+// that is worth it. What comes back from it is final.
+BalancerDecision BalancerCore::PlaceBusy(const FlowPacket& packet, const Route& route,
+                                         FlowRecord& record, std::uint8_t attempt,
+                                         base::TimePoint now) {
+  std::vector<base::SocketAddress> unable;
+  for (const base::SocketAddress& address : record.refused) {
+    if (!Contains(record.busy, address)) {
+      unable.push_back(address);
+    }
+  }
   KnownAgent* best = nullptr;
-  for (const base::SocketAddress& address : record.busy) {
-    KnownAgent* agent = m_agents.Find(address);
-    const bool may_open = agent != nullptr && agent->report.service == record.service &&
-                          agent->report.standing == EndpointStanding::kAdmitting;
-    if (may_open && (best == nullptr || ExpectedWait(*agent) < ExpectedWait(*best))) {
-      best = agent;
+  if (!record.busy.empty()) {
+    for (KnownAgent* agent : Candidates(record, unable, now)) {
+      best = best == nullptr || ExpectedWait(*agent) < ExpectedWait(*best) ? agent : best;
     }
   }
-  record.busy.clear();  // once: what comes back now is final
-  const bool is_worth_it =
-      best != nullptr && route != nullptr &&
-      (route->target_latency.count() == 0 || ExpectedWait(*best) + best->report.load.answer_time <
-                                                 route->target_latency * kWaitPercent / 100);
-  if (is_worth_it) {
+  record.busy.clear();
+  if (best != nullptr && IsWorthWaiting(*best, route)) {
+    for (const KnownAgent* agent : m_agents.OfService(record.service)) {
+      AddOnce(record.refused, agent->address);
+    }
     record.agent = best->address;
     best->placed_since_report += 1;
     BalancerDecision decision = ForwardTo(record, BalancerReason::kPlaced, attempt);
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(AnOpeningThatAllReturnIsResetAtOnce);
   CPPUNIT_TEST(ALateCopyOfAnOpenFlowsOpeningResetsNothing);
   CPPUNIT_TEST(WhereAllAreBusyTheShortestQueueMustAccept);
+  CPPUNIT_TEST(OfManyBusyEndpointsOnlyAFewAreTried);
   CPPUNIT_TEST(WhereAllQueuesAreTooLongItIsResetAtOnce);
   CPPUNIT_TEST(AnUnknownFlowIsOfferedToEachAgentOnce);
   CPPUNIT_TEST(AFlowThatNobodyHoldsIsReset);
@@ -148,6 +149,19 @@
     Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
   }
 
+  void OfManyBusyEndpointsOnlyAFewAreTried() {
+    Start();
+    for (std::uint32_t number = 1; number <= 20; ++number) {
+      Hear(number, 5);
+    }
+    BalancerDecision decision = Send(Opening(Flow(1)));
+    for (int count = 0; count < 7; ++count) {
+      CPPUNIT_ASSERT(!decision.header.must_accept);
+      decision = Return(Opening(Flow(1)), decision, ReturnReason::kBusy);
+    }
+    CPPUNIT_ASSERT(decision.header.must_accept);
+  }
+
   void WhereAllQueuesAreTooLongItIsResetAtOnce() {
     Start();
     Hear(1, 30);
