--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -27,14 +27,16 @@
   std::size_t balancer_limit = 2'048;
 };
 
-enum class AgentVerdict : std::uint8_t { kDeliver, kReturn, kToClient, kDrop };
+enum class AgentVerdict : std::uint8_t { kDeliver, kReturn, kPassOn, kToClient, kDrop };
 
 /// What to do with one packet.
 struct AgentDecision {
   AgentVerdict verdict = AgentVerdict::kDrop;
   std::uint32_t mark = 0;        ///< for kDeliver: the endpoint gives it back if it doesn't take it
   base::SocketAddress balancer;  ///< for kReturn
-  ForwardHeader header;          ///< for kReturn
+  ForwardHeader header;          ///< for kReturn and kPassOn
+  base::SocketAddress next;      ///< for kPassOn: the next agent of the search
+  SearchRoute route;             ///< for kPassOn: what is left of it
   /// For kToClient: a balancer that searches for this flow's owner and is to be told.
   std::optional<base::SocketAddress> searcher;
 };
@@ -44,9 +46,11 @@
  public:
   explicit AgentCore(AgentCoreSettings settings);
 
-  /// A client's packet that `balancer` passed on.
+  /// A client's packet that `sender`, a balancer, or an agent of a search, passed on.
+  /// @param route  the search's; empty when there is none
   AgentDecision OnForwarded(const FlowPacket& packet, const ForwardHeader& header,
-                            const base::SocketAddress& balancer, base::TimePoint now);
+                            const SearchRoute& route, const base::SocketAddress& sender,
+                            base::TimePoint now);
 
   /// A packet from the endpoint. @param mark  what it carries back when it is bounced
   AgentDecision OnEndpointPacket(const FlowPacket& packet, std::uint32_t mark, base::TimePoint now);
@@ -60,6 +64,13 @@
   /// Returns the agent's account of itself.
   AgentReport MakeReport(base::TimePoint now);
 
+  /// Returns how often to report to this many balancers: less often the more there are, as each of
+  /// them hears every agent.
+  static base::Duration ReportPeriod(std::size_t balancers);
+
+  /// Notes how often the agent reports; MakeReport() says so.
+  void SetReportPeriod(base::Duration period) { m_report_period = period; }
+
   /// Returns the endpoint's standing as reported.
   EndpointStanding Standing(base::TimePoint now) const;
 
@@ -81,11 +92,16 @@
     bool client_closed = false;
     bool endpoint_closed = false;
     std::optional<base::SocketAddress> searcher;
+    SearchRoute route;  // where the flow's packets go on if the endpoint doesn't hold it
+    std::uint8_t search_round = 0;
+    bool is_not_held = false;  // kept for its route only
   };
 
   AgentDecision OnForwardedOpening(const FlowPacket& packet, const ForwardHeader& header,
                                    const base::SocketAddress& balancer, base::TimePoint now);
-  AgentDecision OnBounced(const FlowPacket& packet, std::uint32_t mark);
+  AgentDecision OnBounced(const FlowPacket& packet, std::uint32_t mark, base::TimePoint now);
+  AgentDecision ReturnOrPassOn(const ForwardHeader& header, const SearchRoute& route,
+                               const base::SocketAddress& balancer, ReturnReason reason) const;
   AgentDecision Return(const ForwardHeader& header, const base::SocketAddress& balancer,
                        ReturnReason reason) const;
   std::uint32_t MarkFor(const base::SocketAddress& balancer, std::uint8_t attempt);
@@ -101,6 +117,7 @@
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
   std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
   std::uint64_t m_report_sequence = 0;
+  base::Duration m_report_period{0};
   std::uint32_t m_waiting = 0;
   std::uint32_t m_opening = 0;
   std::uint32_t m_open_flows = 0;  // as of the last sweep
--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -4,6 +4,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -41,7 +42,8 @@
 /// Bounded by `limit` agents; when full, agents not known yet are ignored. Not thread-safe.
 class AgentDirectory {
  public:
-  /// @param fresh_for  how long a report speaks for the agent's present state
+  /// @param fresh_for  how long a report speaks for the agent's present state, at least; longer for
+  ///                   agents that say that they report less often
   AgentDirectory(std::size_t limit, base::Duration fresh_for)
       : m_limit(limit), m_fresh_for(fresh_for) {}
 
@@ -63,7 +65,9 @@
   std::vector<KnownAgent*> OfService(base::ServiceId service);
 
   bool IsFresh(const KnownAgent& agent, base::TimePoint now) const {
-    return !agent.is_only_listed && now - agent.heard_at <= m_fresh_for;
+    constexpr int kPeriods = 3;  // two reports may be lost
+    const base::Duration limit = std::max(m_fresh_for, agent.report.period * kPeriods);
+    return !agent.is_only_listed && now - agent.heard_at <= limit;
   }
 
   /// Returns all agents, for listings.
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -31,6 +31,7 @@
   std::string endpoint;            ///< identifier of the endpoint's incarnation; may be empty
   std::uint64_t announcement = 0;  ///< sequence of the newest announcement taken from it
   EndpointLoad load;
+  base::Duration period{0};   ///< until the agent's next report
   bool wants_memory = false;  ///< the agent hasn't heard its endpoint since it started
 };
 
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -64,6 +64,8 @@
   base::SocketAddress agent;         ///< for kForward
   ForwardHeader header;              ///< for kForward
   std::uint32_t reset_sequence = 0;  ///< for kReset: one that the client takes
+  /// For kForward of a search: the agents that are to pass the packet on among themselves.
+  std::vector<base::SocketAddress> route{};
 };
 
 /// Decision core. An opening packet goes to the least loaded endpoint of its route's service; where
@@ -109,6 +111,10 @@
     std::uint32_t opening_sequence = 0;
     bool is_open = false;       // a packet beyond the opening one has come from the client
     bool is_confirmed = false;  // the agent's endpoint was seen to hold the flow
+    std::vector<base::SocketAddress> route;  // of the search under way, after `agent`
+    base::TimePoint searched_at{};
+    std::uint8_t search_round = 0;             // counts the routes that were made
+    std::uint32_t search_order = 0;            // each takes another order
     std::vector<base::SocketAddress> refused;  // agents that returned it
     std::vector<base::SocketAddress> busy;     // those of them that did so for their load
   };
@@ -128,9 +134,12 @@
   BalancerDecision ForwardTo(const FlowRecord& record, BalancerReason reason,
                              std::uint8_t attempt) const;
   std::vector<KnownAgent*> SearchOrder(const FlowPacket& packet, const Route& route,
-                                       base::TimePoint now);
+                                       std::uint32_t order_number, base::TimePoint now);
+  static bool IsSearchLost(const FlowRecord& record, base::TimePoint now);
   bool IsGivenUp(const FlowRecord& record, base::TimePoint now);
   bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
+  static void NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
+                          const ForwardHeader& header);
   static void NoteOpen(FlowRecord& record);
   FlowRecord* Remember(const FlowKey& flow);
   bool IsLearning(base::TimePoint now) const {
--- a/libs/placement/include/gaugevalve/placement/forward_header.h
+++ b/libs/placement/include/gaugevalve/placement/forward_header.h
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "gaugevalve/base/identifiers.h"
+#include "gaugevalve/base/socket_address.h"
 
 namespace gaugevalve::placement {
 
@@ -41,15 +43,36 @@
 
   MessageKind kind = MessageKind::kForward;
   bool is_search = false;    ///< the balancer doesn't know the owner: tell it if it is you
+  bool has_route = false;    ///< a SearchRoute follows
   bool must_accept = false;  ///< no endpoint is free: take the opening packet in spite of the load
   std::uint8_t attempt = 0;  ///< how often this packet has been passed on
   ReturnReason reason = ReturnReason::kNone;
   base::ServiceId service;
-  std::uint64_t routes_version = 0;  ///< of the balancer's route table
+  std::uint64_t routes_version = 0;  ///< of the balancer's route table; its lower 56 bits
+  std::uint8_t search_round = 0;     ///< of the flow's searches at its balancer, modulo 256
 
   friend bool operator==(const ForwardHeader&, const ForwardHeader&) = default;
 };
 
+/// The way of a packet whose flow's holder is searched for: agents pass it on among themselves, so
+/// that a search costs its balancer one packet.
+struct SearchRoute {
+  static constexpr std::size_t kMostAgents = 48;
+
+  base::SocketAddress origin;             ///< the balancer that searches
+  std::vector<base::SocketAddress> next;  ///< agents to ask after this one, in order
+
+  friend bool operator==(const SearchRoute&, const SearchRoute&) = default;
+};
+
+/// Returns the bytes of a header and the route behind it.
+std::vector<std::uint8_t> EncodeSearch(const ForwardHeader& header, const SearchRoute& route);
+
+/// Returns the route behind a header that has one, or nothing when it is malformed.
+/// @param bytes  what follows the header; the route's own bytes are taken off its front
+/// @param port  the port of all nodes
+std::optional<SearchRoute> DecodeSearchRoute(std::span<std::uint8_t>& bytes, std::uint16_t port);
+
 /// Returns the header's bytes.
 std::array<std::uint8_t, ForwardHeader::kSize> EncodeForwardHeader(const ForwardHeader& header);
 
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -14,6 +14,8 @@
 constexpr base::Duration kIdleLimit = std::chrono::seconds(60);
 // A flow both of whose ends have closed is kept for late packets.
 constexpr base::Duration kClosedLimit = std::chrono::seconds(2);
+constexpr base::Duration kShortestReportPeriod = std::chrono::milliseconds(200);
+constexpr base::Duration kReportPeriodPerBalancer = std::chrono::milliseconds(25);
 constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(250);
 // Weights of the newest value in the moving averages.
 constexpr double kBusyWeight = 0.06;  // a time constant of 0.8 s at kTickPeriod
@@ -34,12 +36,14 @@
       m_gate(m_settings.announcement_period, m_settings.drain_limit * 2 / 3) {}
 
 AgentDecision AgentCore::OnForwarded(const FlowPacket& packet, const ForwardHeader& header,
-                                     const base::SocketAddress& balancer, base::TimePoint now) {
+                                     const SearchRoute& route, const base::SocketAddress& sender,
+                                     base::TimePoint now) {
+  const base::SocketAddress& balancer = header.has_route ? route.origin : sender;
   if (header.service != m_settings.service) {
-    return Return(header, balancer, ReturnReason::kOtherService);
+    return ReturnOrPassOn(header, route, balancer, ReturnReason::kOtherService);
   }
   if (m_gate.Standing(now) == EndpointStanding::kAbsent) {
-    return Return(header, balancer, ReturnReason::kNotHeld);
+    return ReturnOrPassOn(header, route, balancer, ReturnReason::kNotHeld);
   }
   if (packet.is_opening) {
     return OnForwardedOpening(packet, header, balancer, now);
@@ -49,6 +53,8 @@
     FlowRecord& record = m_flows[packet.flow];
     if (header.is_search) {
       record.searcher = balancer;
+      record.route = header.has_route ? route : SearchRoute();
+      record.search_round = header.search_round;
     }
     NoteClientPacket(record, packet, now);
   }
@@ -64,7 +70,8 @@
   if (Standing(now) != EndpointStanding::kAdmitting) {
     return Return(header, balancer, ReturnReason::kNotAdmitting);
   }
-  const bool is_known = m_flows.contains(packet.flow);
+  const auto found = m_flows.find(packet.flow);
+  const bool is_known = found != m_flows.end() && !found->second.is_not_held;
   const bool is_full = Busy() >= std::max(1U, m_gate.Newest().capacity);
   if (!is_known && is_full && !header.must_accept) {
     return Return(header, balancer, ReturnReason::kBusy);
@@ -75,6 +82,8 @@
   FlowRecord& record = m_flows[packet.flow];
   record.last_packet = now;
   if (!is_known) {
+    record = {};
+    record.last_packet = now;
     SetState(record, FlowState::kOpening, now);
   }
   m_gate.NoteOpening(now);
@@ -88,7 +97,7 @@
                                           base::TimePoint now) {
   m_gate.NoteLife();
   if (packet.is_bounced) {
-    return OnBounced(packet, mark);
+    return OnBounced(packet, mark, now);
   }
   AgentDecision decision;
   decision.verdict = AgentVerdict::kToClient;
@@ -111,16 +120,49 @@
   return decision;
 }
 
-AgentDecision AgentCore::OnBounced(const FlowPacket& packet, std::uint32_t mark) {
-  Forget(packet.flow);
+AgentDecision AgentCore::OnBounced(const FlowPacket& packet, std::uint32_t mark,
+                                   base::TimePoint now) {
   const std::size_t index = mark >> kAttemptBits;
   if (index >= m_balancers.size()) {
+    Forget(packet.flow);
     return {};  // not marked in this life of the process
   }
   ForwardHeader header;
   header.service = m_settings.service;
   header.attempt = static_cast<std::uint8_t>(mark & kAttemptMask);
-  return Return(header, m_balancers[index], ReturnReason::kNotHeld);
+  const auto found = m_flows.find(packet.flow);
+  header.search_round = found == m_flows.end() ? 0 : found->second.search_round;
+  if (packet.is_opening || found == m_flows.end() || found->second.route.next.empty()) {
+    Forget(packet.flow);
+    return Return(header, m_balancers[index], ReturnReason::kNotHeld);
+  }
+  // The flow's other packets under way need the route as well: the record is kept for a while.
+  FlowRecord& record = found->second;
+  SetState(record, FlowState::kIdle, now);
+  record.is_not_held = true;
+  record.client_closed = true;
+  record.endpoint_closed = true;
+  header.is_search = true;
+  return ReturnOrPassOn(header, record.route, m_balancers[index], ReturnReason::kNotHeld);
+}
+
+AgentDecision AgentCore::ReturnOrPassOn(const ForwardHeader& header, const SearchRoute& route,
+                                        const base::SocketAddress& balancer,
+                                        ReturnReason reason) const {
+  constexpr std::uint8_t kMostAttempts = 255;
+  if (route.next.empty() || header.attempt == kMostAttempts) {
+    return Return(header, balancer, reason);
+  }
+  AgentDecision decision;
+  decision.verdict = AgentVerdict::kPassOn;
+  decision.next = route.next.front();
+  decision.header = header;
+  decision.header.kind = MessageKind::kForward;
+  decision.header.has_route = true;
+  decision.header.attempt = static_cast<std::uint8_t>(header.attempt + 1);
+  decision.route.origin = route.origin;
+  decision.route.next.assign(route.next.begin() + 1, route.next.end());
+  return decision;
 }
 
 AgentDecision AgentCore::Return(const ForwardHeader& header, const base::SocketAddress& balancer,
@@ -130,6 +172,7 @@
   decision.balancer = balancer;
   decision.header = header;
   decision.header.kind = MessageKind::kReturned;
+  decision.header.has_route = false;
   decision.header.reason = reason;
   return decision;
 }
@@ -170,6 +213,7 @@
 void AgentCore::NoteEndpointPacket(FlowRecord& record, const FlowPacket& packet,
                                    base::TimePoint now) {
   record.last_packet = now;
+  record.is_not_held = false;
   record.endpoint_closed = record.endpoint_closed || packet.is_closing || packet.is_reset;
   const bool is_answer = packet.data_size > 0 || packet.is_closing;
   if (record.state != FlowState::kWaiting || !is_answer) {
@@ -210,6 +254,10 @@
                                                 : EndpointStanding::kStopping;
 }
 
+base::Duration AgentCore::ReportPeriod(std::size_t balancers) {
+  return std::max(kShortestReportPeriod, kReportPeriodPerBalancer * static_cast<int>(balancers));
+}
+
 AgentReport AgentCore::MakeReport(base::TimePoint now) {
   AgentReport report;
   report.life = m_settings.life;
@@ -225,6 +273,7 @@
   report.load.open_flows = m_open_flows;
   report.load.answer_time = m_answer_time;
   report.load.warm_up_left = m_gate.WarmUpLeft(now);
+  report.period = m_report_period;
   report.wants_memory = !m_gate.IsCertain();
   return report;
 }
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -19,6 +19,8 @@
 // After this many full endpoints, the least loaded by their reports, the others are likely full
 // too.
 constexpr std::size_t kMostBusyTries = 7;
+// Clients send again after 200 ms; a search that takes this long has met an agent that has gone.
+constexpr base::Duration kSearchTime = std::chrono::milliseconds(150);
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
@@ -218,6 +220,10 @@
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
   NoteOpen(record);
+  if (is_known && IsSearchLost(record, now)) {
+    ++record.search_order;
+    return Search(packet, *route, record, 0, now);
+  }
   if (is_known && !IsGivenUp(record, now)) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
@@ -234,6 +240,12 @@
   return agent != nullptr && !MayHoldFlows(*agent, now);
 }
 
+// Whether a search's packet should have found the holder, or come back, by now.
+bool BalancerCore::IsSearchLost(const FlowRecord& record, base::TimePoint now) {
+  const bool is_searching = !record.is_confirmed && !record.route.empty();
+  return is_searching && now - record.searched_at > kSearchTime;
+}
+
 bool BalancerCore::MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
   return agent.report.standing != EndpointStanding::kAbsent &&
          now - agent.heard_at <= m_settings.silence_limit;
@@ -249,6 +261,7 @@
 }
 
 std::vector<KnownAgent*> BalancerCore::SearchOrder(const FlowPacket& packet, const Route& route,
+                                                   std::uint32_t order_number,
                                                    base::TimePoint now) {
   std::vector<KnownAgent*> order;
   const auto past = m_past_services.find(route.address);
@@ -262,7 +275,7 @@
       }
     }
   }
-  const std::uint64_t hash = FlowHash(packet.flow);
+  const std::uint64_t hash = base::HashPair(FlowHash(packet.flow), order_number);
   const auto rank = [&](const KnownAgent* agent) {
     return std::pair(!m_agents.IsFresh(*agent, now),
                      base::HashPair(hash, AddressHash(agent->address)));
@@ -276,14 +289,28 @@
 BalancerDecision BalancerCore::Search(const FlowPacket& packet, const Route& route,
                                       FlowRecord& record, std::uint8_t attempt,
                                       base::TimePoint now) {
-  for (const KnownAgent* agent : SearchOrder(packet, route, now)) {
-    if (!Contains(record.refused, agent->address)) {
-      record.agent = agent->address;
-      record.service = agent->report.service;
-      return ForwardTo(record, BalancerReason::kSearched, attempt);
+  std::vector<KnownAgent*> order = SearchOrder(packet, route, record.search_order, now);
+  std::erase_if(order,
+                [&](const KnownAgent* agent) { return Contains(record.refused, agent->address); });
+  if (order.empty()) {
+    return OnAllRefused(packet, record, now);
+  }
+  record.agent = order.front()->address;
+  record.service = order.front()->report.service;
+  record.searched_at = now;
+  ++record.search_round;
+  record.route.clear();
+  // Agents that may be gone would end the packet's way: they are asked last, one by one.
+  for (std::size_t index = 1; index < order.size(); ++index) {
+    const KnownAgent& agent = *order[index];
+    const bool may_follow = m_agents.IsFresh(*order.front(), now) && m_agents.IsFresh(agent, now) &&
+                            agent.report.standing != EndpointStanding::kStopping &&
+                            agent.report.service == record.service;
+    if (may_follow && record.route.size() < SearchRoute::kMostAgents) {
+      record.route.push_back(agent.address);
     }
   }
-  return OnAllRefused(packet, record, now);
+  return ForwardTo(record, BalancerReason::kSearched, attempt);
 }
 
 BalancerDecision BalancerCore::OnAllRefused(const FlowPacket& packet, FlowRecord& record,
@@ -308,12 +335,13 @@
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
   const std::size_t passes_limit =
-      std::min(kMostPasses, 2 * SearchOrder(packet, *route, now).size() + kSparePasses);
+      std::min(kMostPasses, 2 * SearchOrder(packet, *route, 0, now).size() + kSparePasses);
   if (header.attempt >= passes_limit) {
     return Drop(BalancerReason::kTooManyPasses);
   }
   const auto attempt = static_cast<std::uint8_t>(header.attempt + 1);
-  const bool is_answer_to_guess = record.agent == agent || record.agent == base::SocketAddress();
+  const bool is_answer_to_guess = record.agent == agent || record.agent == base::SocketAddress() ||
+                                  Contains(record.route, agent);
   if (!is_answer_to_guess && !Contains(record.refused, record.agent)) {
     return ForwardTo(record, BalancerReason::kRemembered, attempt);
   }
@@ -323,7 +351,7 @@
   if (!packet.is_opening) {
     NoteOpen(record);
   }
-  AddOnce(record.refused, agent);
+  NoteRefusal(record, agent, header);
   if (packet.is_opening) {
     if (header.reason == ReturnReason::kBusy) {
       record.busy.push_back(agent);
@@ -339,6 +367,21 @@
   return Search(packet, *route, record, attempt, now);
 }
 
+// An agent on the present search's route returned the packet: those before it had passed it on. A
+// packet of an earlier search says nothing about the others.
+void BalancerCore::NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
+                               const ForwardHeader& header) {
+  const auto position = std::find(record.route.begin(), record.route.end(), agent);
+  const bool is_present = header.search_round == record.search_round;
+  if (is_present && position != record.route.end()) {
+    AddOnce(record.refused, record.agent);
+    for (auto earlier = record.route.begin(); earlier != position; ++earlier) {
+      AddOnce(record.refused, *earlier);
+    }
+  }
+  AddOnce(record.refused, agent);
+}
+
 bool BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
                              base::ServiceId service, base::TimePoint now) {
   FlowRecord& record = *Remember(flow);
@@ -347,6 +390,7 @@
   record.service = service;
   record.is_open = true;
   record.is_confirmed = true;
+  record.route.clear();
   record.refused.clear();
   record.last_packet = now;
   return is_news;
@@ -368,6 +412,11 @@
   decision.header.attempt = attempt;
   decision.header.service = record.service;
   decision.header.routes_version = m_routes.version;
+  decision.header.search_round = record.search_round;
+  decision.header.has_route = decision.header.is_search && !record.route.empty();
+  if (decision.header.has_route) {
+    decision.route = record.route;
+  }
   return decision;
 }
 
--- a/libs/placement/src/forward_header.cpp
+++ b/libs/placement/src/forward_header.cpp
@@ -1,14 +1,19 @@
 #include "gaugevalve/placement/forward_header.h"
 
+#include <algorithm>
+
 namespace gaugevalve::placement {
 namespace {
 
 constexpr std::uint8_t kSearchFlag = 1;
 constexpr std::uint8_t kMustAcceptFlag = 2;
-constexpr std::uint8_t kKnownFlags = kSearchFlag | kMustAcceptFlag;
+constexpr std::uint8_t kRouteFlag = 4;
+constexpr std::uint8_t kKnownFlags = kSearchFlag | kMustAcceptFlag | kRouteFlag;
 constexpr unsigned kBitsPerByte = 8;
 constexpr std::size_t kServiceOffset = 4;
 constexpr std::size_t kVersionOffset = 8;
+constexpr std::size_t kRoundOffset = 15;  // the version's highest byte
+constexpr std::uint64_t kVersionMask = 0x00ff'ffff'ffff'ffff;
 
 template <class Number>
 void WriteNumber(std::span<std::uint8_t> bytes, std::size_t offset, Number number) {
@@ -26,8 +31,55 @@
   return number;
 }
 
+constexpr std::size_t kAddressSize = 4;
+constexpr std::size_t kRouteHeadSize = kAddressSize + 1;
+
+std::uint32_t AddressNumber(const base::SocketAddress& address) {
+  return ReadNumber<std::uint32_t>(address.address, 0);
+}
+
+base::SocketAddress AddressOf(std::uint32_t number, std::uint16_t port) {
+  base::SocketAddress address;
+  WriteNumber(std::span(address.address), 0, number);
+  address.port = port;
+  return address;
+}
+
 }  // namespace
 
+std::vector<std::uint8_t> EncodeSearch(const ForwardHeader& header, const SearchRoute& route) {
+  const auto head = EncodeForwardHeader(header);
+  const std::size_t count = std::min(route.next.size(), SearchRoute::kMostAgents);
+  std::vector<std::uint8_t> bytes(head.begin(), head.end());
+  bytes.resize(ForwardHeader::kSize + kRouteHeadSize + count * kAddressSize);
+  const std::span<std::uint8_t> body = std::span(bytes).subspan(ForwardHeader::kSize);
+  WriteNumber(body, 0, AddressNumber(route.origin));
+  body[kAddressSize] = static_cast<std::uint8_t>(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    WriteNumber(body, kRouteHeadSize + index * kAddressSize, AddressNumber(route.next[index]));
+  }
+  return bytes;
+}
+
+std::optional<SearchRoute> DecodeSearchRoute(std::span<std::uint8_t>& bytes, std::uint16_t port) {
+  if (bytes.size() < kRouteHeadSize) {
+    return std::nullopt;
+  }
+  const std::size_t count = bytes[kAddressSize];
+  const std::size_t size = kRouteHeadSize + count * kAddressSize;
+  if (count > SearchRoute::kMostAgents || bytes.size() < size) {
+    return std::nullopt;
+  }
+  SearchRoute route;
+  route.origin = AddressOf(ReadNumber<std::uint32_t>(bytes, 0), port);
+  for (std::size_t index = 0; index < count; ++index) {
+    const std::size_t offset = kRouteHeadSize + index * kAddressSize;
+    route.next.push_back(AddressOf(ReadNumber<std::uint32_t>(bytes, offset), port));
+  }
+  bytes = bytes.subspan(size);
+  return route;
+}
+
 const char* ReturnReasonName(ReturnReason reason) {
   switch (reason) {
     case ReturnReason::kNotHeld:
@@ -47,11 +99,13 @@
   std::array<std::uint8_t, ForwardHeader::kSize> bytes{};
   bytes[0] = static_cast<std::uint8_t>(header.kind);
   bytes[1] = static_cast<std::uint8_t>((header.is_search ? kSearchFlag : 0) |
-                                       (header.must_accept ? kMustAcceptFlag : 0));
+                                       (header.must_accept ? kMustAcceptFlag : 0) |
+                                       (header.has_route ? kRouteFlag : 0));
   bytes[2] = header.attempt;
   bytes[3] = static_cast<std::uint8_t>(header.reason);
   WriteNumber(std::span(bytes), kServiceOffset, header.service.value());
   WriteNumber(std::span(bytes), kVersionOffset, header.routes_version);
+  bytes[kRoundOffset] = header.search_round;
   return bytes;
 }
 
@@ -73,10 +127,12 @@
   header.kind = static_cast<MessageKind>(kind);
   header.is_search = (flags & kSearchFlag) != 0;
   header.must_accept = (flags & kMustAcceptFlag) != 0;
+  header.has_route = (flags & kRouteFlag) != 0;
   header.attempt = datagram[2];
   header.reason = static_cast<ReturnReason>(reason);
   header.service = base::ServiceId(ReadNumber<std::uint32_t>(datagram, kServiceOffset));
-  header.routes_version = ReadNumber<std::uint64_t>(datagram, kVersionOffset);
+  header.routes_version = ReadNumber<std::uint64_t>(datagram, kVersionOffset) & kVersionMask;
+  header.search_round = datagram[kRoundOffset];
   return header;
 }
 
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -47,6 +47,7 @@
   message.set_open_flows(report.load.open_flows);
   message.set_warm_up_left_ms(ToMilliseconds(report.load.warm_up_left));
   message.set_answer_time_us(static_cast<std::uint32_t>(report.load.answer_time.count()));
+  message.set_period_ms(ToMilliseconds(report.period));
   message.set_wants_memory(report.wants_memory);
 }
 
@@ -72,6 +73,7 @@
   report.load.open_flows = message.open_flows();
   report.load.warm_up_left = FromMilliseconds(message.warm_up_left_ms());
   report.load.answer_time = base::Duration(message.answer_time_us());
+  report.period = FromMilliseconds(message.period_ms());
   report.wants_memory = message.wants_memory();
   return report;
 }
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility>
+#include <vector>
+
 #include "placement_fixture.h"
 
 namespace gaugevalve::placement {
@@ -40,6 +43,9 @@
   CPPUNIT_TEST(ABouncedPacketGoesBackToItsBalancer);
   CPPUNIT_TEST(AnUnknownMarkIsDropped);
   CPPUNIT_TEST(TheSearcherIsToldByAPacketOfTheOpenFlow);
+  CPPUNIT_TEST(APacketOfASearchGoesOnToTheNextAgent);
+  CPPUNIT_TEST(TheLastAgentOfASearchReturnsThePacketToItsBalancer);
+  CPPUNIT_TEST(AnAbsentEndpointsAgentPassesASearchOn);
   CPPUNIT_TEST(RequestsCountUntilTheirAnswerBegins);
   CPPUNIT_TEST(ARepeatedRequestPacketCountsOnce);
   CPPUNIT_TEST(OpeningsCountForAWhile);
@@ -94,7 +100,7 @@
     Forward(Data(Flow(1), 101));
     m_header.attempt = 3;
     const AgentDecision delivered =
-        m_core.OnForwarded(Data(Flow(2), 101), m_header, Node(8), m_now);
+        m_core.OnForwarded(Data(Flow(2), 101), m_header, {}, Node(8), m_now);
     FlowPacket bounced = Data(Flow(2), 101);
     bounced.is_bounced = true;
     const AgentDecision decision = m_core.OnEndpointPacket(bounced, delivered.mark, m_now);
@@ -121,6 +127,36 @@
     CPPUNIT_ASSERT(!m_core.OnEndpointPacket(Answer(Flow(1)), 0, m_now).searcher);
   }
 
+  void APacketOfASearchGoesOnToTheNextAgent() {
+    StartSearch({Node(21), Node(22)});
+    // Both packets under way follow the route, not only the first that is bounced.
+    for (const std::uint32_t sequence : {101, 111}) {
+      const AgentDecision decision = Bounce(Forward(Data(Flow(1), sequence)));
+      CPPUNIT_ASSERT(decision.verdict == AgentVerdict::kPassOn);
+      CPPUNIT_ASSERT_EQUAL(Node(21), decision.next);
+      CPPUNIT_ASSERT_EQUAL(Node(9), decision.route.origin);
+      CPPUNIT_ASSERT(decision.route.next == std::vector{Node(22)});
+      CPPUNIT_ASSERT_EQUAL(4, +decision.header.attempt);
+      CPPUNIT_ASSERT(decision.header.is_search && decision.header.has_route);
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, Busy());
+  }
+
+  void TheLastAgentOfASearchReturnsThePacketToItsBalancer() {
+    StartSearch({});
+    const AgentDecision decision = Bounce(Forward(Data(Flow(1), 101)));
+    ExpectReturn(ReturnReason::kNotHeld, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(9), decision.balancer);
+  }
+
+  void AnAbsentEndpointsAgentPassesASearchOn() {
+    StartSearch({Node(21)});
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    const AgentDecision decision = Forward(Data(Flow(1), 101));
+    CPPUNIT_ASSERT(decision.verdict == AgentVerdict::kPassOn);
+    CPPUNIT_ASSERT_EQUAL(Node(21), decision.next);
+  }
+
   void RequestsCountUntilTheirAnswerBegins() {
     Announce();
     Forward(Opening(Flow(1)));
@@ -171,7 +207,21 @@
   void Announce() { m_core.Gate().Announce({"a", false, 2, milliseconds(0), 1}, m_now); }
 
   AgentDecision Forward(const FlowPacket& packet) {
-    return m_core.OnForwarded(packet, m_header, Node(5), m_now);
+    return m_core.OnForwarded(packet, m_header, m_route, Node(5), m_now);
+  }
+
+  void StartSearch(std::vector<base::SocketAddress> next) {
+    m_header.is_search = true;
+    m_header.has_route = true;
+    m_header.attempt = 3;
+    m_route = {Node(9), std::move(next)};
+  }
+
+  AgentDecision Bounce(const AgentDecision& delivered) {
+    CPPUNIT_ASSERT(delivered.verdict == AgentVerdict::kDeliver);
+    FlowPacket bounced = Data(Flow(1), 101);
+    bounced.is_bounced = true;
+    return m_core.OnEndpointPacket(bounced, delivered.mark, m_now);
   }
 
   std::uint32_t Busy() { return m_core.MakeReport(m_now).load.busy; }
@@ -188,6 +238,7 @@
                                      .announcement_period = milliseconds(1000),
                                      .drain_limit = milliseconds(3000)}};
   ForwardHeader m_header{.service = orders_service};
+  SearchRoute m_route;
   base::TimePoint m_now = At(1000);
 };
 
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -34,6 +34,11 @@
   CPPUNIT_TEST(OfManyBusyEndpointsOnlyAFewAreTried);
   CPPUNIT_TEST(WhereAllQueuesAreTooLongItIsResetAtOnce);
   CPPUNIT_TEST(AnUnknownFlowIsOfferedToEachAgentOnce);
+  CPPUNIT_TEST(ASearchGivesItsPacketTheRouteOfAllAgents);
+  CPPUNIT_TEST(AnAgentInTheMiddleOfARouteSpeaksForThoseBefore);
+  CPPUNIT_TEST(SilentAgentsAreNotOnTheRoute);
+  CPPUNIT_TEST(ASearchThatGotLostTakesAnotherOrder);
+  CPPUNIT_TEST(AReturnFromAnEarlierSearchSpeaksForItselfOnly);
   CPPUNIT_TEST(AFlowThatNobodyHoldsIsReset);
   CPPUNIT_TEST(AYoungBalancerDoesNotReset);
   CPPUNIT_TEST(AnAgentNotHeardYetMayHoldTheFlow);
@@ -184,6 +189,80 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked.size());
   }
 
+  // A balancer with little processor can't afford a packet in and out for each agent that is asked.
+  void ASearchGivesItsPacketTheRouteOfAllAgents() {
+    Start();
+    HearThree();
+    const BalancerDecision decision = Send(Data(Flow(1), 101));
+    CPPUNIT_ASSERT(decision.header.has_route);
+    std::set<base::SocketAddress> asked(decision.route.begin(), decision.route.end());
+    asked.insert(decision.agent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked.size());
+    // The flow's next packet goes the same way until the holder is known.
+    CPPUNIT_ASSERT(Send(Data(Flow(1), 111)).route == decision.route);
+    const BalancerDecision last = ReturnFrom(decision.route.back(), decision);
+    Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, last);
+  }
+
+  void AnAgentInTheMiddleOfARouteSpeaksForThoseBefore() {
+    Start();
+    HearThree();
+    const BalancerDecision decision = Send(Data(Flow(1), 101));
+    const BalancerDecision second = ReturnFrom(decision.route[0], decision);
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, second);
+    CPPUNIT_ASSERT_EQUAL(decision.route[1], second.agent);
+    CPPUNIT_ASSERT(!second.header.has_route);
+  }
+
+  void SilentAgentsAreNotOnTheRoute() {
+    Start();
+    Hear(1);
+    m_now += std::chrono::milliseconds(1500);
+    Hear(2);
+    Hear(3);
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decision.route.size());
+    CPPUNIT_ASSERT(decision.route[0] != Node(1) && decision.agent != Node(1));
+    decision = ReturnFrom(decision.route[0], decision);
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, decision);
+    CPPUNIT_ASSERT_EQUAL(Node(1), decision.agent);
+  }
+
+  // An agent that ends at that moment swallows what is passed on to it.
+  void ASearchThatGotLostTakesAnotherOrder() {
+    Start();
+    for (std::uint32_t number = 1; number <= 8; ++number) {
+      Hear(number);
+    }
+    std::set<base::SocketAddress> first_asked;
+    for (int round = 0; round < 6; ++round) {
+      const BalancerDecision decision = Send(Data(Flow(1), 101));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{7}, decision.route.size());
+      CPPUNIT_ASSERT_EQUAL(decision.agent, Send(Data(Flow(1), 111)).agent);  // close behind it
+      first_asked.insert(decision.agent);
+      m_now += std::chrono::milliseconds(200);
+      for (std::uint32_t number = 1; number <= 8; ++number) {
+        Hear(number);
+      }
+    }
+    CPPUNIT_ASSERT(first_asked.size() > 2);
+  }
+
+  // Found by placement_proof: agents that the present search hadn't reached were taken as asked.
+  void AReturnFromAnEarlierSearchSpeaksForItselfOnly() {
+    Start();
+    for (std::uint32_t number = 1; number <= 8; ++number) {
+      Hear(number);
+    }
+    const BalancerDecision first = Send(Data(Flow(1), 101));
+    m_now += std::chrono::milliseconds(200);
+    const BalancerDecision second = Send(Data(Flow(1), 101));
+    const base::SocketAddress last = second.route.back();
+    const BalancerDecision third = ReturnFrom(last, first);
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, third);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, third.route.size());
+  }
+
   void AFlowThatNobodyHoldsIsReset() {
     Start();
     HearThree();
@@ -240,12 +319,12 @@
   void TheHolderIsRemembered() {
     Start();
     HearThree();
-    Send(Data(Flow(1), 101));
-    CPPUNIT_ASSERT(m_core->OnHolding(Flow(1), Node(3), orders_service, m_now));
-    CPPUNIT_ASSERT(!m_core->OnHolding(Flow(1), Node(3), orders_service, m_now));
+    const base::SocketAddress holder = Send(Data(Flow(1), 101)).route.back();
+    CPPUNIT_ASSERT(m_core->OnHolding(Flow(1), holder, orders_service, m_now));
+    CPPUNIT_ASSERT(!m_core->OnHolding(Flow(1), holder, orders_service, m_now));
     const BalancerDecision decision = Send(Data(Flow(1), 111));
     Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, decision);
-    CPPUNIT_ASSERT_EQUAL(Node(3), decision.agent);
+    CPPUNIT_ASSERT_EQUAL(holder, decision.agent);
     CPPUNIT_ASSERT(!decision.header.is_search);
   }
 
@@ -389,6 +468,12 @@
     return m_core->OnReturnedPacket(packet, header, decision.agent, m_now);
   }
 
+  // A later agent of a search's route returns the packet.
+  BalancerDecision ReturnFrom(const base::SocketAddress& agent, BalancerDecision decision) {
+    decision.agent = agent;
+    return Return(Data(Flow(1), 101), decision, ReturnReason::kNotHeld);
+  }
+
   // Lets each agent return the packet; returns what became of it.
   BalancerDecision SearchToTheEnd(const FlowPacket& packet) {
     BalancerDecision decision = Send(packet);
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(LivesHaveNoOrder);
   CPPUNIT_TEST(TheMemoryOfAnEndpointOutlivesItsAgent);
   CPPUNIT_TEST(AListedAgentIsNotFresh);
+  CPPUNIT_TEST(AnAgentThatReportsLessOftenStaysFreshForLonger);
   CPPUNIT_TEST(SlowAndColdEndpointsCountAsLoaded);
   CPPUNIT_TEST(OwnOpeningsSinceTheReportCount);
   CPPUNIT_TEST(TheOwnZoneIsPreferredAmongEquals);
@@ -36,6 +37,7 @@
   CPPUNIT_TEST(WeightsGiveShares);
   CPPUNIT_TEST(AWeightOfZeroGetsNothing);
   CPPUNIT_TEST(HeadersAreReadAsWritten);
+  CPPUNIT_TEST(RoutesAreReadAsWritten);
   CPPUNIT_TEST(MalformedHeadersAreRefused);
   CPPUNIT_TEST(ReportsAreReadAsWritten);
   CPPUNIT_TEST(GreetingsAreReadAsWritten);
@@ -84,6 +86,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_agents.ForgetSilent(seconds(1), At(2000)));
   }
 
+  void AnAgentThatReportsLessOftenStaysFreshForLonger() {
+    AgentReport report = Report(1);
+    m_agents.Take(Node(1), report, At(0));
+    CPPUNIT_ASSERT(!m_agents.IsFresh(*m_agents.Find(Node(1)), At(801)));
+    report.sequence = 2;
+    report.period = milliseconds(600);
+    m_agents.Take(Node(1), report, At(0));
+    CPPUNIT_ASSERT(m_agents.IsFresh(*m_agents.Find(Node(1)), At(1800)));
+    CPPUNIT_ASSERT(!m_agents.IsFresh(*m_agents.Find(Node(1)), At(1801)));
+  }
+
   void SlowAndColdEndpointsCountAsLoaded() {
     KnownAgent agent;
     agent.address = Node(1);
@@ -170,10 +183,32 @@
     header.attempt = 200;
     header.reason = ReturnReason::kBusy;
     header.service = base::ServiceId(0xa1b2c3d4);
-    header.routes_version = 0x1122334455667788;
+    header.routes_version = 0x22334455667788;
+    header.search_round = 0x99;
     CPPUNIT_ASSERT(DecodeForwardHeader(EncodeForwardHeader(header)) == header);
   }
 
+  void RoutesAreReadAsWritten() {
+    ForwardHeader header;
+    header.has_route = true;
+    const SearchRoute route{Node(1), {Node(2), Node(3)}};
+    std::vector<std::uint8_t> bytes = EncodeSearch(header, route);
+    bytes.push_back(77);  // the packet
+    CPPUNIT_ASSERT(DecodeForwardHeader(bytes) == header);
+    std::span<std::uint8_t> body = std::span(bytes).subspan(ForwardHeader::kSize);
+    CPPUNIT_ASSERT(DecodeSearchRoute(body, kNodePort) == route);
+    CPPUNIT_ASSERT(body.size() == 1 && body[0] == 77);
+    // Shorter than it says, in each way, and more agents than a route may have.
+    for (std::size_t size = 0; size < 13; ++size) {
+      std::span<std::uint8_t> cut = std::span(bytes).subspan(ForwardHeader::kSize, size);
+      CPPUNIT_ASSERT(!DecodeSearchRoute(cut, kNodePort).has_value());
+    }
+    std::vector<std::uint8_t> huge(400);
+    huge[4] = SearchRoute::kMostAgents + 1;
+    std::span<std::uint8_t> body_of_huge(huge);
+    CPPUNIT_ASSERT(!DecodeSearchRoute(body_of_huge, kNodePort).has_value());
+  }
+
   void MalformedHeadersAreRefused() {
     auto bytes = EncodeForwardHeader({});
     CPPUNIT_ASSERT(DecodeForwardHeader(bytes).has_value());
@@ -190,6 +225,7 @@
     report.wants_memory = true;
     report.load.warm_up_left = milliseconds(70);
     report.load.open_flows = 12;
+    report.period = milliseconds(575);
     const auto read = DecodeNodeMessage(BytesOf(EncodeNodeMessage(report)), kNodePort);
     const AgentReport& result = std::get<AgentReport>(*read);
     CPPUNIT_ASSERT(result.life == report.life && result.sequence == report.sequence);
@@ -200,6 +236,7 @@
     CPPUNIT_ASSERT_EQUAL(report.load.open_flows, result.load.open_flows);
     CPPUNIT_ASSERT(report.load.warm_up_left == result.load.warm_up_left);
     CPPUNIT_ASSERT(report.load.answer_time == result.load.answer_time);
+    CPPUNIT_ASSERT(report.period == result.period);
   }
 
   void GreetingsAreReadAsWritten() {
--- a/proofs/placement/src/placement_proof.cpp
+++ b/proofs/placement/src/placement_proof.cpp
@@ -83,6 +83,7 @@
   std::size_t flows_opened = 0;
   std::size_t searches_ended = 0;
   std::size_t resets = 0;
+  std::size_t passes = 0;
 };
 
 void Explore(const PlacementWorldSettings& settings, Totals& totals) {
@@ -92,6 +93,7 @@
   totals.flows_opened += world.FlowsOpened();
   totals.searches_ended += world.SearchesEnded();
   totals.resets += world.Resets();
+  totals.passes += world.Passes();
   if (world.Violation()) {
     RC_FAIL(*world.Violation());
   }
@@ -101,9 +103,10 @@
   constexpr std::size_t kEnough = 1000;
   std::ostringstream counts;
   counts << "flows opened " << totals.flows_opened << ", holders found by searches "
-         << totals.searches_ended << ", resets " << totals.resets;
-  const bool is_enough =
-      totals.flows_opened > kEnough && totals.searches_ended > kEnough && totals.resets > 0;
+         << totals.searches_ended << ", resets " << totals.resets << ", passes from agent to agent "
+         << totals.passes;
+  const bool is_enough = totals.flows_opened > kEnough && totals.searches_ended > kEnough &&
+                         totals.resets > 0 && totals.passes > kEnough;
   return {is_enough, counts.str()};
 }
 
--- a/proofs/placement/src/placement_world.cpp
+++ b/proofs/placement/src/placement_world.cpp
@@ -170,8 +170,9 @@
     TakeReset(packet, decision.reset_sequence);
   }
   if (decision.verdict == BalancerVerdict::kForward && network_.size() < kMostWaiting) {
+    const placement::SearchRoute route{BalancerAddress(balancer), decision.route};
     network_.push_back(
-        {Hop::kToAgent, IndexOf(decision.agent), balancer, packet, decision.header, 0, 0});
+        {Hop::kToAgent, IndexOf(decision.agent), balancer, packet, decision.header, route, 0, 0});
   }
 }
 
@@ -218,11 +219,19 @@
   if (!settings_.checks_service) {
     header.service = agent.endpoint.service;
   }
-  const AgentDecision decision =
-      agent.core->OnForwarded(datagram.packet, header, BalancerAddress(datagram.sender), now_);
+  const AgentDecision decision = agent.core->OnForwarded(datagram.packet, header, datagram.route,
+                                                         BalancerAddress(datagram.sender), now_);
   if (decision.verdict == AgentVerdict::kReturn) {
-    network_.push_back(
-        {Hop::kToBalancer, datagram.sender, datagram.node, datagram.packet, decision.header, 0, 0});
+    network_.push_back({Hop::kToBalancer,
+                        IndexOf(decision.balancer),
+                        datagram.node,
+                        datagram.packet,
+                        decision.header,
+                        {},
+                        0,
+                        0});
+  } else if (decision.verdict == AgentVerdict::kPassOn) {
+    PassOn(datagram.packet, decision);
   } else if (decision.verdict == AgentVerdict::kDeliver) {
     // The way from an agent to the endpoint beside it keeps the order; it may still be late.
     AtEndpoint({Hop::kToEndpoint,
@@ -230,11 +239,20 @@
                 0,
                 datagram.packet,
                 {},
+                {},
                 decision.mark,
                 agent.endpoint.incarnation});
   }
 }
 
+void PlacementWorld::PassOn(const FlowPacket& packet, const AgentDecision& decision) {
+  if (network_.size() < kMostWaiting) {
+    network_.push_back({Hop::kToAgent, IndexOf(decision.next), IndexOf(decision.route.origin),
+                        packet, decision.header, decision.route, 0, 0});
+  }
+  ++passes_;
+}
+
 void PlacementWorld::AtEndpoint(const Datagram& datagram) {
   Agent& agent = agents_[datagram.node];
   Endpoint& endpoint = agent.endpoint;
@@ -285,7 +303,10 @@
   clean.is_bounced = false;
   if (decision.verdict == AgentVerdict::kReturn) {
     network_.push_back(
-        {Hop::kToBalancer, IndexOf(decision.balancer), agent, clean, decision.header, 0, 0});
+        {Hop::kToBalancer, IndexOf(decision.balancer), agent, clean, decision.header, {}, 0, 0});
+  }
+  if (decision.verdict == AgentVerdict::kPassOn) {
+    PassOn(clean, decision);
   }
   if (decision.verdict != AgentVerdict::kToClient) {
     return;
@@ -293,7 +314,8 @@
   if (decision.searcher) {
     placement::ForwardHeader header;
     header.service = agents_[agent].endpoint.service;
-    network_.push_back({Hop::kHolding, IndexOf(*decision.searcher), agent, clean, header, 0, 0});
+    network_.push_back(
+        {Hop::kHolding, IndexOf(*decision.searcher), agent, clean, header, {}, 0, 0});
   }
   Flow& flow = FlowOf(packet);
   if (packet.is_synchronizing && flow.endpoint_sequence == 0) {
--- a/proofs/placement/src/placement_world.h
+++ b/proofs/placement/src/placement_world.h
@@ -28,7 +28,7 @@
 class PlacementWorld {
  public:
   static constexpr std::size_t kBalancers = 2;
-  static constexpr std::size_t kAgents = 4;
+  static constexpr std::size_t kAgents = 6;
 
   explicit PlacementWorld(const PlacementWorldSettings& settings);
 
@@ -53,6 +53,7 @@
   std::size_t FlowsOpened() const { return flows_opened_; }
   std::size_t SearchesEnded() const { return searches_ended_; }
   std::size_t Resets() const { return resets_; }
+  std::size_t Passes() const { return passes_; }
 
  private:
   struct Flow {
@@ -87,6 +88,7 @@
     std::size_t sender = 0;
     placement::FlowPacket packet;
     placement::ForwardHeader header;
+    placement::SearchRoute route;  // for kToAgent
     std::uint32_t mark = 0;
     std::uint32_t incarnation = 0;  // of the endpoint, for kToEndpoint
   };
@@ -98,6 +100,7 @@
            const placement::BalancerDecision& decision);
   void Handle(const Datagram& datagram);
   void AtAgent(const Datagram& datagram);
+  void PassOn(const placement::FlowPacket& packet, const placement::AgentDecision& decision);
   void AtEndpoint(const Datagram& datagram);
   void FromEndpoint(std::size_t agent, const placement::FlowPacket& packet, std::uint32_t mark);
   void Bounce(std::size_t agent, placement::FlowPacket packet, std::uint32_t mark);
@@ -124,6 +127,7 @@
   std::size_t flows_opened_ = 0;
   std::size_t searches_ended_ = 0;
   std::size_t resets_ = 0;
+  std::size_t passes_ = 0;  // of searches, from agent to agent
 };
 
 }  // namespace gaugevalve::proofs
