--- a/platform/src/datagram_port.h
+++ b/libs/tasks/include/gaugevalve/tasks/datagram_port.h
@@ -12,7 +12,7 @@
 #include "gaugevalve/tasks/udp_socket.h"
 #include "gaugevalve/tasks/watch.h"
 
-namespace gaugevalve::platform {
+namespace gaugevalve::tasks {
 
 /// Not thread-safe: everything runs on the loop's thread.
 class DatagramPort {
@@ -38,13 +38,13 @@
  private:
   void ReceiveAll();
 
-  tasks::UdpSocket m_socket;
+  UdpSocket m_socket;
   Handler m_handler;
   std::function<void()> m_on_batch_end;
-  tasks::UdpReceiveBatch m_received;
-  tasks::UdpSendBatch m_queued;
+  UdpReceiveBatch m_received;
+  UdpSendBatch m_queued;
   bool m_has_queued = false;
-  tasks::Watch m_watch;
+  Watch m_watch;
 };
 
-}  // namespace gaugevalve::platform
+}  // namespace gaugevalve::tasks
--- a/platform/src/datagram_port.cpp
+++ b/libs/tasks/src/datagram_port.cpp
@@ -1,17 +1,17 @@
-#include "datagram_port.h"
+#include "gaugevalve/tasks/datagram_port.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace gaugevalve::platform {
+namespace gaugevalve::tasks {
 namespace {
 
 constexpr std::size_t kBatch = 32;
 constexpr int kBatchesPerTurn = 4;
 constexpr std::size_t kBufferBytes = std::size_t{1} << 20U;
 
-tasks::UdpSocket BindWithBuffers(const base::SocketAddress& address) {
-  tasks::UdpSocket socket = tasks::UdpSocket::Bind(address);
+UdpSocket BindWithBuffers(const base::SocketAddress& address) {
+  UdpSocket socket = UdpSocket::Bind(address);
   socket.RequestBufferSize(kBufferBytes);
   return socket;
 }
@@ -25,7 +25,7 @@
       m_on_batch_end(std::move(on_batch_end)),
       m_received(kBatch),
       m_queued(kBatch),
-      m_watch(tasks::Watch::Readable(loop, m_socket.Descriptor(), [this] { ReceiveAll(); })) {}
+      m_watch(Watch::Readable(loop, m_socket.Descriptor(), [this] { ReceiveAll(); })) {}
 
 void DatagramPort::Queue(const base::SocketAddress& destination,
                          std::span<const std::uint8_t> header,
@@ -70,4 +70,4 @@
   }
 }
 
-}  // namespace gaugevalve::platform
+}  // namespace gaugevalve::tasks
--- a/platform/src/node_metrics.h
+++ b/libs/telemetry/include/gaugevalve/telemetry/node_metrics.h
@@ -7,10 +7,11 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
-namespace gaugevalve::platform {
+namespace gaugevalve::telemetry {
 
 /// Makes metrics of one registry and writes them all in Prometheus' text format. References stay
 /// valid as long as this object. Not thread-safe.
@@ -37,4 +38,4 @@
 /// Upper bounds for how often a packet was passed on.
 prometheus::Histogram::BucketBoundaries PassBounds();
 
-}  // namespace gaugevalve::platform
+}  // namespace gaugevalve::telemetry
--- a/platform/src/node_metrics.cpp
+++ b/libs/telemetry/src/node_metrics.cpp
@@ -1,8 +1,8 @@
-#include "node_metrics.h"
+#include "gaugevalve/telemetry/node_metrics.h"
 
 #include <prometheus/text_serializer.h>
 
-namespace gaugevalve::platform {
+namespace gaugevalve::telemetry {
 
 prometheus::Counter& NodeMetrics::MakeCounter(const std::string& name, const std::string& help,
                                               const std::map<std::string, std::string>& labels) {
@@ -30,4 +30,4 @@
 
 prometheus::Histogram::BucketBoundaries PassBounds() { return {0, 1, 2, 3, 5, 8, 13, 21, 50}; }
 
-}  // namespace gaugevalve::platform
+}  // namespace gaugevalve::telemetry
