--- a/libs/telemetry/tests/event_test.cpp
+++ b/libs/telemetry/tests/event_test.cpp
@@ -76,7 +76,7 @@
     pipe.ends[0] = -1;
     void (*const before)(int) = std::signal(SIGPIPE, SIG_IGN);
     const LoggingSession session(Level::kInfo, pipe.ends[1]);
-    Event(Level::kInfo, "lost");
+    { const Event lost(Level::kInfo, "lost"); }
     std::signal(SIGPIPE, before);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, LogLinesLost());
   }
