--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -14,6 +14,7 @@
 #include "gaugevalve/placement/endpoint_gate.h"
 #include "gaugevalve/placement/flow_packet.h"
 #include "gaugevalve/placement/forward_header.h"
+#include "gaugevalve/placement/report_schedule.h"
 
 namespace gaugevalve::placement {
 
@@ -64,12 +65,8 @@
   /// Returns the agent's account of itself.
   AgentReport MakeReport(base::TimePoint now);
 
-  /// Returns how often to report to this many balancers: less often the more there are, as each of
-  /// them hears every agent.
-  static base::Duration ReportPeriod(std::size_t balancers);
-
-  /// Notes how often the agent reports; MakeReport() says so.
-  void SetReportPeriod(base::Duration period) { m_report_period = period; }
+  /// When to report to whom; MakeReport() says how often that is.
+  ReportSchedule& Reports() { return m_reports; }
 
   /// Returns the endpoint's standing as reported.
   EndpointStanding Standing(base::TimePoint now) const;
@@ -117,7 +114,7 @@
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
   std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
   std::uint64_t m_report_sequence = 0;
-  base::Duration m_report_period{0};
+  ReportSchedule m_reports;
   std::uint32_t m_waiting = 0;
   std::uint32_t m_opening = 0;
   std::uint32_t m_open_flows = 0;  // as of the last sweep
--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -4,7 +4,6 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -24,7 +23,9 @@
   base::TimePoint heard_at{};
   bool is_only_listed = false;            ///< by somebody else; not heard here
   std::uint32_t placed_since_report = 0;  ///< opening packets passed to it since the last report
-  double placed_share = 0;                ///< of this balancer's openings, decaying; for ties
+  /// The first opening packet passed to it since it was last heard.
+  std::optional<base::TimePoint> unanswered_since;
+  double placed_share = 0;  ///< of this balancer's openings, decaying; for ties
   /// The newest report that knew the endpoint, also of an earlier life: a restarted agent asks for
   /// it.
   std::optional<AgentReport> memory;
@@ -54,7 +55,17 @@
   /// flows. Known agents are left as they are.
   void NoteListed(const base::SocketAddress& address, base::ServiceId service, base::TimePoint now);
 
-  /// Forgets agents not heard for `silence`.
+  /// Notes that an opening packet was passed to the agent: it is to be heard soon.
+  static void NoteOpening(KnownAgent& agent, base::TimePoint now);
+
+  /// Notes a sign of life other than a report.
+  void NoteLife(const base::SocketAddress& address);
+
+  /// Returns how long an agent may be silent before it is taken for gone: `least`, or longer where
+  /// it says that it reports less often.
+  static base::Duration SilenceLimit(const KnownAgent& agent, base::Duration least);
+
+  /// Forgets agents not heard for `silence`, or longer where they report less often.
   /// @return  how many
   std::size_t ForgetSilent(base::Duration silence, base::TimePoint now);
 
@@ -64,15 +75,13 @@
   /// the next change of the directory.
   std::vector<KnownAgent*> OfService(base::ServiceId service);
 
-  bool IsFresh(const KnownAgent& agent, base::TimePoint now) const {
-    constexpr int kPeriods = 3;  // two reports may be lost
-    const base::Duration limit = std::max(m_fresh_for, agent.report.period * kPeriods);
-    return !agent.is_only_listed && now - agent.heard_at <= limit;
-  }
+  /// Returns whether what is known of the agent still holds, as far as its reports can tell.
+  bool IsFresh(const KnownAgent& agent, base::TimePoint now) const;
 
   /// Returns all agents, for listings.
   std::vector<const KnownAgent*> All() const;
   bool IsEmpty() const { return m_agents.empty(); }
+  std::size_t Size() const { return m_agents.size(); }
 
  private:
   std::size_t m_limit;
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -0,0 +1,85 @@
+/// @file
+/// What a balancer tells other nodes about those it knows, and to whom.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gaugevalve/base/random_source.h"
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/balancer_core.h"
+#include "gaugevalve/placement/balancer_list.h"
+#include "gaugevalve/placement/node_message.h"
+
+namespace gaugevalve::placement {
+
+/// A greeting and whom it is for.
+struct OutgoingGreeting {
+  base::SocketAddress receiver;
+  BalancerGreeting greeting;
+};
+
+/// Decision core: balancers find each other and the agents by gossip. Each round a few peers, drawn
+/// by chance, get a sample of what this balancer knows; news go to a few more at once, who pass
+/// them on. So a node's share of the traffic doesn't grow with the deployment. A balancer that has
+/// just started asks its first peers for everything. Not thread-safe.
+class BalancerGossip {
+ public:
+  /// @param self  the address under which nodes reach this balancer
+  /// @param core  knows the agents and the routes; must outlive this object
+  BalancerGossip(const base::SocketAddress& self, base::Incarnation life, BalancerCore& core,
+                 base::RandomSource& random);
+
+  /// Sets the addresses that are asked while fewer than a few others are alive.
+  void SetSeeds(std::vector<base::SocketAddress> seeds) { m_balancers.SetSeeds(std::move(seeds)); }
+
+  /// Takes what another balancer tells.
+  /// @param is_new  set to whether the sender wasn't known as alive
+  /// @return  the answers, and greetings of nodes that were not known
+  std::vector<OutgoingGreeting> OnGreeting(const BalancerGreeting& greeting,
+                                           const base::SocketAddress& sender, base::TimePoint now,
+                                           bool& is_new);
+
+  /// Returns the greeting of an agent that has just been heard for the first time in its life.
+  OutgoingGreeting WelcomeAgent(const KnownAgent& agent, base::TimePoint now) const;
+
+  /// Returns the greetings that spread a configuration which this balancer has just taken.
+  /// @param is_first  whether it had none before; agents wait for their health check's path then
+  std::vector<OutgoingGreeting> OnNewRoutes(bool is_first, base::TimePoint now);
+
+  /// Returns a question to a node that somebody else named, a balancer as a rule.
+  OutgoingGreeting Ask(const base::SocketAddress& node, base::TimePoint now);
+
+  /// Returns this round's greetings of balancers. Call every `kPeerPeriod`.
+  std::vector<OutgoingGreeting> PeerRound(base::TimePoint now);
+  static constexpr base::Duration kPeerPeriod = std::chrono::milliseconds(500);
+
+  /// Returns this round's greetings of agents. Call every `kAgentPeriod`.
+  std::vector<OutgoingGreeting> AgentRound(base::TimePoint now);
+  static constexpr base::Duration kAgentPeriod = std::chrono::seconds(1);
+
+  /// Forgets balancers that nobody has heard for long. Call a few times a second.
+  void Tick(base::TimePoint now);
+
+  /// Returns how many other balancers are alive.
+  std::size_t AliveCount(base::TimePoint now) const { return m_balancers.Alive(now).size(); }
+
+ private:
+  BalancerGreeting Brief(bool wants_answer) const;
+  BalancerGreeting Sampled(bool wants_answer, base::TimePoint now);
+  BalancerGreeting ForAgent(const KnownAgent& agent, base::TimePoint now) const;
+  void AnswerWithAll(const base::SocketAddress& receiver, base::TimePoint now,
+                     std::vector<OutgoingGreeting>& greetings);
+  std::vector<ListedAgent> ListAgents() const;
+
+  base::Incarnation m_life;
+  BalancerCore& m_core;
+  base::RandomSource& m_random;
+  BalancerList m_balancers;
+  unsigned m_asked_for_all = 0;  // peers that were asked for everything they know
+};
+
+}  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/balancer_list.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_list.h
@@ -23,7 +23,8 @@
 class BalancerList {
  public:
   /// @param self  is never listed
-  /// @param alive_for  a balancer counts as alive this long after it was heard
+  /// @param alive_for  a balancer counts as alive this long after it was heard, at least; longer
+  ///                   where many are known, as news of each come less often
   BalancerList(const base::SocketAddress& self, base::Duration alive_for)
       : m_self(self), m_alive_for(alive_for) {}
 
@@ -34,9 +35,6 @@
   /// @return  whether it wasn't known as alive before
   bool Note(const base::SocketAddress& address, base::Duration age, base::TimePoint now);
 
-  /// Notes that a balancer said that it leaves.
-  void Forget(const base::SocketAddress& address) { m_heard_at.erase(address); }
-
   /// Returns those to write to: all that are known, and the seeds while fewer than `enough` others
   /// are alive.
   std::vector<base::SocketAddress> Targets(std::size_t enough, base::TimePoint now) const;
@@ -48,6 +46,8 @@
   void ForgetSilent(base::Duration silence, base::TimePoint now);
 
  private:
+  base::Duration AliveFor() const;
+
   base::SocketAddress m_self;
   base::Duration m_alive_for;
   std::vector<base::SocketAddress> m_seeds;
--- a/libs/placement/include/gaugevalve/placement/node_message.h
+++ b/libs/placement/include/gaugevalve/placement/node_message.h
@@ -30,10 +30,10 @@
   std::vector<BalancerAge> balancers;  ///< alive; without the sender
   std::vector<ListedAgent> agents;
   std::string health_check_path;      ///< of the service of the agent written to; may be empty
-  bool wants_answer = false;          ///< the receiver is asked for a report or a greeting
+  std::size_t agent_count = 0;        ///< that the balancer knows
+  bool wants_answer = false;          ///< the receiver is asked for a report or a whole listing
   std::optional<AgentReport> memory;  ///< of the endpoint beside the agent written to
   base::Duration memory_age{0};
-  bool is_leaving = false;
 };
 
 using NodeMessage = std::variant<AgentReport, BalancerGreeting>;
--- /dev/null
+++ b/libs/placement/include/gaugevalve/placement/report_schedule.h
@@ -0,0 +1,60 @@
+/// @file
+/// When an agent tells which balancer about itself.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <vector>
+
+#include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/base/time.h"
+
+namespace gaugevalve::placement {
+
+/// An agent reports to all balancers in rounds. The larger the deployment, the longer a round, so
+/// that neither an agent nor a balancer spends more on reports than it may. Balancers that use the
+/// agent are told in between: who places flows on it knows its load, whatever the round's length,
+/// and who hears nothing after an opening knows that the agent has gone. Not thread-safe.
+class ReportSchedule {
+ public:
+  /// The least time between two reports to one balancer.
+  static constexpr base::Duration kShortestPeriod = std::chrono::milliseconds(200);
+
+  /// @param balancers  that the agent reports to
+  /// @param agents  that each of them hears
+  /// @return  the time from one round to the next
+  static base::Duration RoundPeriod(std::size_t balancers, std::size_t agents);
+
+  /// Notes how many agents the balancers hear, as one of them said.
+  void SetAgentCount(std::size_t agents) { m_agents = agents; }
+
+  /// Returns whether all balancers are to be told now.
+  bool IsRoundDue(base::TimePoint now) const { return now - m_round_at >= m_period; }
+
+  /// Notes that a round begins.
+  /// @param balancers  how many are told in it
+  void NoteRound(std::size_t balancers, base::TimePoint now);
+
+  /// Returns the time to the next round, as of the last one.
+  base::Duration Period() const { return m_period; }
+
+  /// Notes that `balancer` has passed the agent an opening packet.
+  void NoteUse(const base::SocketAddress& balancer);
+
+  /// Returns the balancers to be told before the next round, and counts them as told.
+  std::vector<base::SocketAddress> TakeUsers(base::TimePoint now);
+
+ private:
+  struct User {
+    base::TimePoint told_at{};
+    bool is_waiting = false;
+  };
+
+  std::size_t m_agents = 0;
+  base::Duration m_period{0};
+  base::TimePoint m_round_at{};
+  absl::flat_hash_map<base::SocketAddress, User> m_users;  // since the last round
+};
+
+}  // namespace gaugevalve::placement
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -14,8 +14,6 @@
 constexpr base::Duration kIdleLimit = std::chrono::seconds(60);
 // A flow both of whose ends have closed is kept for late packets.
 constexpr base::Duration kClosedLimit = std::chrono::seconds(2);
-constexpr base::Duration kShortestReportPeriod = std::chrono::milliseconds(200);
-constexpr base::Duration kReportPeriodPerBalancer = std::chrono::milliseconds(25);
 constexpr base::Duration kSweepPeriod = std::chrono::milliseconds(250);
 // Weights of the newest value in the moving averages.
 constexpr double kBusyWeight = 0.06;  // a time constant of 0.8 s at kTickPeriod
@@ -67,6 +65,7 @@
 AgentDecision AgentCore::OnForwardedOpening(const FlowPacket& packet, const ForwardHeader& header,
                                             const base::SocketAddress& balancer,
                                             base::TimePoint now) {
+  m_reports.NoteUse(balancer);
   if (Standing(now) != EndpointStanding::kAdmitting) {
     return Return(header, balancer, ReturnReason::kNotAdmitting);
   }
@@ -254,10 +253,6 @@
                                                 : EndpointStanding::kStopping;
 }
 
-base::Duration AgentCore::ReportPeriod(std::size_t balancers) {
-  return std::max(kShortestReportPeriod, kReportPeriodPerBalancer * static_cast<int>(balancers));
-}
-
 AgentReport AgentCore::MakeReport(base::TimePoint now) {
   AgentReport report;
   report.life = m_settings.life;
@@ -273,7 +268,7 @@
   report.load.open_flows = m_open_flows;
   report.load.answer_time = m_answer_time;
   report.load.warm_up_left = m_gate.WarmUpLeft(now);
-  report.period = m_report_period;
+  report.period = m_reports.Period();
   report.wants_memory = !m_gate.IsCertain();
   return report;
 }
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -7,6 +7,8 @@
 
 // How much of the share of openings is forgotten with each report of the agent.
 constexpr double kShareKept = 0.9;
+// An agent that is used reports within 250 ms; one report may be lost.
+constexpr base::Duration kAnswerLimit = std::chrono::milliseconds(500);
 
 void Adopt(KnownAgent& agent, const AgentReport& report, base::TimePoint now) {
   const bool was_replaced = report.service != agent.report.service;
@@ -21,6 +23,7 @@
   agent.report = report;
   agent.heard_at = now;
   agent.is_only_listed = false;
+  agent.unanswered_since.reset();
 }
 
 }  // namespace
@@ -69,9 +72,34 @@
   agent.is_only_listed = true;
 }
 
+void AgentDirectory::NoteOpening(KnownAgent& agent, base::TimePoint now) {
+  if (!agent.unanswered_since) {
+    agent.unanswered_since = now;
+  }
+}
+
+void AgentDirectory::NoteLife(const base::SocketAddress& address) {
+  KnownAgent* agent = Find(address);
+  if (agent != nullptr) {
+    agent->unanswered_since.reset();
+  }
+}
+
+base::Duration AgentDirectory::SilenceLimit(const KnownAgent& agent, base::Duration least) {
+  constexpr int kPeriods = 3;  // two reports may be lost
+  return std::max(least, agent.report.period * kPeriods);
+}
+
+bool AgentDirectory::IsFresh(const KnownAgent& agent, base::TimePoint now) const {
+  const bool is_unanswered = agent.unanswered_since && now - *agent.unanswered_since > kAnswerLimit;
+  return !agent.is_only_listed && !is_unanswered &&
+         now - agent.heard_at <= SilenceLimit(agent, m_fresh_for);
+}
+
 std::size_t AgentDirectory::ForgetSilent(base::Duration silence, base::TimePoint now) {
-  return absl::erase_if(m_agents,
-                        [&](const auto& entry) { return now - entry.second.heard_at > silence; });
+  return absl::erase_if(m_agents, [&](const auto& entry) {
+    return now - entry.second.heard_at > SilenceLimit(entry.second, silence);
+  });
 }
 
 KnownAgent* AgentDirectory::Find(const base::SocketAddress& address) {
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -150,6 +150,7 @@
   }
   record.agent = chosen->address;
   chosen->placed_since_report += 1;
+  AgentDirectory::NoteOpening(*chosen, now);
   chosen->placed_share += 1.0 / std::max(1U, chosen->report.load.capacity);
   return ForwardTo(record, BalancerReason::kPlaced, attempt);
 }
@@ -193,6 +194,7 @@
     }
     record.agent = best->address;
     best->placed_since_report += 1;
+    AgentDirectory::NoteOpening(*best, now);
     BalancerDecision decision = ForwardTo(record, BalancerReason::kPlaced, attempt);
     decision.header.must_accept = true;
     return decision;
@@ -248,7 +250,7 @@
 
 bool BalancerCore::MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
   return agent.report.standing != EndpointStanding::kAbsent &&
-         now - agent.heard_at <= m_settings.silence_limit;
+         now - agent.heard_at <= AgentDirectory::SilenceLimit(agent, m_settings.silence_limit);
 }
 
 void BalancerCore::NoteOpen(FlowRecord& record) {
@@ -328,6 +330,7 @@
                                                 const ForwardHeader& header,
                                                 const base::SocketAddress& agent,
                                                 base::TimePoint now) {
+  m_agents.NoteLife(agent);
   const Route* route = m_routes.Find(packet.flow.destination);
   if (route == nullptr) {
     return Drop(BalancerReason::kNoRoute);
@@ -384,6 +387,7 @@
 
 bool BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
                              base::ServiceId service, base::TimePoint now) {
+  m_agents.NoteLife(agent);
   FlowRecord& record = *Remember(flow);
   const bool is_news = record.agent != agent || !record.refused.empty();
   record.agent = agent;
--- a/libs/placement/src/balancer_list.cpp
+++ b/libs/placement/src/balancer_list.cpp
@@ -3,6 +3,16 @@
 #include <algorithm>
 
 namespace gaugevalve::placement {
+namespace {
+
+// Gossip renews what is known of one of this many balancers at least once in this time for each.
+constexpr base::Duration kAliveForEach = std::chrono::milliseconds(30);
+
+}  // namespace
+
+base::Duration BalancerList::AliveFor() const {
+  return std::max(m_alive_for, kAliveForEach * static_cast<int>(m_heard_at.size()));
+}
 
 bool BalancerList::Note(const base::SocketAddress& address, base::Duration age,
                         base::TimePoint now) {
@@ -11,9 +21,9 @@
   }
   const base::TimePoint heard_at = now - age;
   const auto [entry, is_new] = m_heard_at.try_emplace(address, heard_at);
-  const bool was_alive = !is_new && now - entry->second <= m_alive_for;
+  const bool was_alive = !is_new && now - entry->second <= AliveFor();
   entry->second = std::max(entry->second, heard_at);
-  return !was_alive && age <= m_alive_for;
+  return !was_alive && age <= AliveFor();
 }
 
 std::vector<base::SocketAddress> BalancerList::Targets(std::size_t enough,
@@ -22,7 +32,7 @@
   std::size_t alive = 0;
   for (const auto& [address, heard_at] : m_heard_at) {
     targets.push_back(address);
-    alive += now - heard_at <= m_alive_for ? 1 : 0;
+    alive += now - heard_at <= AliveFor() ? 1 : 0;
   }
   if (alive >= enough) {
     return targets;
@@ -40,7 +50,7 @@
   std::vector<BalancerAge> alive;
   for (const auto& [address, heard_at] : m_heard_at) {
     const base::Duration age = now - heard_at;
-    if (age <= m_alive_for) {
+    if (age <= AliveFor()) {
       alive.push_back({address, age});
     }
   }
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::uint32_t kMostMilliseconds = 3'600'000;  // an hour; more is malformed
 constexpr std::size_t kMostText = 200;                  // bytes of a zone's or endpoint's name
+constexpr std::uint32_t kMostAgents = 100'000;          // that a balancer may say it knows
 
 std::uint32_t ToMilliseconds(base::Duration duration) {
   const auto count = duration_cast<milliseconds>(duration).count();
@@ -97,7 +98,7 @@
     Fill(*greeting.memory, *message.mutable_memory());
     message.set_memory_age_ms(ToMilliseconds(greeting.memory_age));
   }
-  message.set_is_leaving(greeting.is_leaving);
+  message.set_agent_count(static_cast<std::uint32_t>(greeting.agent_count));
 }
 
 BalancerGreeting ReadGreeting(const proto::BalancerGreeting& message, std::uint16_t port) {
@@ -120,7 +121,7 @@
     greeting.memory = ReadReport(message.memory());
     greeting.memory_age = FromMilliseconds(message.memory_age_ms());
   }
-  greeting.is_leaving = message.is_leaving();
+  greeting.agent_count = std::min(message.agent_count(), kMostAgents);
   return greeting;
 }
 
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -44,6 +44,9 @@
   CPPUNIT_TEST(AnAgentNotHeardYetMayHoldTheFlow);
   CPPUNIT_TEST(AnAgentWithoutEndpointIsNotAsked);
   CPPUNIT_TEST(AnAgentThatIsSilentForLongIsGivenUp);
+  CPPUNIT_TEST(AnAgentThatReportsSeldomIsNotGivenUp);
+  CPPUNIT_TEST(ACopyLeavesAnAgentThatDidNotAnswerTheOpening);
+  CPPUNIT_TEST(AnAgentThatReturnsPacketsIsAlive);
   CPPUNIT_TEST(TheHolderIsRemembered);
   CPPUNIT_TEST(AHolderIsBelievedBeforeItsFirstReport);
   CPPUNIT_TEST(AnAgentThatRefusedTheOpeningMayHoldTheFlow);
@@ -316,6 +319,42 @@
     Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, Send(Data(Flow(1), 101)));
   }
 
+  void AnAgentThatReportsSeldomIsNotGivenUp() {
+    Start();
+    AgentReport seldom = Report(1);
+    seldom.period = std::chrono::seconds(150);
+    m_core->OnReport(Node(1), seldom, m_now);
+    m_now += std::chrono::seconds(200);
+    m_core->Tick(m_now);
+    Hear(2);
+    const BalancerDecision first = Send(Data(Flow(1), 101));
+    CPPUNIT_ASSERT(BalancerVerdict::kForward == first.verdict);
+    const std::size_t asked = 1 + first.route.size();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, asked);
+  }
+
+  void ACopyLeavesAnAgentThatDidNotAnswerTheOpening() {
+    Start();
+    AgentReport seldom = Report(1);
+    seldom.period = std::chrono::seconds(150);
+    m_core->OnReport(Node(1), seldom, m_now);
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Opening(Flow(1))).agent);
+    Hear(2, 3);
+    m_now += std::chrono::milliseconds(200);
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Opening(Flow(1))).agent);
+    m_now += std::chrono::milliseconds(400);
+    CPPUNIT_ASSERT_EQUAL(Node(2), Send(Opening(Flow(1))).agent);
+  }
+
+  void AnAgentThatReturnsPacketsIsAlive() {
+    Start();
+    Hear(1);
+    Send(Opening(Flow(1)));
+    m_core->Agents().NoteLife(Node(1));
+    m_now += std::chrono::milliseconds(600);
+    CPPUNIT_ASSERT_EQUAL(Node(1), Send(Opening(Flow(1))).agent);
+  }
+
   void TheHolderIsRemembered() {
     Start();
     HearThree();
--- /dev/null
+++ b/libs/placement/tests/balancer_gossip_test.cpp
@@ -0,0 +1,222 @@
+#include "gaugevalve/placement/balancer_gossip.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+#include "gaugevalve/base/hash.h"
+#include "placement_fixture.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+using std::chrono::seconds;
+using testing::At;
+using testing::Node;
+using testing::Report;
+using testing::Routes;
+
+constexpr std::uint32_t kFirstAgent = 10'000;
+constexpr std::size_t kDatagramLimit = 1'400;  // bytes: no fragments
+
+class BalancerGossipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BalancerGossipTest);
+  CPPUNIT_TEST(SeedsAreAskedForEverythingAtFirst);
+  CPPUNIT_TEST(ARoundCostsTheSameInALargeDeployment);
+  CPPUNIT_TEST(RoundsReachEveryPeerInTime);
+  CPPUNIT_TEST(NewRoutesGoToAFewPeersWithoutLists);
+  CPPUNIT_TEST(TheFirstRoutesAreToldToAgents);
+  CPPUNIT_TEST(AListingHoldsAllAndFitsDatagrams);
+  CPPUNIT_TEST(AnUnknownAgentIsAskedForAReport);
+  CPPUNIT_TEST(OnlyTheFirstPeersAreAskedForEverything);
+  CPPUNIT_TEST(AgentsHearABoundedNumberOfGreetings);
+  CPPUNIT_TEST(AFewBalancersGreetAllAgents);
+  CPPUNIT_TEST(ARestartedAgentIsToldWhatItsEndpointWas);
+  CPPUNIT_TEST(AbsentEndpointsAreNotListed);
+  CPPUNIT_TEST(ManyPeersStayAliveOnSeldomNews);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_core.emplace(BalancerSettings{.zone = "east"}, m_random, At(0));
+    m_gossip.emplace(Node(1), base::Incarnation(5), *m_core, m_random);
+  }
+
+  void SeedsAreAskedForEverythingAtFirst() {
+    m_gossip->SetSeeds({Node(1), Node(2), Node(3)});
+    const std::vector<OutgoingGreeting> round = m_gossip->PeerRound(At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, round.size());  // not itself
+    for (const OutgoingGreeting& greeting : round) {
+      CPPUNIT_ASSERT(greeting.greeting.wants_answer);
+    }
+  }
+
+  void ARoundCostsTheSameInALargeDeployment() {
+    HearBalancers(30);
+    HearAgents(60);
+    const std::size_t small = BytesOf(m_gossip->PeerRound(At(0)));
+    HearBalancers(600);
+    HearAgents(3'000);
+    CPPUNIT_ASSERT_EQUAL(small, BytesOf(m_gossip->PeerRound(At(0))));
+    CPPUNIT_ASSERT(small * 2 < 5'000);  // two rounds a second
+  }
+
+  void RoundsReachEveryPeerInTime() {
+    constexpr std::uint32_t kBalancers = 40;
+    HearBalancers(kBalancers);
+    std::set<std::uint64_t> reached;
+    for (int round = 0; round < 120; ++round) {  // a minute
+      for (const OutgoingGreeting& greeting : m_gossip->PeerRound(At(0))) {
+        reached.insert(base::HashBytes(greeting.receiver.address, 0));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kBalancers}, reached.size());
+  }
+
+  void NewRoutesGoToAFewPeersWithoutLists() {
+    HearBalancers(600);
+    HearAgents(100);
+    m_core->SetRoutes(Routes(9));
+    const std::vector<OutgoingGreeting> news = m_gossip->OnNewRoutes(false, At(0));
+    CPPUNIT_ASSERT(news.size() >= 4 && news.size() <= 8);
+    for (const OutgoingGreeting& greeting : news) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, greeting.greeting.routes_version);
+      CPPUNIT_ASSERT(greeting.greeting.balancers.empty() && greeting.greeting.agents.empty());
+    }
+  }
+
+  void TheFirstRoutesAreToldToAgents() {
+    HearAgents(3);
+    RouteTable routes = Routes(9);
+    routes.health_check_paths[testing::orders_service] = "/up";
+    m_core->SetRoutes(std::move(routes));
+    const std::vector<OutgoingGreeting> news = m_gossip->OnNewRoutes(true, At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, news.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/up"), news.front().greeting.health_check_path);
+  }
+
+  void AListingHoldsAllAndFitsDatagrams() {
+    HearBalancers(100);
+    HearAgents(500);
+    BalancerGreeting question;
+    question.wants_answer = true;
+    std::set<std::uint64_t> agents;
+    std::set<std::uint64_t> balancers;
+    bool is_new = false;
+    for (const OutgoingGreeting& part : m_gossip->OnGreeting(question, Node(2), At(0), is_new)) {
+      CPPUNIT_ASSERT_EQUAL(Node(2), part.receiver);
+      CPPUNIT_ASSERT(EncodeNodeMessage(part.greeting).size() <= kDatagramLimit);
+      for (const ListedAgent& agent : part.greeting.agents) {
+        agents.insert(base::HashBytes(agent.address.address, 0));
+      }
+      for (const BalancerAge& balancer : part.greeting.balancers) {
+        balancers.insert(base::HashBytes(balancer.address.address, 0));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{500}, agents.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, balancers.size());
+  }
+
+  void AnUnknownAgentIsAskedForAReport() {
+    BalancerGreeting greeting;
+    greeting.agents = {{Node(kFirstAgent), testing::orders_service}};
+    bool is_new = false;
+    const auto answers = m_gossip->OnGreeting(greeting, Node(2), At(0), is_new);
+    CPPUNIT_ASSERT(is_new);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answers.size());
+    CPPUNIT_ASSERT_EQUAL(Node(kFirstAgent), answers.front().receiver);
+    CPPUNIT_ASSERT(answers.front().greeting.wants_answer);
+    CPPUNIT_ASSERT(m_gossip->OnGreeting(greeting, Node(2), At(0), is_new).empty());
+    CPPUNIT_ASSERT(!is_new);
+  }
+
+  void OnlyTheFirstPeersAreAskedForEverything() {
+    BalancerGreeting greeting;
+    for (std::uint32_t number = 2; number < 50; ++number) {
+      greeting.balancers.push_back({Node(number), base::Duration(0)});
+    }
+    bool is_new = false;
+    const auto answers = m_gossip->OnGreeting(greeting, Node(99), At(0), is_new);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{48}, answers.size());
+    const auto asked = std::count_if(answers.begin(), answers.end(), [](const auto& answer) {
+      return answer.greeting.wants_answer;
+    });
+    CPPUNIT_ASSERT(asked >= 2 && asked <= 8);
+  }
+
+  void AgentsHearABoundedNumberOfGreetings() {
+    HearBalancers(99);
+    HearAgents(1'000);
+    const std::size_t greetings = m_gossip->AgentRound(At(0)).size();
+    CPPUNIT_ASSERT(greetings * 100 >= 4'000);  // of all balancers together
+    CPPUNIT_ASSERT(greetings * 100 <= 5'000);
+  }
+
+  void AFewBalancersGreetAllAgents() {
+    HearBalancers(3);
+    HearAgents(10);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, m_gossip->AgentRound(At(0)).size());
+  }
+
+  void ARestartedAgentIsToldWhatItsEndpointWas() {
+    HearAgents(1);
+    AgentReport restarted = Report(1, 0, EndpointStanding::kUnknown);
+    restarted.life = base::Incarnation(99);
+    restarted.wants_memory = true;
+    m_core->OnReport(Node(kFirstAgent), restarted, At(1000));
+    const KnownAgent* agent = m_core->Agents().Find(Node(kFirstAgent));
+    const OutgoingGreeting welcome = m_gossip->WelcomeAgent(*agent, At(1500));
+    CPPUNIT_ASSERT(welcome.greeting.memory.has_value());
+    CPPUNIT_ASSERT(welcome.greeting.memory_age == std::chrono::milliseconds(1500));
+  }
+
+  void AbsentEndpointsAreNotListed() {
+    m_core->OnReport(Node(kFirstAgent), Report(1, 0, EndpointStanding::kAbsent), At(0));
+    HearBalancers(1);
+    const auto round = m_gossip->PeerRound(At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, round.size());
+    CPPUNIT_ASSERT(round.front().greeting.agents.empty());
+  }
+
+  void ManyPeersStayAliveOnSeldomNews() {
+    HearBalancers(3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_gossip->AliveCount(base::TimePoint(seconds(5))));
+    HearBalancers(600);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{600}, m_gossip->AliveCount(base::TimePoint(seconds(5))));
+  }
+
+ private:
+  void HearBalancers(std::uint32_t count) {
+    bool is_new = false;
+    for (std::uint32_t number = 0; number < count; ++number) {
+      m_gossip->OnGreeting({}, Node(2 + number), At(0), is_new);
+    }
+  }
+
+  void HearAgents(std::uint32_t count) {
+    for (std::uint32_t number = 0; number < count; ++number) {
+      m_core->OnReport(Node(kFirstAgent + number), Report(1), At(0));
+    }
+  }
+
+  static std::size_t BytesOf(const std::vector<OutgoingGreeting>& greetings) {
+    constexpr std::size_t kPacketHeaders = 28;  // IPv4 and UDP
+    std::size_t bytes = 0;
+    for (const OutgoingGreeting& greeting : greetings) {
+      BalancerGreeting fixed = greeting.greeting;
+      fixed.agent_count = 0;  // its bytes grow with its digits
+      bytes += EncodeNodeMessage(fixed).size() + kPacketHeaders;
+    }
+    return bytes;
+  }
+
+  base::RandomSource m_random{1};
+  std::optional<BalancerCore> m_core;
+  std::optional<BalancerGossip> m_gossip;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BalancerGossipTest);
+
+}  // namespace
+}  // namespace gaugevalve::placement
