--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -31,7 +31,7 @@
   /// @param self  the address under which nodes reach this balancer
   /// @param core  knows the agents and the routes; must outlive this object
   BalancerGossip(const base::SocketAddress& self, base::Incarnation life, BalancerCore& core,
-                 base::RandomSource& random);
+                 base::RandomSource& random, base::TimePoint now);
 
   /// Sets the addresses that are asked while fewer than a few others are alive.
   void SetSeeds(std::vector<base::SocketAddress> seeds) { m_balancers.SetSeeds(std::move(seeds)); }
@@ -53,9 +53,12 @@
   /// Returns a question to a node that somebody else named, a balancer as a rule.
   OutgoingGreeting Ask(const base::SocketAddress& node, base::TimePoint now);
 
-  /// Returns this round's greetings of balancers. Call every `kPeerPeriod`.
+  /// Returns this round's greetings of balancers.
   std::vector<OutgoingGreeting> PeerRound(base::TimePoint now);
-  static constexpr base::Duration kPeerPeriod = std::chrono::milliseconds(500);
+
+  /// Returns the time to the next round: short while this balancer is young and knows no other, as
+  /// its seeds may be about to start as well.
+  base::Duration PeerPeriod(base::TimePoint now) const;
 
   /// Returns this round's greetings of agents. Call every `kAgentPeriod`.
   std::vector<OutgoingGreeting> AgentRound(base::TimePoint now);
@@ -79,6 +82,7 @@
   BalancerCore& m_core;
   base::RandomSource& m_random;
   BalancerList m_balancers;
+  base::TimePoint m_started_at;
   unsigned m_asked_for_all = 0;  // peers that were asked for everything they know
 };
 
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -6,6 +6,9 @@
 namespace gaugevalve::placement {
 namespace {
 
+constexpr base::Duration kPeerPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kJoiningPeriod = std::chrono::milliseconds(50);
+constexpr base::Duration kJoiningTime = std::chrono::seconds(5);
 constexpr base::Duration kAliveFor = std::chrono::milliseconds(2500);
 constexpr base::Duration kForgetAfter = std::chrono::seconds(60);
 // Seeds are written to as well until this many others are alive.
@@ -37,8 +40,12 @@
 }  // namespace
 
 BalancerGossip::BalancerGossip(const base::SocketAddress& self, base::Incarnation life,
-                               BalancerCore& core, base::RandomSource& random)
-    : m_life(life), m_core(core), m_random(random), m_balancers(self, kAliveFor) {}
+                               BalancerCore& core, base::RandomSource& random, base::TimePoint now)
+    : m_life(life),
+      m_core(core),
+      m_random(random),
+      m_balancers(self, kAliveFor),
+      m_started_at(now) {}
 
 std::vector<OutgoingGreeting> BalancerGossip::OnGreeting(const BalancerGreeting& greeting,
                                                          const base::SocketAddress& sender,
@@ -100,6 +107,11 @@
   return greetings;
 }
 
+base::Duration BalancerGossip::PeerPeriod(base::TimePoint now) const {
+  const bool is_joining = now - m_started_at < kJoiningTime && AliveCount(now) == 0;
+  return is_joining ? kJoiningPeriod : kPeerPeriod;
+}
+
 std::vector<OutgoingGreeting> BalancerGossip::AgentRound(base::TimePoint now) {
   const std::vector<const KnownAgent*> agents = m_core.Agents().All();
   const std::size_t balancers = std::max(AliveCount(now) + 1, kGreetingsPerAgent);
--- a/libs/placement/tests/balancer_gossip_test.cpp
+++ b/libs/placement/tests/balancer_gossip_test.cpp
@@ -23,6 +23,8 @@
 class BalancerGossipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BalancerGossipTest);
   CPPUNIT_TEST(SeedsAreAskedForEverythingAtFirst);
+  CPPUNIT_TEST(RoundsAreShortUntilSomebodyAnswers);
+  CPPUNIT_TEST(RoundsAreNotShortForEver);
   CPPUNIT_TEST(ARoundCostsTheSameInALargeDeployment);
   CPPUNIT_TEST(RoundsReachEveryPeerInTime);
   CPPUNIT_TEST(NewRoutesGoToAFewPeersWithoutLists);
@@ -40,7 +42,7 @@
  public:
   void setUp() override {
     m_core.emplace(BalancerSettings{.zone = "east"}, m_random, At(0));
-    m_gossip.emplace(Node(1), base::Incarnation(5), *m_core, m_random);
+    m_gossip.emplace(Node(1), base::Incarnation(5), *m_core, m_random, At(0));
   }
 
   void SeedsAreAskedForEverythingAtFirst() {
@@ -52,6 +54,18 @@
     }
   }
 
+  void RoundsAreShortUntilSomebodyAnswers() {
+    m_gossip->SetSeeds({Node(2), Node(3)});
+    CPPUNIT_ASSERT(m_gossip->PeerPeriod(At(0)) <= std::chrono::milliseconds(100));
+    HearBalancers(1);
+    CPPUNIT_ASSERT(m_gossip->PeerPeriod(At(10)) >= std::chrono::milliseconds(500));
+  }
+
+  void RoundsAreNotShortForEver() {
+    m_gossip->SetSeeds({Node(2), Node(3)});
+    CPPUNIT_ASSERT(m_gossip->PeerPeriod(At(60'000)) >= std::chrono::milliseconds(500));
+  }
+
   void ARoundCostsTheSameInALargeDeployment() {
     HearBalancers(30);
     HearAgents(60);
