--- a/deploy/play_days.py
+++ b/deploy/play_days.py
@@ -3,13 +3,18 @@
 under load and near the end, pairs that share a mechanism, and deployments that differ from the given
 ones. Prints a table and ends with 1 when a rule was broken or a day failed.
 
-Usage: deploy/play_days.py BENCH SITE [--set kinds|pairs|sites|all] [--jobs N] [--why TEXT]
+Random days gather several troubles within a second or two around a few moments; their seed is printed.
+
+Usage: deploy/play_days.py BENCH SITE [--set kinds|grown|pairs|random|sites|all] [--days N] [--seed N]
+                           [--jobs N] [--why TEXT]
 """
 
 import argparse
 import concurrent.futures
 import pathlib
+import random
 import re
+import secrets
 import subprocess
 import sys
 import tempfile
@@ -71,6 +76,38 @@
     ("faults", 'kind = "reset_conns", share = 0.3, x = 0.5'),
 ]
 
+# Kinds that only the grown deployments list, and rarer variants of the others.
+GROWN_KINDS = [
+    ("faults", 'kind = "srv_crash", share = 0.2, for_s = 3.0'),
+    ("faults", 'kind = "srv_crash", share = 0.2, for_s = 3.0, how = "dark"'),
+    ("faults", 'kind = "srv_crash", share = 0.2, how = "gone"'),
+    ("faults", 'kind = "srv_grey", share = 0.2, for_s = 5.0, how = "mute", x = 0.5'),
+    ("faults", 'kind = "srv_grey", share = 0.2, for_s = 5.0, how = "hang", x = 0.5'),
+    ("faults", 'kind = "srv_grey", share = 0.2, for_s = 5.0, how = "reset", x = 0.5'),
+    ("faults", 'kind = "srv_grey", share = 0.2, for_s = 5.0, how = "slow", x = 8.0'),
+    ("faults", 'kind = "srv_lying_health", share = 0.2, for_s = 5.0, how = "errors"'),
+    ("faults", 'kind = "srv_lying_health", share = 0.2, for_s = 5.0, how = "bad"'),
+    ("faults", 'kind = "srv_flap", share = 0.2, for_s = 6.0, gap_s = 1.2'),
+    ("faults", 'kind = "srv_cut", share = 0.2, for_s = 4.0'),
+    ("faults", 'kind = "srv_cut", share = 0.2, for_s = 4.0, how = "some lossy"'),
+    ("faults", 'kind = "srv_cut", share = 0.2, for_s = 4.0, how = "one_way"'),
+    ("faults", 'kind = "core_cut", count = 2, for_s = 5.0, how = "both"'),
+    ("faults", 'kind = "core_cut", count = 2, for_s = 5.0, how = "lure"'),
+    ("faults", 'kind = "core_cut", count = 2, for_s = 5.0, how = "relieve"'),
+    ("faults", 'kind = "core_cut", count = 2, for_s = 5.0, how = "split"'),
+    ("faults", 'kind = "core_cut", count = 2, for_s = 5.0, how = "all refuse"'),
+    ("faults", 'kind = "core_cut", count = 1, for_s = 5.0, how = "near hard drain"'),
+    ("faults", 'kind = "scale_in", share = 0.4, how = "reclaim", x = 2.5, for_s = 5.0'),
+    ("faults", 'kind = "herd_kill", on = "core", how = "taken", for_s = 1.0'),
+    ("faults", 'kind = "after_ack_kill", for_s = 3.0, how = "kill"'),
+    ("plan", 'kind = "config_change", how = "timeout"'),
+    ("plan", 'kind = "roll_term", share = 0.3, how = "remove"'),
+    ("faults", 'kind = "node_freeze", share = 0.5, for_s = 4.5'),
+]
+CLOSINGS = ['kind = "power_off_all", down_s = 1.0', 'kind = "kill_all", down_s = 1.0',
+            'kind = "wipe_after_ack", down_s = 1.0', 'kind = "power_off_all", down_s = 0.8, how = "timed"']
+LATEST_TROUBLE_S = 30.0  # days end at 34 s
+
 # Troubles that share a mechanism, as (section, text, seconds after the first).
 PAIRS = [
     [("faults", 'kind = "platform_down", for_s = 4.5, how = "silent"', 0),
@@ -111,21 +148,47 @@
 }
 
 
-def write_day(path: pathlib.Path, name: str, entries: list[tuple[str, str, float]]) -> None:
-    """Writes a day with these entries (section, text, second)."""
+def write_day(path: pathlib.Path, name: str, entries: list[tuple[str, str, float]], closing: str) -> None:
+    """Writes a day with these entries (section, text, second) and this final fault, if any."""
     lines = [f'name = "{name}"', 'slot = "trouble"', "seed = 20261202", "one = 1.0", "zero = 0.5",
              "goal = { floor = 0.4 }", "labels = []"]
+    lines += [f"closing = {{ {closing} }}"] if closing else []
     for section in ("plan", "faults"):
         rows = [f"  {{ at = {at:.2f}, {text} }}," for kind, text, at in entries if kind == section]
         lines += [f"{section} = [", *rows, "]"]
     path.write_text("\n".join(lines) + "\n", encoding="utf-8")
 
 
-def days_of(chosen: str, folder: pathlib.Path) -> list[tuple[str, pathlib.Path]]:
+def keep_listed(bench: str, site: str) -> None:
+    """Drops the kinds that the bench doesn't list for this site from KINDS, GROWN_KINDS and PAIRS."""
+    listing = subprocess.run([bench, "kinds", site], text=True, capture_output=True, check=True).stdout
+    listed = set(re.findall(r"^(\w+):", listing, re.MULTILINE))
+
+    def is_listed(entry: tuple) -> bool:
+        return re.match(r'kind = "(\w+)"', entry[1]).group(1) in listed
+
+    KINDS[:] = filter(is_listed, KINDS)
+    GROWN_KINDS[:] = filter(is_listed, GROWN_KINDS)
+    PAIRS[:] = [pair for pair in PAIRS if all(map(is_listed, pair))]
+
+
+def random_day(dice: random.Random) -> list[tuple[str, str, float]]:
+    """Returns entries for three to nine troubles around one to three moments."""
+    moments = [dice.uniform(0.2, LATEST_TROUBLE_S - 2) for _ in range(dice.randint(1, 3))]
+    entries = []
+    for _ in range(dice.randint(3, 9)):
+        section, text = dice.choice(KINDS + GROWN_KINDS)
+        at = dice.choice(moments) + dice.choice([0, dice.uniform(0, 0.6), dice.uniform(0, 2.5)])
+        entries.append((section, text, min(at, LATEST_TROUBLE_S)))
+    return entries
+
+
+def days_of(chosen: str, folder: pathlib.Path, count: int, seed: int) -> list[tuple[str, pathlib.Path]]:
     """Writes the days of the set into the folder and returns their names and files."""
     days = []
-    if chosen in ("kinds", "all"):
-        for index, (section, text) in enumerate(KINDS):
+    kinds = (KINDS if chosen in ("kinds", "all") else []) + (GROWN_KINDS if chosen in ("grown", "all") else [])
+    if kinds:
+        for index, (section, text) in enumerate(kinds):
             for label, times in (("once", [8.0]), ("start", [0.2]), ("twice", [5.0, 14.0]), ("end", [29.0])):
                 days.append((f"{index:02d} {label}: {text}", [(section, text, at) for at in times]))
     if chosen in ("pairs", "all"):
@@ -133,10 +196,18 @@
             for start in (0.5, 9.0):
                 entries = [(section, text, start + late) for section, text, late in pair]
                 days.append((f"pair {index} at {start}: " + " + ".join(e[1][8:24] for e in entries), entries))
+    closings = [""] * len(days)
+    if chosen in ("random", "all"):
+        for index in range(count):
+            dice = random.Random(f"{seed}/{index}")
+            entries = random_day(dice)
+            days.append((f"random {seed}/{index}: " + " + ".join(
+                f"{re.sub('[^a-z_0-9. ]', '', text)[6:44]} @{at:.1f}" for _, text, at in entries), entries))
+            closings.append(dice.choice(["", *CLOSINGS]))
     files = []
     for index, (name, entries) in enumerate(days):
         path = folder / f"day-{index:03d}.toml"
-        write_day(path, f"own-{index}", entries)
+        write_day(path, f"own-{index}", entries, closings[index])
         files.append((name, path))
     return files
 
@@ -153,6 +224,25 @@
         "" if row else done.stdout[-600:])
 
 
+def without_endpoints(text: str, keep: int) -> str:
+    """Returns the site with this many machines of each service and as much less traffic."""
+    kept: dict[str, int] = {}
+    total = 0
+    lines = []
+    for line in text.splitlines():
+        found = re.search(r'class = "side".*?count = (\d+), app = "(\w+)"', line)
+        if found:
+            service, there = found.group(2), int(found.group(1))
+            total += there
+            stays = min(there, keep - kept.get(service, 0))
+            kept[service] = kept.get(service, 0) + stays
+            line = line.replace(f"count = {there}", f"count = {stays}") if stays else ""
+        lines.append(line)
+    share = sum(kept.values()) / total
+    return re.sub(r"per_s = ([\d.]+), clients",
+                  lambda rate: f"per_s = {float(rate.group(1)) * share * 0.8:.1f}, clients", "\n".join(lines))
+
+
 def sites_of(site: pathlib.Path, folder: pathlib.Path) -> list[tuple[str, pathlib.Path]]:
     """Writes changed copies of the site file into the folder."""
     (folder / "wire.json").write_bytes((site.parent / "wire.json").read_bytes())
@@ -166,6 +256,10 @@
         path = folder / f"site-{index}.toml"
         path.write_text(text, encoding="utf-8")
         sites.append((name, path))
+    for keep in (1, 2):
+        path = folder / f"site-keep-{keep}.toml"
+        path.write_text(without_endpoints(site.read_text(encoding="utf-8"), keep), encoding="utf-8")
+        sites.append((f"{keep} endpoints a service", path))
     return sites
 
 
@@ -174,7 +268,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("bench")
     parser.add_argument("site", type=pathlib.Path)
-    parser.add_argument("--set", choices=["kinds", "pairs", "sites", "all"], default="kinds")
+    parser.add_argument("--set", choices=["kinds", "grown", "pairs", "random", "sites", "all"], default="kinds")
+    parser.add_argument("--days", type=int, default=40, help="how many random days")
+    parser.add_argument("--seed", type=int, default=secrets.randbelow(1_000_000), help="of the random days")
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--why", default="own days")
     parser.add_argument("--only", default="", help="play only days whose name has this in it")
@@ -182,13 +278,14 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         site = str(arguments.site.resolve())
-        plays = [(day_name, site, str(path)) for day_name, path in days_of(arguments.set, folder)]
+        bench = str(pathlib.Path(arguments.bench).resolve())
+        keep_listed(bench, site)
+        plays = [(day_name, site, str(path)) for day_name, path in days_of(arguments.set, folder, arguments.days, arguments.seed)]
         if arguments.set in ("sites", "all"):
             plays += [(f"{site_name}: {day}", str(path), day)
                       for site_name, path in sites_of(arguments.site.resolve(), folder)
                       for day in ("trouble-1", "scale-1", "scale-2")]
         plays = [entry for entry in plays if arguments.only in entry[0]]
-        bench = str(pathlib.Path(arguments.bench).resolve())
         with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
             jobs = [pool.submit(play, bench, where, day_name, day, arguments.why)
                     for day_name, where, day in plays]
