--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -133,8 +133,10 @@
   BalancerDecision OnAllRefused(const FlowPacket& packet, FlowRecord& record, base::TimePoint now);
   BalancerDecision ForwardTo(const FlowRecord& record, BalancerReason reason,
                              std::uint8_t attempt) const;
-  std::vector<KnownAgent*> SearchOrder(const FlowPacket& packet, const Route& route,
-                                       std::uint32_t order_number, base::TimePoint now);
+  std::vector<KnownAgent*> PossibleHolders(const Route& route, base::TimePoint now);
+  void OrderForSearch(std::vector<KnownAgent*>& agents, const FlowKey& flow,
+                      std::uint32_t order_number, base::TimePoint now) const;
+  static void NoteServices(const Route& route, std::vector<base::ServiceId>& services);
   static bool IsSearchLost(const FlowRecord& record, base::TimePoint now);
   bool IsGivenUp(const FlowRecord& record, base::TimePoint now);
   bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -92,21 +92,27 @@
   }
   m_routes = std::move(routes);
   for (const auto& [address, route] : m_routes.routes) {
-    std::vector<base::ServiceId>& past = m_past_services[address];
-    for (const WeightedService& part : route.services) {
-      if (!Contains(past, part.service)) {
-        past.push_back(part.service);
-      }
-    }
-    if (past.size() > kPastServiceLimit) {
-      past.erase(past.begin());
-    }
+    NoteServices(route, m_past_services[address]);
   }
   absl::erase_if(m_past_services,
                  [this](const auto& entry) { return m_routes.Find(entry.first) == nullptr; });
   return true;
 }
 
+// Adds the route's services to those that ever stood behind its address, and forgets the oldest of
+// those that no longer do.
+void BalancerCore::NoteServices(const Route& route, std::vector<base::ServiceId>& services) {
+  std::vector<base::ServiceId> present;
+  for (const WeightedService& part : route.services) {
+    AddOnce(present, part.service);
+  }
+  std::erase_if(services, [&](base::ServiceId service) { return Contains(present, service); });
+  if (services.size() > kPastServiceLimit) {
+    services.erase(services.begin(), services.end() - kPastServiceLimit);
+  }
+  services.insert(services.end(), present.begin(), present.end());
+}
+
 BalancerDecision BalancerCore::OnClientPacket(const FlowPacket& packet, base::TimePoint now) {
   if (m_routes.version == 0) {
     return Drop(BalancerReason::kNoRoutes);
@@ -262,38 +268,52 @@
   }
 }
 
-std::vector<KnownAgent*> BalancerCore::SearchOrder(const FlowPacket& packet, const Route& route,
-                                                   std::uint32_t order_number,
-                                                   base::TimePoint now) {
-  std::vector<KnownAgent*> order;
+// The agents that may hold a flow of the route.
+std::vector<KnownAgent*> BalancerCore::PossibleHolders(const Route& route, base::TimePoint now) {
+  std::vector<KnownAgent*> holders;
   const auto past = m_past_services.find(route.address);
   if (past == m_past_services.end()) {
-    return order;
+    return holders;
   }
   for (const base::ServiceId service : past->second) {
     for (KnownAgent* agent : m_agents.OfService(service)) {
       if (MayHoldFlows(*agent, now)) {
-        order.push_back(agent);
+        holders.push_back(agent);
       }
     }
   }
-  const std::uint64_t hash = base::HashPair(FlowHash(packet.flow), order_number);
-  const auto rank = [&](const KnownAgent* agent) {
-    return std::pair(!m_agents.IsFresh(*agent, now),
-                     base::HashPair(hash, AddressHash(agent->address)));
+  return holders;
+}
+
+// Orders agents for a search: those lately heard first, and each flow and attempt in its own order.
+void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const FlowKey& flow,
+                                  std::uint32_t order_number, base::TimePoint now) const {
+  struct Ranked {
+    bool is_stale;
+    std::uint64_t hash;
+    KnownAgent* agent;
   };
-  std::sort(order.begin(), order.end(), [&](const KnownAgent* left, const KnownAgent* right) {
-    return rank(left) < rank(right);
+  const std::uint64_t flow_hash = base::HashPair(FlowHash(flow), order_number);
+  std::vector<Ranked> ranked;
+  ranked.reserve(agents.size());
+  for (KnownAgent* agent : agents) {
+    ranked.push_back({!m_agents.IsFresh(*agent, now),
+                      base::HashPair(flow_hash, AddressHash(agent->address)), agent});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
+    return std::pair(left.is_stale, left.hash) < std::pair(right.is_stale, right.hash);
   });
-  return order;
+  std::transform(ranked.begin(), ranked.end(), agents.begin(),
+                 [](const Ranked& entry) { return entry.agent; });
 }
 
 BalancerDecision BalancerCore::Search(const FlowPacket& packet, const Route& route,
                                       FlowRecord& record, std::uint8_t attempt,
                                       base::TimePoint now) {
-  std::vector<KnownAgent*> order = SearchOrder(packet, route, record.search_order, now);
+  std::vector<KnownAgent*> order = PossibleHolders(route, now);
   std::erase_if(order,
                 [&](const KnownAgent* agent) { return Contains(record.refused, agent->address); });
+  OrderForSearch(order, packet.flow, record.search_order, now);
   if (order.empty()) {
     return OnAllRefused(packet, record, now);
   }
@@ -338,7 +358,7 @@
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
   const std::size_t passes_limit =
-      std::min(kMostPasses, 2 * SearchOrder(packet, *route, 0, now).size() + kSparePasses);
+      std::min(kMostPasses, 2 * PossibleHolders(*route, now).size() + kSparePasses);
   if (header.attempt >= passes_limit) {
     return Drop(BalancerReason::kTooManyPasses);
   }
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(AFlowOfARouteNotHeardOfIsNotReset);
   CPPUNIT_TEST(AnOlderTableIsRefused);
   CPPUNIT_TEST(OpenFlowsStayWhereTheyAreWhenWeightsChange);
+  CPPUNIT_TEST(ARouteOfManyServicesIsSearchedWhole);
+  CPPUNIT_TEST(OnlyPastServicesAreForgotten);
   CPPUNIT_TEST(AReturnedPacketIsPassedOnBoundedly);
   CPPUNIT_TEST(AFullTableSearchesForEachPacket);
   CPPUNIT_TEST(IdleFlowsAreForgotten);
@@ -449,6 +451,27 @@
     CPPUNIT_ASSERT_EQUAL(Node(1), Send(Data(Flow(2), 101)).agent);
   }
 
+  void ARouteOfManyServicesIsSearchedWhole() {
+    constexpr std::uint32_t kServices = 12;
+    m_now = At(kLearned);
+    m_core->SetRoutes(RoutesOfServices(2, 0, kServices));
+    for (std::uint32_t number = 0; number < kServices; ++number) {
+      HearOfService(number);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kServices}, AgentsAsked());
+  }
+
+  void OnlyPastServicesAreForgotten() {
+    constexpr std::uint32_t kVersions = 20;
+    m_now = At(kLearned);
+    for (std::uint32_t number = 0; number < kVersions; ++number) {
+      m_core->SetRoutes(RoutesOfServices(2 + number, number, 2));
+      HearOfService(number);
+    }
+    // The present service that is heard, and eight of the past.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, AgentsAsked());
+  }
+
   void AReturnedPacketIsPassedOnBoundedly() {
     Start();
     HearThree();
@@ -487,6 +510,41 @@
     CPPUNIT_ASSERT(m_core->SetRoutes(Routes(1)));
   }
 
+  static base::ServiceId NumberedService(std::uint32_t number) {
+    return base::MakeServiceId("service-" + std::to_string(number));
+  }
+
+  static RouteTable RoutesOfServices(std::uint64_t version, std::uint32_t first,
+                                     std::uint32_t count) {
+    RouteTable routes = Routes(version);
+    std::vector<WeightedService>& services = routes.routes[testing::virtual_address].services;
+    services.clear();
+    for (std::uint32_t number = first; number < first + count; ++number) {
+      services.push_back({NumberedService(number), 1});
+    }
+    return routes;
+  }
+
+  // One agent of the service is heard, under the service's number.
+  void HearOfService(std::uint32_t number) {
+    AgentReport report = Report(1);
+    report.service = NumberedService(number);
+    m_core->OnReport(Node(number), report, m_now);
+  }
+
+  // Lets the agents of each route return a packet of an unknown flow; returns how many were asked.
+  std::size_t AgentsAsked() {
+    std::size_t asked = 0;
+    BalancerDecision decision = Send(Data(Flow(1), 101));
+    while (decision.verdict == BalancerVerdict::kForward) {
+      asked += 1 + decision.route.size();
+      const base::SocketAddress last =
+          decision.route.empty() ? decision.agent : decision.route.back();
+      decision = ReturnFrom(last, decision);
+    }
+    return asked;
+  }
+
   void Hear(std::uint32_t number, std::uint32_t busy = 0) {
     m_core->OnReport(Node(number), Report(++m_sequence, busy), m_now);
   }
