--- a/libs/telemetry/src/logging.cpp
+++ b/libs/telemetry/src/logging.cpp
@@ -2,23 +2,20 @@
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
 #include "descriptor_appender.h"
+#include "line_layout.h"
 #include "native_level.h"
 
 namespace gaugevalve::telemetry {
 namespace {
 
-// UTC time with milliseconds, then the level, then the event's own text.
-constexpr char kPattern[] = "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n";
-
 // The descriptor's appender of the present session, or null. Set before other threads log.
 DescriptorAppender* descriptor_appender = nullptr;
 
 void StartLogging(Level lowest_level, const log4cplus::SharedAppenderPtr& appender) {
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
+  appender->setLayout(std::make_unique<LineLayout>());
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
   root.addAppender(appender);
--- a/tools/gaugevalvectl/src/command_table.cpp
+++ b/tools/gaugevalvectl/src/command_table.cpp
@@ -7,6 +7,7 @@
 #include "edit_runner.h"
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/settings/reference.h"
+#include "log_commands.h"
 #include "node_commands.h"
 #include "tree_commands.h"
 #include "watch_command.h"
@@ -16,6 +17,7 @@
 
 constexpr bool kNeedsStore = true;
 constexpr bool kNoStore = false;
+constexpr std::size_t kMostFiles = 100'000;
 
 ExitCode PrintReference(const CommandContext& context, const std::vector<std::string>& /*none*/) {
   const std::string text = settings::SettingsReference();
@@ -23,7 +25,7 @@
   return ExitCode::kOk;
 }
 
-constexpr std::array<Command, 17> kCommands{{
+constexpr std::array<Command, 18> kCommands{{
     {"tree get", "[PATH]", 0, 1, kNeedsStore, &TreeGet,
      "shows what is set at a path; with --effective what is in force and where it comes from"},
     {"tree set", "PATH VALUE", 2, 2, kNeedsStore, &TreeSet,
@@ -47,6 +49,10 @@
     {"explain", "SERVICE SOURCE", 2, 2, kNoStore, &Explain,
      "asks the nodes of --node why a datagram service's flow from this source IP:port goes where "
      "it goes"},
+    {"explain-log", "CLIENT FILE...", 2, kMostFiles, kNoStore, &ExplainLog,
+     "tells the story of the flow from this client IP:port from nodes' logs (- for standard "
+     "input), "
+     "in the order of time and with what each node knew"},
     {"watch", "", 0, 0, kNeedsStore, &WatchTree, "shows edits as they are committed"},
     {"certificate self-signed", "HOST CERTIFICATE_FILE KEY_FILE", 3, 3, kNoStore,
      &CertificateSelfSigned, "writes a certificate and key for trying an http3 service"},
@@ -108,6 +114,7 @@
       "  5 the outcome of the edit is not known\n"
       "  6 a node is behind, silent or was not asked\n"
       "  7 no node answered\n"
+      "  8 the logs say nothing of the flow\n"
       "`gaugevalvectl --help` lists the flags too.\n";
   return text;
 }
--- a/tools/gaugevalvectl/src/exit_code.h
+++ b/tools/gaugevalvectl/src/exit_code.h
@@ -12,6 +12,7 @@
   kOutcomeUnknown = 5,   // an answer was lost and the outcome could not be found out in time
   kNodesBehind = 6,      // a node lags behind the newest revision or doesn't answer
   kNodeUnreachable = 7,  // no node answered
+  kNothingFound = 8,     // the logs say nothing of the flow
 };
 
 }  // namespace gaugevalve::ctl
