--- a/libs/placement/include/gaugevalve/placement/route_table.h
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -27,7 +27,6 @@
   base::SocketAddress address;
   std::vector<WeightedService> services;  ///< at least one
   base::Duration target_latency{0};       ///< of one request; 0 when not given
-  base::Duration timeout{0};              ///< of one request; 0 when not given
 
   /// Returns the service for a new flow: the same one for the same `hash`, shares by weight.
   base::ServiceId Choose(std::uint64_t hash) const;
