--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -12,6 +12,7 @@
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/agent_report.h"
+#include "gaugevalve/placement/load_notice.h"
 
 namespace gaugevalve::placement {
 
@@ -51,6 +52,10 @@
   ReportOutcome Take(const base::SocketAddress& address, const AgentReport& report,
                      base::TimePoint now);
 
+  /// Takes how busy a known agent is.
+  /// @return  false for an agent or a life that isn't known, and for late notices
+  bool TakeLoad(const base::SocketAddress& address, const LoadNotice& notice, base::TimePoint now);
+
   /// Notes an agent that somebody else has heard: it isn't fresh until it reports, but may hold
   /// flows. Known agents are left as they are.
   void NoteListed(const base::SocketAddress& address, base::ServiceId service, base::TimePoint now);
--- a/libs/placement/include/gaugevalve/placement/forward_header.h
+++ b/libs/placement/include/gaugevalve/placement/forward_header.h
@@ -21,6 +21,7 @@
   kReturned = 2,  ///< the same packet, which the agent or its endpoint didn't take
   kHolding = 3,   ///< head of a packet of a flow that the agent's endpoint was seen to hold
   kControl = 4,   ///< a NodeMessage (protobuf)
+  kLoad = 5,      ///< a LoadNotice
 };
 
 /// Why an agent returned a packet.
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -60,6 +60,27 @@
   return standing_changed ? ReportOutcome::kStandingChanged : ReportOutcome::kTaken;
 }
 
+bool AgentDirectory::TakeLoad(const base::SocketAddress& address, const LoadNotice& notice,
+                              base::TimePoint now) {
+  KnownAgent* agent = Find(address);
+  if (agent == nullptr || agent->is_only_listed || !notice.IsNewerThan(agent->report)) {
+    return false;
+  }
+  agent->report.sequence += static_cast<std::uint32_t>(notice.sequence) -
+                            static_cast<std::uint32_t>(agent->report.sequence);
+  agent->report.load.warm_up_left =
+      std::max(base::Duration(0), agent->report.load.warm_up_left - (now - agent->heard_at));
+  agent->report.load.busy = notice.busy;
+  agent->report.load.busy_average = notice.busy_average;
+  agent->report.load.open_flows = notice.open_flows;
+  agent->report.load.answer_time = notice.answer_time;
+  agent->heard_at = now;
+  agent->placed_since_report = 0;
+  agent->placed_share *= kShareKept;
+  agent->unanswered_since.reset();
+  return true;
+}
+
 void AgentDirectory::NoteListed(const base::SocketAddress& address, base::ServiceId service,
                                 base::TimePoint now) {
   if (m_agents.size() >= m_limit || m_agents.contains(address)) {
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -6,25 +6,25 @@
 namespace gaugevalve::placement {
 namespace {
 
-constexpr base::Duration kPeerPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kPeerPeriod = std::chrono::milliseconds(1000);
 constexpr base::Duration kJoiningPeriod = std::chrono::milliseconds(50);
 constexpr base::Duration kJoiningTime = std::chrono::seconds(5);
-constexpr base::Duration kAliveFor = std::chrono::milliseconds(2500);
+constexpr base::Duration kAliveFor = std::chrono::milliseconds(4000);
 constexpr base::Duration kForgetAfter = std::chrono::seconds(60);
 // Seeds are written to as well until this many others are alive.
 constexpr std::size_t kEnoughBalancers = 8;
 // Peers greeted in a round, and told of a new configuration. Six more for each that hears it reach
 // all of some hundreds within three steps.
-constexpr std::size_t kPeersPerRound = 4;
+constexpr std::size_t kPeersPerRound = 3;
 constexpr std::size_t kPeersToldNews = 6;
 // What a round's greeting lists of each kind.
-constexpr std::size_t kSampleSize = 16;
+constexpr std::size_t kSampleSize = 8;
 // What each datagram of a whole listing holds; it stays below 1,400 bytes.
 constexpr std::size_t kListingSize = 50;
 // A balancer that has just started asks this many peers for everything they know.
 constexpr unsigned kListingsAsked = 4;
 // An agent hears about this many greetings a second from all balancers together.
-constexpr std::size_t kGreetingsPerAgent = 4;
+constexpr std::size_t kGreetingsPerAgent = 2;
 
 template <class Item>
 std::vector<Item> Sample(std::vector<Item> items, std::size_t count, base::RandomSource& random) {
--- a/libs/placement/src/balancer_list.cpp
+++ b/libs/placement/src/balancer_list.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // Gossip renews what is known of one of this many balancers at least once in this time for each.
-constexpr base::Duration kAliveForEach = std::chrono::milliseconds(30);
+constexpr base::Duration kAliveForEach = std::chrono::milliseconds(100);
 
 }  // namespace
 
--- a/libs/placement/src/forward_header.cpp
+++ b/libs/placement/src/forward_header.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "little_endian.h"
+
 namespace gaugevalve::placement {
 namespace {
 
@@ -9,28 +11,11 @@
 constexpr std::uint8_t kMustAcceptFlag = 2;
 constexpr std::uint8_t kRouteFlag = 4;
 constexpr std::uint8_t kKnownFlags = kSearchFlag | kMustAcceptFlag | kRouteFlag;
-constexpr unsigned kBitsPerByte = 8;
 constexpr std::size_t kServiceOffset = 4;
 constexpr std::size_t kVersionOffset = 8;
 constexpr std::size_t kRoundOffset = 15;  // the version's highest byte
 constexpr std::uint64_t kVersionMask = 0x00ff'ffff'ffff'ffff;
 
-template <class Number>
-void WriteNumber(std::span<std::uint8_t> bytes, std::size_t offset, Number number) {
-  for (std::size_t index = 0; index < sizeof(Number); ++index) {
-    bytes[offset + index] = static_cast<std::uint8_t>(number >> (kBitsPerByte * index));
-  }
-}
-
-template <class Number>
-Number ReadNumber(std::span<const std::uint8_t> bytes, std::size_t offset) {
-  Number number = 0;
-  for (std::size_t index = 0; index < sizeof(Number); ++index) {
-    number |= static_cast<Number>(bytes[offset + index]) << (kBitsPerByte * index);
-  }
-  return number;
-}
-
 constexpr std::size_t kAddressSize = 4;
 constexpr std::size_t kRouteHeadSize = kAddressSize + 1;
 
@@ -117,7 +102,7 @@
   const std::uint8_t flags = datagram[1];
   const std::uint8_t reason = datagram[3];
   const bool has_known_kind = kind >= static_cast<std::uint8_t>(MessageKind::kForward) &&
-                              kind <= static_cast<std::uint8_t>(MessageKind::kControl);
+                              kind <= static_cast<std::uint8_t>(MessageKind::kLoad);
   const bool has_known_flags = (flags & ~kKnownFlags) == 0;
   const bool has_known_reason = reason <= static_cast<std::uint8_t>(ReturnReason::kOtherService);
   if (!has_known_kind || !has_known_flags || !has_known_reason) {
--- a/libs/placement/src/report_schedule.cpp
+++ b/libs/placement/src/report_schedule.cpp
@@ -7,8 +7,8 @@
 
 // An agent sends at most 40 reports a second in rounds.
 constexpr base::Duration kPeriodPerBalancer = std::chrono::milliseconds(25);
-// A balancer hears at most 25 reports a second in rounds, 2.5 to 3 KB with headers.
-constexpr base::Duration kPeriodPerAgent = std::chrono::milliseconds(40);
+// A balancer hears at most 12.5 reports a second in rounds, 1.6 KB with headers.
+constexpr base::Duration kPeriodPerAgent = std::chrono::milliseconds(80);
 // Balancers noted between two rounds; the rest waits for the round.
 constexpr std::size_t kUserLimit = 4'096;
 
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -5,6 +5,8 @@
 #include "gaugevalve/placement/balancer_list.h"
 #include "gaugevalve/placement/endpoint_chooser.h"
 #include "gaugevalve/placement/flow_hash.h"
+#include "gaugevalve/placement/forward_header.h"
+#include "gaugevalve/placement/load_notice.h"
 #include "gaugevalve/placement/node_message.h"
 #include "placement_fixture.h"
 
@@ -29,6 +31,11 @@
   CPPUNIT_TEST(TheMemoryOfAnEndpointOutlivesItsAgent);
   CPPUNIT_TEST(AListedAgentIsNotFresh);
   CPPUNIT_TEST(AnAgentThatReportsLessOftenStaysFreshForLonger);
+  CPPUNIT_TEST(ANoticeUpdatesTheLoadOfAKnownAgent);
+  CPPUNIT_TEST(ANoticeThatIsLateOrOfAnotherLifeSaysNothing);
+  CPPUNIT_TEST(NoticesAreReadAsWritten);
+  CPPUNIT_TEST(NoticesCarryWhatFits);
+  CPPUNIT_TEST(MalformedNoticesAreRefused);
   CPPUNIT_TEST(SlowAndColdEndpointsCountAsLoaded);
   CPPUNIT_TEST(OwnOpeningsSinceTheReportCount);
   CPPUNIT_TEST(TheOwnZoneIsPreferredAmongEquals);
@@ -97,6 +104,63 @@
     CPPUNIT_ASSERT(!m_agents.IsFresh(*m_agents.Find(Node(1)), At(1801)));
   }
 
+  void ANoticeUpdatesTheLoadOfAKnownAgent() {
+    AgentReport first = Report(5);
+    first.load.warm_up_left = seconds(2);
+    m_agents.Take(Node(1), first, At(0));
+    AgentDirectory::NoteOpening(*m_agents.Find(Node(1)), At(100));
+    CPPUNIT_ASSERT(m_agents.TakeLoad(Node(1), MakeLoadNotice(Report(6, 3)), At(500)));
+    const KnownAgent& agent = *m_agents.Find(Node(1));
+    CPPUNIT_ASSERT_EQUAL(3U, agent.report.load.busy);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, agent.report.sequence);
+    CPPUNIT_ASSERT(agent.report.load.warm_up_left == milliseconds(1500));
+    CPPUNIT_ASSERT(agent.report.standing == EndpointStanding::kAdmitting);
+    CPPUNIT_ASSERT(!agent.unanswered_since);
+    CPPUNIT_ASSERT(agent.heard_at == At(500));
+  }
+
+  void ANoticeThatIsLateOrOfAnotherLifeSaysNothing() {
+    CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(1), MakeLoadNotice(Report(6, 3)), At(0)));
+    m_agents.NoteListed(Node(2), testing::orders_service, At(0));
+    CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(2), MakeLoadNotice(Report(6, 3)), At(0)));
+    m_agents.Take(Node(1), Report(6), At(0));
+    CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(1), MakeLoadNotice(Report(6, 3)), At(0)));
+    AgentReport other = Report(9, 3);
+    other.life = base::Incarnation(8);
+    CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(1), MakeLoadNotice(other), At(0)));
+    CPPUNIT_ASSERT_EQUAL(0U, m_agents.Find(Node(1))->report.load.busy);
+  }
+
+  void NoticesAreReadAsWritten() {
+    LoadNotice notice = MakeLoadNotice(Report(77, 3));
+    notice.busy_average = 2.5;
+    notice.open_flows = 40;
+    const auto bytes = EncodeLoadNotice(notice);
+    CPPUNIT_ASSERT(DecodeForwardHeader(bytes)->kind == MessageKind::kLoad);
+    const LoadNotice read = *DecodeLoadNotice(bytes);
+    CPPUNIT_ASSERT_EQUAL(3U, read.busy);
+    CPPUNIT_ASSERT_EQUAL(2.5, read.busy_average);
+    CPPUNIT_ASSERT_EQUAL(40U, read.open_flows);
+    CPPUNIT_ASSERT(read.answer_time == notice.answer_time);
+    CPPUNIT_ASSERT(read.IsNewerThan(Report(76)));
+    CPPUNIT_ASSERT(!read.IsNewerThan(Report(77)));
+  }
+
+  void NoticesCarryWhatFits() {
+    LoadNotice notice = MakeLoadNotice(Report(1, 1'000'000));
+    notice.answer_time = std::chrono::hours(10);
+    const auto bytes = EncodeLoadNotice(notice);
+    CPPUNIT_ASSERT(DecodeForwardHeader(bytes).has_value());
+    CPPUNIT_ASSERT_EQUAL(65'535U, DecodeLoadNotice(bytes)->busy);
+  }
+
+  void MalformedNoticesAreRefused() {
+    auto bytes = EncodeLoadNotice(MakeLoadNotice(Report(1)));
+    CPPUNIT_ASSERT(!DecodeLoadNotice(std::span(bytes).first(bytes.size() - 1)));
+    bytes[0] = static_cast<std::uint8_t>(MessageKind::kReturned);
+    CPPUNIT_ASSERT(!DecodeLoadNotice(bytes));
+  }
+
   void SlowAndColdEndpointsCountAsLoaded() {
     KnownAgent agent;
     agent.address = Node(1);
