--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -70,6 +70,9 @@
   /// it says that it reports less often.
   static base::Duration SilenceLimit(const KnownAgent& agent, base::Duration least);
 
+  /// Counts what happened before as later by `gap`, in which nothing could be heard.
+  void SkipTime(base::Duration gap);
+
   /// Forgets agents not heard for `silence`, or longer where they report less often.
   /// @return  how many
   std::size_t ForgetSilent(base::Duration silence, base::TimePoint now);
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -97,9 +98,14 @@
   ReportOutcome OnReport(const base::SocketAddress& address, const AgentReport& report,
                          base::TimePoint now);
 
-  /// Forgets idle flows and silent agents. Call a few times a second.
+  /// Forgets idle flows and silent agents. Call a few times a second: a longer gap means that this
+  /// process was paused. Others weren't silent then, so what it knows ages by nothing, and it
+  /// learns anew before it takes anything for certain.
   void Tick(base::TimePoint now);
 
+  /// Returns how long the process has been paused in all.
+  base::Duration PausedFor() const { return m_paused_for; }
+
   AgentDirectory& Agents() { return m_agents; }
   std::size_t FlowCount() const { return m_flows.size(); }
 
@@ -143,6 +149,7 @@
   static void NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
                           const ForwardHeader& header);
   static void NoteOpen(FlowRecord& record);
+  void NoticePause(base::TimePoint now);
   FlowRecord* Remember(const FlowKey& flow);
   bool IsLearning(base::TimePoint now) const {
     return now - m_started_at < m_settings.learning_time;
@@ -155,9 +162,11 @@
   // Services that ever stood behind an address: open flows stay where they are.
   absl::flat_hash_map<base::SocketAddress, std::vector<base::ServiceId>> m_past_services;
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
-  FlowRecord m_overflow;  // stands in for a record when there is no room
-  base::TimePoint m_started_at;
+  FlowRecord m_overflow;         // stands in for a record when there is no room
+  base::TimePoint m_started_at;  // or woken from a pause
   base::TimePoint m_swept_at;
+  std::optional<base::TimePoint> m_ticked_at;
+  base::Duration m_paused_for{0};
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -117,6 +117,15 @@
          now - agent.heard_at <= SilenceLimit(agent, m_fresh_for);
 }
 
+void AgentDirectory::SkipTime(base::Duration gap) {
+  for (auto& [address, agent] : m_agents) {
+    agent.heard_at += gap;
+    if (agent.unanswered_since) {
+      *agent.unanswered_since += gap;
+    }
+  }
+}
+
 std::size_t AgentDirectory::ForgetSilent(base::Duration silence, base::TimePoint now) {
   return absl::erase_if(m_agents, [&](const auto& entry) {
     return now - entry.second.heard_at > SilenceLimit(entry.second, silence);
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr base::Duration kSweepPeriod = std::chrono::seconds(1);
+// Ticks come several times a second; between two that are further apart the process stood still.
+constexpr base::Duration kLongestGap = std::chrono::seconds(1);
 // Added to the idle time-out, by which clients and endpoints may differ.
 constexpr base::Duration kIdleSlack = std::chrono::seconds(3);
 // A packet is passed on at most this often more than there are agents to ask.
@@ -113,7 +115,19 @@
   services.insert(services.end(), present.begin(), present.end());
 }
 
+void BalancerCore::NoticePause(base::TimePoint now) {
+  const base::Duration gap = m_ticked_at ? now - *m_ticked_at : base::Duration(0);
+  if (gap <= kLongestGap) {
+    return;
+  }
+  m_ticked_at = now;
+  m_paused_for += gap;
+  m_started_at = now;
+  m_agents.SkipTime(gap);
+}
+
 BalancerDecision BalancerCore::OnClientPacket(const FlowPacket& packet, base::TimePoint now) {
+  NoticePause(now);
   if (m_routes.version == 0) {
     return Drop(BalancerReason::kNoRoutes);
   }
@@ -350,6 +364,7 @@
                                                 const ForwardHeader& header,
                                                 const base::SocketAddress& agent,
                                                 base::TimePoint now) {
+  NoticePause(now);
   m_agents.NoteLife(agent);
   const Route* route = m_routes.Find(packet.flow.destination);
   if (route == nullptr) {
@@ -407,6 +422,7 @@
 
 bool BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
                              base::ServiceId service, base::TimePoint now) {
+  NoticePause(now);
   m_agents.NoteLife(agent);
   FlowRecord& record = *Remember(flow);
   const bool is_news = record.agent != agent || !record.refused.empty();
@@ -422,6 +438,7 @@
 
 ReportOutcome BalancerCore::OnReport(const base::SocketAddress& address, const AgentReport& report,
                                      base::TimePoint now) {
+  NoticePause(now);
   return m_agents.Take(address, report, now);
 }
 
@@ -457,6 +474,8 @@
 }
 
 void BalancerCore::Tick(base::TimePoint now) {
+  NoticePause(now);
+  m_ticked_at = now;
   if (now - m_swept_at < kSweepPeriod) {
     return;
   }
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(AnAgentNotHeardYetMayHoldTheFlow);
   CPPUNIT_TEST(AnAgentWithoutEndpointIsNotAsked);
   CPPUNIT_TEST(AnAgentThatIsSilentForLongIsGivenUp);
+  CPPUNIT_TEST(ABalancerThatWasPausedResetsNothing);
+  CPPUNIT_TEST(ABalancerThatWasPausedLearnsAnew);
   CPPUNIT_TEST(AnAgentThatReportsSeldomIsNotGivenUp);
   CPPUNIT_TEST(ACopyLeavesAnAgentThatDidNotAnswerTheOpening);
   CPPUNIT_TEST(AnAgentThatReturnsPacketsIsAlive);
@@ -321,6 +323,34 @@
     Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone, Send(Data(Flow(1), 101)));
   }
 
+  void ABalancerThatWasPausedResetsNothing() {
+    Start();
+    Hear(1);
+    const base::SocketAddress agent = Send(Opening(Flow(1))).agent;
+    Send(Data(Flow(1), 101));
+    m_core->Tick(m_now);
+    m_now += std::chrono::seconds(6);  // no tick, no packet, no report
+    const BalancerDecision known = Send(Data(Flow(1), 111));
+    Expect(BalancerVerdict::kForward, BalancerReason::kRemembered, known);
+    CPPUNIT_ASSERT_EQUAL(agent, known.agent);
+    const BalancerDecision unknown = Send(Data(Flow(2), 101));
+    Expect(BalancerVerdict::kForward, BalancerReason::kSearched, unknown);
+  }
+
+  // What it knew may be old: until it has heard the agents again, nothing is certain.
+  void ABalancerThatWasPausedLearnsAnew() {
+    Start();
+    Hear(1);
+    m_core->Tick(m_now);
+    m_now += std::chrono::seconds(6);
+    Expect(BalancerVerdict::kDrop, BalancerReason::kNotSure, SearchToTheEnd(Data(Flow(2), 101)));
+    m_core->Tick(m_now);
+    m_now += std::chrono::milliseconds(750);
+    Hear(1);
+    Expect(BalancerVerdict::kReset, BalancerReason::kHeldByNone,
+           SearchToTheEnd(Data(Flow(2), 101)));
+  }
+
   void AnAgentThatReportsSeldomIsNotGivenUp() {
     Start();
     AgentReport seldom = Report(1);
--- a/proofs/placement/src/placement_proof.cpp
+++ b/proofs/placement/src/placement_proof.cpp
@@ -21,7 +21,7 @@
   void (*run)(PlacementWorld& world, std::uint32_t choice);
 };
 
-constexpr std::array<NamedStep, 13> kSteps = {{
+constexpr std::array<NamedStep, 14> kSteps = {{
     {"open", [](PlacementWorld& world, std::uint32_t choice) { world.OpenFlow(choice); }},
     {"copy", [](PlacementWorld& world, std::uint32_t choice) { world.CopyOpening(choice); }},
     {"data", [](PlacementWorld& world, std::uint32_t choice) { world.SendData(choice); }},
@@ -38,6 +38,8 @@
     {"announce late",
      [](PlacementWorld& world, std::uint32_t choice) { world.AnnounceLate(choice); }},
     {"rest", [](PlacementWorld& world, std::uint32_t) { world.Rest(); }},
+    {"pause balancer",
+     [](PlacementWorld& world, std::uint32_t choice) { world.PauseBalancer(choice); }},
 }};
 
 struct Model {};
@@ -60,7 +62,8 @@
                                                       {2, 9},
                                                       {2, 10},
                                                       {2, 11},
-                                                      {3, 12}})),
+                                                      {3, 12},
+                                                      {1, 13}})),
         choice_(*rc::gen::inRange<std::uint32_t>(0, 1'000'000)) {}
 
   void run(const Model& /*model*/, PlacementWorld& world) const override {
@@ -139,6 +142,8 @@
     IsCaught("without_service_check", {.checks_service = false}, "another service");
 const testing::RegisteredProof without_returns =
     IsCaught("without_returned_packets", {.returns_bounced = false}, "never reached");
+const testing::RegisteredProof without_pauses =
+    IsCaught("without_noticing_pauses", {.notices_pauses = false}, "was reset");
 
 }  // namespace
 }  // namespace gaugevalve::proofs
--- a/proofs/placement/src/placement_world.cpp
+++ b/proofs/placement/src/placement_world.cpp
@@ -97,7 +97,11 @@
   for (std::size_t index = 0; index < kAgents; ++index) {
     Agent& agent = agents_[index];
     agent.core->Tick(now_);
-    for (const auto& balancer : balancers_) {
+    for (std::size_t number = 0; number < kBalancers; ++number) {
+      if (number == paused_) {
+        continue;
+      }
+      const auto& balancer = balancers_[number];
       const placement::AgentReport report = agent.core->MakeReport(now_);
       const auto outcome = balancer->OnReport(AgentAddress(index), report, now_);
       const placement::KnownAgent* known = balancer->Agents().Find(AgentAddress(index));
@@ -111,8 +115,10 @@
       }
     }
   }
-  for (const auto& balancer : balancers_) {
-    balancer->Tick(now_);
+  for (std::size_t number = 0; number < kBalancers; ++number) {
+    if (number != paused_ || !settings_.notices_pauses) {
+      balancers_[number]->Tick(now_);
+    }
   }
 }
 
@@ -341,6 +347,15 @@
   }
 }
 
+void PlacementWorld::PauseBalancer(std::uint32_t choice) {
+  constexpr int kSeconds = 5;
+  paused_ = choice % kBalancers;
+  for (int count = 0; count < kSeconds; ++count) {
+    Rest();
+  }
+  paused_.reset();
+}
+
 void PlacementWorld::RestartBalancer(std::uint32_t choice) { MakeBalancer(choice % kBalancers); }
 
 void PlacementWorld::RestartAgent(std::uint32_t choice) { MakeAgent(choice % kAgents); }
--- a/proofs/placement/src/placement_world.h
+++ b/proofs/placement/src/placement_world.h
@@ -22,6 +22,7 @@
   base::Duration memory_limit = std::chrono::seconds(3);  // of a left endpoint, at its agent
   bool checks_service = true;
   bool returns_bounced = true;
+  bool notices_pauses = true;  // of a balancer
 };
 
 // Steps run whole; datagrams wait in a network that the adversary empties in any order.
@@ -42,6 +43,7 @@
   void RestartBalancer(std::uint32_t choice);
   void RestartAgent(std::uint32_t choice);
   void RestartAll();
+  void PauseBalancer(std::uint32_t choice);  // for longer than agents may be silent
   void Leave(std::uint32_t choice);
   void Replace(std::uint32_t choice);
   void AnnounceLate(std::uint32_t choice);
@@ -121,6 +123,7 @@
   std::vector<Agent> agents_;
   std::vector<Flow> flows_;
   std::vector<Datagram> network_;
+  std::optional<std::size_t> paused_;  // a balancer that hears nothing
   std::uint32_t next_sequence_ = 1'000'000;
   std::uint64_t next_life_ = 1;
   std::optional<std::string> violation_;
