--- /dev/null
+++ b/libs/placement/src/balancer_search.cpp
@@ -0,0 +1,181 @@
+// BalancerCore's search for the agent whose endpoint holds a flow that the balancer doesn't
+// remember.
+#include <algorithm>
+#include <utility>
+
+#include "balancer_decision.h"
+#include "gaugevalve/placement/balancer_core.h"
+#include "gaugevalve/placement/flow_hash.h"
+
+namespace gaugevalve::placement {
+namespace {
+
+// A packet is passed on at most this often more than there are agents to ask.
+constexpr std::size_t kSparePasses = 8;
+constexpr std::size_t kMostPasses = 250;
+// Clients send again after 200 ms; a search that takes this long has met an agent that has gone.
+constexpr base::Duration kSearchTime = std::chrono::milliseconds(150);
+
+}  // namespace
+
+// Whether a search's packet should have found the holder, or come back, by now.
+bool BalancerCore::IsSearchLost(const FlowRecord& record, base::TimePoint now) {
+  const bool is_searching = !record.is_confirmed && !record.route.empty();
+  return is_searching && now - record.searched_at > kSearchTime;
+}
+
+// The agents that may hold a flow of the route.
+std::vector<KnownAgent*> BalancerCore::PossibleHolders(const Route& route, base::TimePoint now) {
+  std::vector<KnownAgent*> holders;
+  const auto past = m_past_services.find(route.address);
+  if (past == m_past_services.end()) {
+    return holders;
+  }
+  for (const base::ServiceId service : past->second) {
+    for (KnownAgent* agent : m_agents.OfService(service)) {
+      if (MayHoldFlows(*agent, now)) {
+        holders.push_back(agent);
+      }
+    }
+  }
+  return holders;
+}
+
+// Orders agents for a search: those lately heard first, and each flow and attempt in its own order.
+void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const FlowKey& flow,
+                                  std::uint32_t order_number, base::TimePoint now) const {
+  struct Ranked {
+    bool is_stale;
+    std::uint64_t hash;
+    KnownAgent* agent;
+  };
+  const std::uint64_t flow_hash = base::HashPair(FlowHash(flow), order_number);
+  std::vector<Ranked> ranked;
+  ranked.reserve(agents.size());
+  for (KnownAgent* agent : agents) {
+    ranked.push_back({!m_agents.IsFresh(*agent, now),
+                      base::HashPair(flow_hash, AddressHash(agent->address)), agent});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
+    return std::pair(left.is_stale, left.hash) < std::pair(right.is_stale, right.hash);
+  });
+  std::transform(ranked.begin(), ranked.end(), agents.begin(),
+                 [](const Ranked& entry) { return entry.agent; });
+}
+
+BalancerDecision BalancerCore::Search(const FlowPacket& packet, const Route& route,
+                                      FlowRecord& record, std::uint8_t attempt,
+                                      base::TimePoint now) {
+  std::vector<KnownAgent*> order = PossibleHolders(route, now);
+  std::erase_if(order,
+                [&](const KnownAgent* agent) { return Contains(record.refused, agent->address); });
+  OrderForSearch(order, packet.flow, record.search_order, now);
+  if (order.empty()) {
+    return OnAllRefused(packet, record, now);
+  }
+  record.agent = order.front()->address;
+  record.service = order.front()->report.service;
+  record.searched_at = now;
+  ++record.search_round;
+  record.route.clear();
+  // Agents that may be gone would end the packet's way: they are asked last, one by one.
+  for (std::size_t index = 1; index < order.size(); ++index) {
+    const KnownAgent& agent = *order[index];
+    const bool may_follow = m_agents.IsFresh(*order.front(), now) && m_agents.IsFresh(agent, now) &&
+                            agent.report.standing != EndpointStanding::kStopping &&
+                            agent.report.service == record.service;
+    if (may_follow && record.route.size() < SearchRoute::kMostAgents) {
+      record.route.push_back(agent.address);
+    }
+  }
+  return ForwardTo(record, BalancerReason::kSearched, attempt);
+}
+
+BalancerDecision BalancerCore::OnAllRefused(const FlowPacket& packet, FlowRecord& record,
+                                            base::TimePoint now) {
+  const bool knew_any = !record.refused.empty();
+  m_flows.erase(packet.flow);  // the next packet starts anew
+  if (packet.is_reset) {
+    return Drop(BalancerReason::kReset);
+  }
+  return IsLearning(now) || !knew_any ? Drop(BalancerReason::kNotSure)
+                                      : Reset(BalancerReason::kHeldByNone, packet);
+}
+
+BalancerDecision BalancerCore::OnReturnedPacket(const FlowPacket& packet,
+                                                const ForwardHeader& header,
+                                                const base::SocketAddress& agent,
+                                                base::TimePoint now) {
+  NoticePause(now);
+  m_agents.NoteLife(agent);
+  const Route* route = m_routes.Find(packet.flow.destination);
+  if (route == nullptr) {
+    return Drop(BalancerReason::kNoRoute);
+  }
+  FlowRecord& record = *Remember(packet.flow);
+  record.last_packet = now;
+  const std::size_t passes_limit =
+      std::min(kMostPasses, 2 * PossibleHolders(*route, now).size() + kSparePasses);
+  if (header.attempt >= passes_limit) {
+    return Drop(BalancerReason::kTooManyPasses);
+  }
+  const auto attempt = static_cast<std::uint8_t>(header.attempt + 1);
+  const bool is_answer_to_guess = record.agent == agent || record.agent == base::SocketAddress() ||
+                                  Contains(record.route, agent);
+  if (!is_answer_to_guess && !Contains(record.refused, record.agent)) {
+    return ForwardTo(record, BalancerReason::kRemembered, attempt);
+  }
+  if (packet.is_opening && record.is_open) {
+    return Drop(BalancerReason::kRemembered);  // a late copy: the flow is open
+  }
+  if (!packet.is_opening) {
+    NoteOpen(record);
+  }
+  NoteRefusal(record, agent, header);
+  if (packet.is_opening) {
+    if (header.reason == ReturnReason::kBusy) {
+      record.busy.push_back(agent);
+    }
+    return Place(packet, *route, record, attempt, now);
+  }
+  if (record.is_confirmed && header.reason == ReturnReason::kNotHeld) {
+    m_flows.erase(packet.flow);  // its endpoint has lost it
+    return packet.is_reset ? Drop(BalancerReason::kReset)
+                           : Reset(BalancerReason::kHeldByNone, packet);
+  }
+  record.is_confirmed = false;
+  return Search(packet, *route, record, attempt, now);
+}
+
+// An agent on the present search's route returned the packet: those before it had passed it on. A
+// packet of an earlier search says nothing about the others.
+void BalancerCore::NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
+                               const ForwardHeader& header) {
+  const auto position = std::find(record.route.begin(), record.route.end(), agent);
+  const bool is_present = header.search_round == record.search_round;
+  if (is_present && position != record.route.end()) {
+    AddOnce(record.refused, record.agent);
+    for (auto earlier = record.route.begin(); earlier != position; ++earlier) {
+      AddOnce(record.refused, *earlier);
+    }
+  }
+  AddOnce(record.refused, agent);
+}
+
+bool BalancerCore::OnHolding(const FlowKey& flow, const base::SocketAddress& agent,
+                             base::ServiceId service, base::TimePoint now) {
+  NoticePause(now);
+  m_agents.NoteLife(agent);
+  FlowRecord& record = *Remember(flow);
+  const bool is_news = record.agent != agent || !record.refused.empty();
+  record.agent = agent;
+  record.service = service;
+  record.is_open = true;
+  record.is_confirmed = true;
+  record.route.clear();
+  record.refused.clear();
+  record.last_packet = now;
+  return is_news;
+}
+
+}  // namespace gaugevalve::placement
--- a/libs/placement/src/forward_header.cpp
+++ b/libs/placement/src/forward_header.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 
-#include "little_endian.h"
+#include "gaugevalve/base/little_endian.h"
 
 namespace gaugevalve::placement {
 namespace {
 
+using base::ReadNumber;
+using base::WriteNumber;
+
 constexpr std::uint8_t kSearchFlag = 1;
 constexpr std::uint8_t kMustAcceptFlag = 2;
 constexpr std::uint8_t kRouteFlag = 4;
--- a/libs/placement/src/load_notice.cpp
+++ b/libs/placement/src/load_notice.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <limits>
 
+#include "gaugevalve/base/little_endian.h"
 #include "gaugevalve/placement/forward_header.h"
-#include "little_endian.h"
 
 namespace gaugevalve::placement {
 namespace {
 
+using base::ReadNumber;
+using base::WriteNumber;
+
 // The kind and three bytes of 0, as a ForwardHeader's reader expects them; then the fields.
 constexpr std::size_t kBusyOffset = 4;
 constexpr std::size_t kAverageOffset = 6;
