--- a/libs/placement/include/gaugevalve/placement/report_schedule.h
+++ b/libs/placement/include/gaugevalve/placement/report_schedule.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "gaugevalve/base/socket_address.h"
@@ -14,8 +15,10 @@
 
 /// An agent reports to all balancers in rounds. The larger the deployment, the longer a round, so
 /// that neither an agent nor a balancer spends more on reports than it may. Balancers that use the
-/// agent are told in between: who places flows on it knows its load, whatever the round's length,
-/// and who hears nothing after an opening knows that the agent has gone. Not thread-safe.
+/// agent are told in between, and in an agent's first seconds rounds are short, as after a restart
+/// of all nodes each has to hear of each: who places flows on it knows its load, whatever the
+/// round's length, and who hears nothing after an opening knows that the agent has gone. Not
+/// thread-safe.
 class ReportSchedule {
  public:
   /// The least time between two reports to one balancer.
@@ -23,7 +26,7 @@
 
   /// @param balancers  that the agent reports to
   /// @param agents  that each of them hears
-  /// @return  the time from one round to the next
+  /// @return  the time from one round to the next, but for an agent's first seconds
   static base::Duration RoundPeriod(std::size_t balancers, std::size_t agents);
 
   /// Notes how many agents the balancers hear, as one of them said.
@@ -54,6 +57,7 @@
   std::size_t m_agents = 0;
   base::Duration m_period{0};
   base::TimePoint m_round_at{};
+  std::optional<base::TimePoint> m_first_round_at;
   absl::flat_hash_map<base::SocketAddress, User> m_users;  // since the last round
 };
 
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -98,11 +98,12 @@
 }
 
 std::vector<OutgoingGreeting> BalancerGossip::PeerRound(base::TimePoint now) {
-  const bool is_alone = m_balancers.Alive(now).empty();
+  // Peers that were asked first may have been as young as this balancer.
+  const bool wants_all = now - m_started_at < kJoiningTime || m_balancers.Alive(now).empty();
   std::vector<OutgoingGreeting> greetings;
   for (const base::SocketAddress& peer :
        Sample(m_balancers.Targets(kEnoughBalancers, now), kPeersPerRound, m_random)) {
-    greetings.push_back({peer, Sampled(is_alone, now)});
+    greetings.push_back({peer, Sampled(wants_all, now)});
   }
   return greetings;
 }
--- a/libs/placement/src/report_schedule.cpp
+++ b/libs/placement/src/report_schedule.cpp
@@ -9,6 +9,10 @@
 constexpr base::Duration kPeriodPerBalancer = std::chrono::milliseconds(25);
 // A balancer hears at most 12.5 reports a second in rounds, 1.6 KB with headers.
 constexpr base::Duration kPeriodPerAgent = std::chrono::milliseconds(80);
+// In its first seconds an agent reports at least this often.
+constexpr base::Duration kJoiningTime = std::chrono::seconds(3);
+constexpr base::Duration kJoiningPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration kJoiningPeriodPerBalancer = std::chrono::milliseconds(2);
 // Balancers noted between two rounds; the rest waits for the round.
 constexpr std::size_t kUserLimit = 4'096;
 
@@ -20,7 +24,14 @@
 }
 
 void ReportSchedule::NoteRound(std::size_t balancers, base::TimePoint now) {
+  if (!m_first_round_at) {
+    m_first_round_at = now;
+  }
+  const bool is_joining = now - *m_first_round_at < kJoiningTime;
+  const base::Duration joining_period =
+      std::max(kJoiningPeriod, kJoiningPeriodPerBalancer * static_cast<int>(balancers));
   m_period = RoundPeriod(balancers, m_agents);
+  m_period = is_joining ? std::min(m_period, joining_period) : m_period;
   m_round_at = now;
   m_users.clear();
 }
--- a/libs/placement/tests/balancer_gossip_test.cpp
+++ b/libs/placement/tests/balancer_gossip_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(SeedsAreAskedForEverythingAtFirst);
   CPPUNIT_TEST(RoundsAreShortUntilSomebodyAnswers);
   CPPUNIT_TEST(RoundsAreNotShortForEver);
+  CPPUNIT_TEST(AYoungBalancerAsksAgainForEverything);
   CPPUNIT_TEST(ARoundCostsTheSameInALargeDeployment);
   CPPUNIT_TEST(RoundsReachEveryPeerInTime);
   CPPUNIT_TEST(NewRoutesGoToAFewPeersWithoutLists);
@@ -66,6 +67,14 @@
     CPPUNIT_ASSERT(m_gossip->PeerPeriod(At(60'000)) >= std::chrono::milliseconds(500));
   }
 
+  void AYoungBalancerAsksAgainForEverything() {
+    HearBalancers(3);
+    CPPUNIT_ASSERT(m_gossip->PeerRound(At(1000)).front().greeting.wants_answer);
+    bool is_new = false;
+    m_gossip->OnGreeting({}, Node(2), At(60'000), is_new);
+    CPPUNIT_ASSERT(!m_gossip->PeerRound(At(60'000)).front().greeting.wants_answer);
+  }
+
   void ARoundCostsTheSameInALargeDeployment() {
     HearBalancers(30);
     HearAgents(60);
