--- a/cmake/StaticDependencies.cmake
+++ b/cmake/StaticDependencies.cmake
@@ -21,6 +21,18 @@
   endforeach()
 endfunction()
 
+# Does the same for a library of pkg-config's, whose path stands in its link interface.
+function(gaugevalve_link_archive target)
+  get_target_property(libraries ${target} INTERFACE_LINK_LIBRARIES)
+  string(REGEX REPLACE "\\.so[.0-9]*$" ".a" archive "${libraries}")
+  if(EXISTS "${archive}")
+    set_target_properties(${target} PROPERTIES INTERFACE_LINK_LIBRARIES "${archive}")
+  endif()
+endfunction()
+
+gaugevalve_link_archive(PkgConfig::zstd)
+gaugevalve_link_archive(PkgConfig::xxhash)
+
 get_property(imported_targets DIRECTORY PROPERTY IMPORTED_TARGETS)
 foreach(target ${imported_targets})
   if(target MATCHES "^(absl::|yaml-cpp|protobuf::)")
