--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -14,6 +14,7 @@
 #include "gaugevalve/placement/endpoint_gate.h"
 #include "gaugevalve/placement/flow_packet.h"
 #include "gaugevalve/placement/forward_header.h"
+#include "gaugevalve/placement/outcome_monitor.h"
 #include "gaugevalve/placement/report_schedule.h"
 
 namespace gaugevalve::placement {
@@ -26,6 +27,8 @@
   base::Duration drain_limit = std::chrono::seconds(3);  ///< see EndpointGate's memory limit
   std::size_t flow_limit = 50'000;
   std::size_t balancer_limit = 2'048;
+  /// Whether an endpoint that resets requests is passed over for a while; see OutcomeMonitor.
+  bool ejects_failing = true;
 };
 
 enum class AgentVerdict : std::uint8_t { kDeliver, kReturn, kPassOn, kToClient, kDrop };
@@ -77,6 +80,9 @@
 
   std::size_t FlowCount() const { return m_flows.size(); }
 
+  /// What became of the flows of the endpoint's present incarnation.
+  OutcomeMonitor& Outcomes();
+
  private:
   enum class FlowState : std::uint8_t { kOpening, kIdle, kWaiting };
 
@@ -106,6 +112,7 @@
   void NoteEndpointPacket(FlowRecord& record, const FlowPacket& packet, base::TimePoint now);
   void SetState(FlowRecord& record, FlowState state, base::TimePoint now);
   void Forget(const FlowKey& flow);
+  void NoteOutcome(const FlowRecord& record, const FlowPacket& packet, base::TimePoint now);
   bool IsIdle(const FlowRecord& record, base::TimePoint now) const;
   std::uint32_t Busy() const { return m_waiting + m_opening; }
 
@@ -115,6 +122,8 @@
   std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
   std::uint64_t m_report_sequence = 0;
   ReportSchedule m_reports;
+  OutcomeMonitor m_outcomes;
+  std::string m_monitored;  // the incarnation that they are of
   std::uint32_t m_waiting = 0;
   std::uint32_t m_opening = 0;
   std::uint32_t m_open_flows = 0;  // as of the last sweep
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -41,6 +41,7 @@
   EndpointLoad load;
   base::Duration period{0};     ///< until the agent's next report
   bool wants_memory = false;    ///< the agent hasn't heard its endpoint since it started
+  bool is_ejected = false;      ///< the endpoint fails requests: new flows should go elsewhere
   std::size_t agent_count = 0;  ///< of the deployment, as balancers told this agent; 0: not told
   std::vector<ListedAgent> fellows;  ///< other agents that it knows, where it was asked for them
 };
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -145,6 +145,10 @@
                          std::uint8_t attempt, base::TimePoint now);
   BalancerDecision PlaceBusy(const FlowPacket& packet, const Route& route, FlowRecord& record,
                              std::uint8_t attempt, base::TimePoint now);
+  KnownAgent* TakeTrial(const FlowRecord& record);
+  std::vector<KnownAgent*> Ejected(const FlowRecord& record);
+  BalancerDecision ForwardForGood(KnownAgent& agent, FlowRecord& record, std::uint8_t attempt,
+                                  base::TimePoint now);
   std::vector<KnownAgent*> Candidates(const FlowRecord& record,
                                       const std::vector<base::SocketAddress>& without,
                                       base::TimePoint now);
@@ -166,6 +170,7 @@
   void NoticePause(base::TimePoint now);
   FlowRecord* Remember(const FlowKey& flow);
   BalancerSettings m_settings;
+  base::RandomSource& m_random;
   AgentDirectory m_agents;
   AgentDiscovery m_discovery;
   bool m_has_learned = false;  // since the start or the last pause
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -78,6 +78,9 @@
   if (!is_known && m_flows.size() >= m_settings.flow_limit) {
     return Return(header, balancer, ReturnReason::kBusy);
   }
+  if (!is_known && !header.must_accept && !Outcomes().TakeAdmission(now)) {
+    return Return(header, balancer, ReturnReason::kNotAdmitting);
+  }
   FlowRecord& record = m_flows[packet.flow];
   record.last_packet = now;
   if (!is_known) {
@@ -209,8 +212,31 @@
   }
 }
 
+OutcomeMonitor& AgentCore::Outcomes() {
+  if (m_monitored != m_gate.Newest().id) {
+    m_monitored = m_gate.Newest().id;
+    m_outcomes = {};
+  }
+  return m_outcomes;
+}
+
+// A reset in place of an answer is a failure, unless an end had closed the flow.
+void AgentCore::NoteOutcome(const FlowRecord& record, const FlowPacket& packet,
+                            base::TimePoint now) {
+  const bool is_closed = record.client_closed || record.endpoint_closed;
+  if (!m_settings.ejects_failing || record.state == FlowState::kIdle || is_closed) {
+    return;
+  }
+  if (packet.is_reset) {
+    Outcomes().NoteFailure(now);
+  } else if (record.state == FlowState::kWaiting && packet.data_size > 0) {
+    Outcomes().NoteSuccess(now);
+  }
+}
+
 void AgentCore::NoteEndpointPacket(FlowRecord& record, const FlowPacket& packet,
                                    base::TimePoint now) {
+  NoteOutcome(record, packet, now);
   record.last_packet = now;
   record.is_not_held = false;
   record.endpoint_closed = record.endpoint_closed || packet.is_closing || packet.is_reset;
@@ -270,6 +296,7 @@
   report.load.warm_up_left = m_gate.WarmUpLeft(now);
   report.period = m_reports.Period();
   report.wants_memory = !m_gate.IsCertain();
+  report.is_ejected = Outcomes().IsEjected();
   report.agent_count = m_reports.AgentCount();
   return report;
 }
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -25,6 +25,9 @@
 // After this many full endpoints, the least loaded by their reports, the others are likely full
 // too.
 constexpr std::size_t kMostBusyTries = 7;
+// The part of openings that try an ejected endpoint, while there is one. Most are given back, which
+// costs them a millisecond or two.
+constexpr double kTrialPart = 0.05;
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
@@ -66,6 +69,7 @@
 BalancerCore::BalancerCore(BalancerSettings settings, base::RandomSource& random,
                            base::TimePoint now)
     : m_settings(std::move(settings)),
+      m_random(random),
       m_agents(m_settings.agent_limit, m_settings.fresh_for),
       m_chooser(m_settings.zone, random),
       m_started_at(now),
@@ -157,6 +161,8 @@
   if (chosen == nullptr) {
     return PlaceBusy(packet, route, record, attempt, now);
   }
+  KnownAgent* trial = attempt == 0 ? TakeTrial(record) : nullptr;
+  chosen = trial != nullptr ? trial : chosen;
   record.agent = chosen->address;
   chosen->placed_since_report += 1;
   AgentDirectory::NoteOpening(*chosen, now);
@@ -176,7 +182,8 @@
     }
     if (agent->is_only_listed) {
       named.push_back(agent);
-    } else if (agent->report.standing == EndpointStanding::kAdmitting) {
+    } else if (agent->report.standing == EndpointStanding::kAdmitting &&
+               !agent->report.is_ejected) {
       (m_agents.IsFresh(*agent, now) ? fresh : stale).push_back(agent);
     }
   }
@@ -207,15 +214,12 @@
   }
   record.busy.clear();
   if (best != nullptr && IsWorthWaiting(*best, route)) {
-    for (const KnownAgent* agent : m_agents.OfService(record.service)) {
-      AddOnce(record.refused, agent->address);
-    }
-    record.agent = best->address;
-    best->placed_since_report += 1;
-    AgentDirectory::NoteOpening(*best, now);
-    BalancerDecision decision = ForwardTo(record, BalancerReason::kPlaced, attempt);
-    decision.header.must_accept = true;
-    return decision;
+    return ForwardForGood(*best, record, attempt, now);
+  }
+  // An endpoint that fails some requests is better than none.
+  KnownAgent* ejected = m_chooser.Choose(Ejected(record), now);
+  if (ejected != nullptr) {
+    return ForwardForGood(*ejected, record, attempt, now);
   }
   const bool had_any = !record.refused.empty();
   m_flows.erase(packet.flow);
@@ -225,6 +229,43 @@
   return Reset(had_any ? BalancerReason::kAllRefused : BalancerReason::kNoEndpoint, packet);
 }
 
+// Passes an opening to an agent that has to take it: what comes back from it is final.
+BalancerDecision BalancerCore::ForwardForGood(KnownAgent& agent, FlowRecord& record,
+                                              std::uint8_t attempt, base::TimePoint now) {
+  for (const KnownAgent* other : m_agents.OfService(record.service)) {
+    AddOnce(record.refused, other->address);
+  }
+  record.agent = agent.address;
+  agent.placed_since_report += 1;
+  AgentDirectory::NoteOpening(agent, now);
+  BalancerDecision decision = ForwardTo(record, BalancerReason::kPlaced, attempt);
+  decision.header.must_accept = true;
+  return decision;
+}
+
+// The agents whose endpoints fail requests and that haven't refused the flow.
+std::vector<KnownAgent*> BalancerCore::Ejected(const FlowRecord& record) {
+  std::vector<KnownAgent*> ejected;
+  for (KnownAgent* agent : m_agents.OfService(record.service)) {
+    const bool is_ejected =
+        agent->report.is_ejected && agent->report.standing == EndpointStanding::kAdmitting;
+    if (is_ejected && !Contains(record.refused, agent->address)) {
+      ejected.push_back(agent);
+    }
+  }
+  return ejected;
+}
+
+// Now and then an opening goes to an ejected endpoint, whose agent takes one at a time as a trial
+// and gives the others back.
+KnownAgent* BalancerCore::TakeTrial(const FlowRecord& record) {
+  const std::vector<KnownAgent*> ejected = Ejected(record);
+  if (ejected.empty() || m_random.NextUnit() >= kTrialPart) {
+    return nullptr;
+  }
+  return ejected[m_random.NextBelow(ejected.size())];
+}
+
 BalancerDecision BalancerCore::OnLater(const FlowPacket& packet, base::TimePoint now) {
   const Route* route = m_routes.Find(packet.flow.destination);
   const auto found = m_flows.find(packet.flow);
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -59,6 +59,7 @@
   message.set_answer_time_us(static_cast<std::uint32_t>(report.load.answer_time.count()));
   message.set_period_ms(ToMilliseconds(report.period));
   message.set_wants_memory(report.wants_memory);
+  message.set_is_ejected(report.is_ejected);
   message.set_agent_count(static_cast<std::uint32_t>(report.agent_count));
   for (const ListedAgent& agent : report.fellows) {
     Fill(agent, *message.add_fellows());
@@ -89,6 +90,7 @@
   report.load.answer_time = base::Duration(message.answer_time_us());
   report.period = FromMilliseconds(message.period_ms());
   report.wants_memory = message.wants_memory();
+  report.is_ejected = message.is_ejected();
   report.agent_count = std::min(message.agent_count(), kMostAgents);
   for (const proto::KnownNode& node : message.fellows()) {
     report.fellows.push_back(ReadListed(node, port));
