--- a/libs/placement/include/gaugevalve/placement/store_reader_role.h
+++ b/libs/placement/include/gaugevalve/placement/store_reader_role.h
@@ -36,8 +36,13 @@
   void NoteContact(base::TimePoint now) { NoteHeard(now); }
 
   /// Notes that a peer knows no newer configuration than this balancer, and heard of the store
-  /// `age` ago.
-  void NotePeer(base::Duration age, base::TimePoint now) { NoteHeard(now - age); }
+  /// `age` before it said so.
+  void NotePeer(base::Duration age, base::TimePoint now) { NoteHeard(now - age - kHopTime); }
+
+  /// Counted for the way of each greeting, though most take a few milliseconds: where it were less
+  /// than a greeting waits on a busy machine, knowledge that goes round among peers would never
+  /// age.
+  static constexpr base::Duration kHopTime = std::chrono::milliseconds(200);
 
   /// Notes that the store has refused a call, or not answered it.
   void NoteFailure(std::span<const BalancerAge> others, base::TimePoint now);
