--- a/deploy/play_days.py
+++ b/deploy/play_days.py
@@ -39,6 +39,8 @@
     ("plan", 'kind = "roll_term", on = "side", share = 0.6, x = 2.0, gap_s = 1.0'),
     ("faults", 'kind = "herd_kill", share = 0.6, for_s = 2.0'),
     ("faults", 'kind = "herd_kill", share = 0.6, for_s = 2.0, how = "power"'),
+    ("faults", 'kind = "herd_kill", share = 1.0, for_s = 1.2, how = "power"'),  # one role lost whole
+    ("faults", 'kind = "herd_kill", on = "side", share = 1.0, for_s = 1.0'),
     ("faults", 'kind = "herd_kill", on = "core", for_s = 1.5, how = "off"'),
     ("plan", 'kind = "add_nodes", share = 1.0'),
     ("faults", 'kind = "after_ack_kill", for_s = 3.0, how = "timed"'),
@@ -110,6 +112,14 @@
 
 # Troubles that share a mechanism, as (section, text, seconds after the first).
 PAIRS = [
+    [("faults", 'kind = "herd_kill", share = 1.0, for_s = 1.0, how = "power"', 0),
+     ("faults", 'kind = "platform_down", for_s = 4.5, how = "silent"', 0)],
+    [("faults", 'kind = "herd_kill", share = 1.0, for_s = 0.8, how = "power"', 0),
+     ("faults", 'kind = "herd_kill", share = 0.95, for_s = 2.5, how = "power"', 10),
+     ("faults", 'kind = "herd_kill", share = 1.0, for_s = 1.5, how = "power"', 18)],
+    [("faults", 'kind = "platform_down", for_s = 9.0, how = "nodes silent", share = 0.35', 0),
+     ("plan", 'kind = "config_change", how = "route"', 1.0),
+     ("plan", 'kind = "config_change", how = "timeout"', 4.0)],
     [("faults", 'kind = "platform_down", for_s = 4.5, how = "silent"', 0),
      ("plan", 'kind = "release", share = 0.5, x = 1.0, gap_s = 0.8', 0.5)],
     [("faults", 'kind = "core_cut", count = 1, for_s = 5.0, how = "leader"', 0),
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -78,7 +78,9 @@
   if (!is_known && m_flows.size() >= m_settings.flow_limit) {
     return Return(header, balancer, ReturnReason::kBusy);
   }
-  if (!is_known && !header.must_accept && !Outcomes().TakeAdmission(now)) {
+  // A flow that has nowhere else to go is a trial as well: there may be no other.
+  const bool is_admitted = is_known || Outcomes().TakeAdmission(now);
+  if (!is_admitted && !header.must_accept) {
     return Return(header, balancer, ReturnReason::kNotAdmitting);
   }
   FlowRecord& record = m_flows[packet.flow];
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -161,7 +161,7 @@
   if (chosen == nullptr) {
     return PlaceBusy(packet, route, record, attempt, now);
   }
-  KnownAgent* trial = attempt == 0 ? TakeTrial(record) : nullptr;
+  KnownAgent* trial = attempt == 0 ? TakeTrial(record, now) : nullptr;
   chosen = trial != nullptr ? trial : chosen;
   record.agent = chosen->address;
   chosen->placed_since_report += 1;
@@ -217,8 +217,8 @@
     return ForwardForGood(*best, record, attempt, now);
   }
   // An endpoint that fails some requests is better than none.
-  KnownAgent* ejected = m_chooser.Choose(Ejected(record), now);
-  if (ejected != nullptr) {
+  KnownAgent* ejected = m_chooser.Choose(Ejected(record, now), now);
+  if (ejected != nullptr && IsWorthWaiting(*ejected, route)) {
     return ForwardForGood(*ejected, record, attempt, now);
   }
   const bool had_any = !record.refused.empty();
@@ -243,13 +243,13 @@
   return decision;
 }
 
-// The agents whose endpoints fail requests and that haven't refused the flow.
-std::vector<KnownAgent*> BalancerCore::Ejected(const FlowRecord& record) {
+// The agents whose endpoints fail requests, that were heard lately and haven't refused the flow.
+std::vector<KnownAgent*> BalancerCore::Ejected(const FlowRecord& record, base::TimePoint now) {
   std::vector<KnownAgent*> ejected;
   for (KnownAgent* agent : m_agents.OfService(record.service)) {
     const bool is_ejected =
         agent->report.is_ejected && agent->report.standing == EndpointStanding::kAdmitting;
-    if (is_ejected && !Contains(record.refused, agent->address)) {
+    if (is_ejected && m_agents.IsFresh(*agent, now) && !Contains(record.refused, agent->address)) {
       ejected.push_back(agent);
     }
   }
@@ -258,8 +258,8 @@
 
 // Now and then an opening goes to an ejected endpoint, whose agent takes one at a time as a trial
 // and gives the others back.
-KnownAgent* BalancerCore::TakeTrial(const FlowRecord& record) {
-  const std::vector<KnownAgent*> ejected = Ejected(record);
+KnownAgent* BalancerCore::TakeTrial(const FlowRecord& record, base::TimePoint now) {
+  const std::vector<KnownAgent*> ejected = Ejected(record, now);
   if (ejected.empty() || m_random.NextUnit() >= kTrialPart) {
     return nullptr;
   }
--- a/libs/placement/tests/outcome_monitor_test.cpp
+++ b/libs/placement/tests/outcome_monitor_test.cpp
@@ -42,6 +42,9 @@
   CPPUNIT_TEST(ABalancerPassesOverEjectedEndpoints);
   CPPUNIT_TEST(ABalancerSendsThemAFewTrials);
   CPPUNIT_TEST(WhereAllAreEjectedAllAreUsed);
+  CPPUNIT_TEST(AFlowWithNowhereElseToGoIsATrial);
+  CPPUNIT_TEST(AnEjectedEndpointIsNotPiledUpWithWork);
+  CPPUNIT_TEST(AnEjectedAgentThatIsSilentGetsNoTrials);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -215,6 +218,39 @@
     }
   }
 
+  // Where all endpoints are ejected, no other flow would bring one back.
+  void AFlowWithNowhereElseToGoIsATrial() {
+    ResetRequests(3);
+    ForwardHeader header;
+    header.must_accept = true;
+    for (std::uint16_t port = 50; port < 53; ++port) {
+      Forward(Opening(Flow(port)), header, 600);
+      Forward(Data(Flow(port), 101), {}, 601);
+      FromEndpoint(Flow(port), false, 602);
+    }
+    CPPUNIT_ASSERT(!m_agent->MakeReport(At(700)).is_ejected);
+  }
+
+  // In an overload, what can't be answered in time is refused, not queued at an endpoint that
+  // fails.
+  void AnEjectedEndpointIsNotPiledUpWithWork() {
+    BalancerCore balancer(BalancerSettings{.zone = "east"}, m_random, At(0));
+    balancer.SetRoutes(Routes(1));
+    AgentReport ejected = Report(1, 40);
+    ejected.is_ejected = true;
+    balancer.OnReport(Node(2), ejected, At(0));
+    CPPUNIT_ASSERT(BalancerVerdict::kReset ==
+                   balancer.OnClientPacket(Opening(Flow(1)), At(800)).verdict);
+  }
+
+  void AnEjectedAgentThatIsSilentGetsNoTrials() {
+    BalancerCore balancer = MakeBalancer();
+    balancer.OnReport(Node(3), Report(2, 3), At(3'000));
+    for (std::uint16_t port = 1; port <= 400; ++port) {
+      CPPUNIT_ASSERT(Node(3) == balancer.OnClientPacket(Opening(Flow(port)), At(3'100)).agent);
+    }
+  }
+
  private:
   void Fail(int count) {
     for (int failure = 0; failure < count; ++failure) {
