--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -18,6 +18,9 @@
 // Weights of the newest value in the moving averages.
 constexpr double kBusyWeight = 0.06;  // a time constant of 0.8 s at kTickPeriod
 constexpr int kAnswerTimeDivisor = 10;
+// An endpoint whose slots were in use for more than this part of the last second is loaded; the
+// ones that draw flows by resetting them at once are idle, and ordinary load is at 0.4 to 0.6.
+constexpr double kLoadedPart = 0.75;
 // A mark: the balancer's index in the upper bits, the attempt in the lower ones.
 constexpr unsigned kAttemptBits = 8;
 constexpr std::uint32_t kAttemptMask = (1U << kAttemptBits) - 1;
@@ -222,16 +225,20 @@
   return m_outcomes;
 }
 
-// A reset in place of an answer is a failure, unless an end had closed the flow.
+// A reset in place of an answer is a failure, unless an end had closed the flow, or the endpoint
+// has more work than it can do: it is passed over for its load then, and ejecting it would add to
+// that of the others.
 void AgentCore::NoteOutcome(const FlowRecord& record, const FlowPacket& packet,
                             base::TimePoint now) {
   const bool is_closed = record.client_closed || record.endpoint_closed;
   if (!m_settings.ejects_failing || record.state == FlowState::kIdle || is_closed) {
     return;
   }
-  if (packet.is_reset) {
+  const std::uint32_t capacity = std::max(1U, m_gate.Newest().capacity);
+  const bool is_loaded = Busy() > capacity || m_busy_average > kLoadedPart * capacity;
+  if (packet.is_reset && !is_loaded) {
     Outcomes().NoteFailure(now);
-  } else if (record.state == FlowState::kWaiting && packet.data_size > 0) {
+  } else if (!packet.is_reset && record.state == FlowState::kWaiting && packet.data_size > 0) {
     Outcomes().NoteSuccess(now);
   }
 }
--- a/libs/placement/tests/outcome_monitor_test.cpp
+++ b/libs/placement/tests/outcome_monitor_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(AnEjectedEndpointTakesWhatHasNowhereElseToGo);
   CPPUNIT_TEST(OpenFlowsOfAnEjectedEndpointStay);
   CPPUNIT_TEST(ResetsByClientsAndAfterAnswersAreNoEvidence);
+  CPPUNIT_TEST(ResetsInAnOverloadAreNoEvidence);
   CPPUNIT_TEST(ANewIncarnationBeginsAnew);
   CPPUNIT_TEST(EjectionCanBeSwitchedOff);
   CPPUNIT_TEST(ABalancerPassesOverEjectedEndpoints);
@@ -181,6 +182,22 @@
     CPPUNIT_ASSERT(!m_agent->MakeReport(At(100)).is_ejected);
   }
 
+  // All slots have been in use for a while: whatever it resets now, it is not idle for its resets.
+  void ResetsInAnOverloadAreNoEvidence() {
+    constexpr std::uint16_t kSlots = 100;
+    for (std::uint16_t port = 1; port <= kSlots; ++port) {
+      Forward(Opening(Flow(port)), {}, 0);
+      Forward(Data(Flow(port), 101), {}, 1);
+    }
+    for (int time = 50; time <= 3'000; time += 50) {
+      m_agent->Tick(At(time));
+    }
+    for (std::uint16_t port = 1; port <= 10; ++port) {
+      FromEndpoint(Flow(port), true, 3'000);
+    }
+    CPPUNIT_ASSERT(!m_agent->MakeReport(At(3'000)).is_ejected);
+  }
+
   void ANewIncarnationBeginsAnew() {
     ResetRequests(3);
     Announce("i-2", 1);
