--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -12,6 +12,7 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/agent_report.h"
 #include "gaugevalve/placement/endpoint_gate.h"
+#include "gaugevalve/placement/evacuated_zones.h"
 #include "gaugevalve/placement/flow_packet.h"
 #include "gaugevalve/placement/forward_header.h"
 #include "gaugevalve/placement/outcome_monitor.h"
@@ -61,6 +62,13 @@
 
   EndpointGate& Gate() { return m_gate; }
 
+  /// Takes which zones are evacuated: while the agent's own is, new flows are returned, however
+  /// little the balancer that sends them knows. The agent tells balancers in its reports.
+  /// @return  whether the zones have changed
+  bool TakeEvacuated(const EvacuatedZones& evacuated, base::TimePoint now);
+  const EvacuatedZones& Evacuated() const { return m_evacuated; }
+  bool IsEvacuated() const { return m_evacuated.Has(m_settings.zone); }
+
   /// From now on the agent takes no new flow: its process ends. Its endpoint, if it said that it
   /// leaves, has ended by then.
   void Stop() { m_is_stopping = true; }
@@ -118,6 +126,7 @@
 
   AgentCoreSettings m_settings;
   EndpointGate m_gate;
+  EvacuatedZones m_evacuated;
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
   std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
   std::uint64_t m_report_sequence = 0;
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -11,6 +11,7 @@
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/endpoint_gate.h"
+#include "gaugevalve/placement/evacuated_zones.h"
 
 namespace gaugevalve::placement {
 
@@ -43,6 +44,7 @@
   bool wants_memory = false;    ///< the agent hasn't heard its endpoint since it started
   bool is_ejected = false;      ///< the endpoint fails requests: new flows should go elsewhere
   std::size_t agent_count = 0;  ///< of the deployment, as balancers told this agent; 0: not told
+  EvacuatedZones evacuated;     ///< as far as the agent was told
   std::vector<ListedAgent> fellows;  ///< other agents that it knows, where it was asked for them
 };
 
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -14,6 +14,7 @@
 #include "gaugevalve/placement/agent_directory.h"
 #include "gaugevalve/placement/agent_discovery.h"
 #include "gaugevalve/placement/endpoint_chooser.h"
+#include "gaugevalve/placement/evacuated_zones.h"
 #include "gaugevalve/placement/flow_packet.h"
 #include "gaugevalve/placement/forward_header.h"
 #include "gaugevalve/placement/route_table.h"
@@ -84,6 +85,11 @@
   bool SetRoutes(RouteTable routes);
   const RouteTable& Routes() const { return m_routes; }
 
+  /// Takes which zones are evacuated: their endpoints get no new flow.
+  /// @return  whether the zones have changed
+  bool TakeEvacuated(const EvacuatedZones& evacuated) { return m_evacuated.Take(evacuated); }
+  const EvacuatedZones& Evacuated() const { return m_evacuated; }
+
   /// A packet that came from a client.
   BalancerDecision OnClientPacket(const FlowPacket& packet, base::TimePoint now);
 
@@ -163,6 +169,7 @@
   static void NoteServices(const Route& route, std::vector<base::ServiceId>& services);
   static bool IsSearchLost(const FlowRecord& record, base::TimePoint now);
   bool IsGivenUp(const FlowRecord& record, base::TimePoint now);
+  bool TakesNewFlows(const KnownAgent& agent) const;
   bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
   static void NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
                           const ForwardHeader& header);
@@ -176,6 +183,7 @@
   bool m_has_learned = false;  // since the start or the last pause
   EndpointChooser m_chooser;
   RouteTable m_routes;
+  EvacuatedZones m_evacuated;
   // Services that ever stood behind an address: open flows stay where they are.
   absl::flat_hash_map<base::SocketAddress, std::vector<base::ServiceId>> m_past_services;
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -61,6 +61,10 @@
   /// @param is_first  whether it had none before; agents wait for their health check's path then
   std::vector<OutgoingGreeting> OnNewRoutes(bool is_first, base::TimePoint now);
 
+  /// Returns the greetings that spread evacuated zones which have just changed here. Agents hear of
+  /// them in their rounds.
+  std::vector<OutgoingGreeting> OnEvacuation(base::TimePoint now);
+
   /// Returns a question to a node that somebody else named, a balancer as a rule.
   OutgoingGreeting Ask(const base::SocketAddress& node, base::TimePoint now);
 
@@ -87,6 +91,8 @@
   StoreReaderRole& Reader() { return m_reader; }
 
  private:
+  void TellSomePeers(std::size_t count, base::TimePoint now,
+                     std::vector<OutgoingGreeting>& greetings);
   BalancerGreeting Brief(bool wants_answer, base::TimePoint now) const;
   BalancerGreeting Sampled(bool wants_answer, base::TimePoint now);
   BalancerGreeting ForAgent(const KnownAgent& agent, base::TimePoint now) const;
--- a/libs/placement/include/gaugevalve/placement/forward_header.h
+++ b/libs/placement/include/gaugevalve/placement/forward_header.h
@@ -31,10 +31,12 @@
   kNotAdmitting = 2,  ///< the endpoint is leaving, silent or unknown
   kBusy = 3,          ///< all slots are in use; another endpoint may be free
   kOtherService = 4,  ///< the endpoint belongs to another service
+  kEvacuated = 5,     ///< the operator wants no new flows in the endpoint's zone
+  kWarmingUp = 6,     ///< the endpoint is cold and has got what it bears in a second
 };
 
 inline constexpr std::size_t kReturnReasonCount =
-    static_cast<std::size_t>(ReturnReason::kOtherService) + 1;
+    static_cast<std::size_t>(ReturnReason::kWarmingUp) + 1;
 
 /// Returns the reason's name for logs and metrics.
 const char* ReturnReasonName(ReturnReason reason);
--- a/libs/placement/include/gaugevalve/placement/node_message.h
+++ b/libs/placement/include/gaugevalve/placement/node_message.h
@@ -15,6 +15,8 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/agent_report.h"
 #include "gaugevalve/placement/balancer_list.h"
+#include "gaugevalve/placement/evacuated_zones.h"
+#include "gaugevalve/placement/warm_up_limiter.h"
 
 namespace gaugevalve::placement {
 
@@ -31,6 +33,8 @@
   bool is_learning = false;       ///< the balancer may not know all agents yet
   /// How long ago the store said that this is its newest configuration, as far as the sender knows.
   std::optional<base::Duration> store_age;
+  EvacuatedZones evacuated;           ///< as far as the sender knows
+  std::optional<WarmUpRate> warm_up;  ///< of the service of the agent written to
   std::optional<AgentReport> memory;  ///< of the endpoint beside the agent written to
   base::Duration memory_age{0};
 };
--- a/libs/placement/include/gaugevalve/placement/route_table.h
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -11,6 +11,7 @@
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/warm_up_limiter.h"
 
 namespace gaugevalve::placement {
 
@@ -41,6 +42,8 @@
   absl::flat_hash_map<base::SocketAddress, Route> routes;
   absl::flat_hash_map<base::ServiceId, std::string>
       health_check_paths;  ///< of services that have one
+  absl::flat_hash_map<base::ServiceId, WarmUpRate>
+      warm_up_rates;  ///< of services that say what their cold endpoints bear
 
   /// Returns the route of a virtual address, or null.
   const Route* Find(const base::SocketAddress& address) const;
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -73,6 +73,9 @@
   if (Standing(now) != EndpointStanding::kAdmitting) {
     return Return(header, balancer, ReturnReason::kNotAdmitting);
   }
+  if (IsEvacuated()) {
+    return Return(header, balancer, ReturnReason::kEvacuated);
+  }
   const auto found = m_flows.find(packet.flow);
   const bool is_known = found != m_flows.end() && !found->second.is_not_held;
   const bool is_full = Busy() >= std::max(1U, m_gate.Newest().capacity);
@@ -280,6 +283,10 @@
   }
 }
 
+bool AgentCore::TakeEvacuated(const EvacuatedZones& evacuated, base::TimePoint /*now*/) {
+  return m_evacuated.Take(evacuated);
+}
+
 EndpointStanding AgentCore::Standing(base::TimePoint now) const {
   const EndpointStanding standing = m_gate.Standing(now);
   if (!m_is_stopping) {
@@ -308,6 +315,7 @@
   report.wants_memory = !m_gate.IsCertain();
   report.is_ejected = Outcomes().IsEjected();
   report.agent_count = m_reports.AgentCount();
+  report.evacuated = m_evacuated;
   return report;
 }
 
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -142,8 +142,7 @@
   }
   const KnownAgent* agent = m_agents.Find(record.agent);
   const bool is_copy = agent != nullptr && agent->report.service == record.service;
-  const bool is_alive = is_copy && m_agents.IsFresh(*agent, now) &&
-                        agent->report.standing == EndpointStanding::kAdmitting;
+  const bool is_alive = is_copy && m_agents.IsFresh(*agent, now) && TakesNewFlows(*agent);
   if (is_copy && (record.is_open || is_alive)) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
@@ -183,14 +182,15 @@
     }
     if (agent->is_only_listed) {
       named.push_back(agent);
-    } else if (agent->report.standing == EndpointStanding::kAdmitting &&
-               !agent->report.is_ejected) {
+    } else if (TakesNewFlows(*agent) && !agent->report.is_ejected) {
       (m_agents.IsFresh(*agent, now) ? fresh : stale).push_back(agent);
     }
   }
   // The few agents heard first can't carry what all of them do: a young balancer also uses those
-  // that others named. An agent whose endpoint takes no flows gives the opening back.
-  if (named.size() > fresh.size() && IsLearning(now)) {
+  // that others named. An agent whose endpoint takes no flows gives the opening back, but one that
+  // is as young may not know yet that its zone, which isn't known here, is evacuated.
+  const bool may_use_named = m_evacuated.zones.empty() && IsLearning(now);
+  if (named.size() > fresh.size() && may_use_named) {
     fresh.insert(fresh.end(), named.begin(), named.end());
   }
   return fresh.empty() ? stale : fresh;
@@ -248,8 +248,7 @@
 std::vector<KnownAgent*> BalancerCore::Ejected(const FlowRecord& record, base::TimePoint now) {
   std::vector<KnownAgent*> ejected;
   for (KnownAgent* agent : m_agents.OfService(record.service)) {
-    const bool is_ejected =
-        agent->report.is_ejected && agent->report.standing == EndpointStanding::kAdmitting;
+    const bool is_ejected = agent->report.is_ejected && TakesNewFlows(*agent);
     if (is_ejected && m_agents.IsFresh(*agent, now) && !Contains(record.refused, agent->address)) {
       ejected.push_back(agent);
     }
@@ -302,6 +301,12 @@
   return agent != nullptr && !MayHoldFlows(*agent, now);
 }
 
+// Whether the agent's endpoint admits new flows and its zone isn't evacuated.
+bool BalancerCore::TakesNewFlows(const KnownAgent& agent) const {
+  return agent.report.standing == EndpointStanding::kAdmitting &&
+         !m_evacuated.Has(agent.report.zone);
+}
+
 bool BalancerCore::MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
   return agent.report.standing != EndpointStanding::kAbsent &&
          now - agent.heard_at <= AgentDirectory::SilenceLimit(agent, m_settings.silence_limit);
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -74,6 +74,9 @@
     m_core.Discovery().NoteAgentCount(greeting.agent_count);
   }
   AskListed(greeting.agents, now, greetings);
+  if (m_core.TakeEvacuated(greeting.evacuated)) {
+    TellSomePeers(kPeersToldNews, now, greetings);
+  }
   const bool is_timely = !m_core.HasJustWoken(now);
   if (greeting.store_age && is_timely && greeting.routes_version <= m_core.Routes().version) {
     m_reader.NotePeer(*greeting.store_age, now);
@@ -128,9 +131,7 @@
 
 std::vector<OutgoingGreeting> BalancerGossip::OnNewRoutes(bool is_first, base::TimePoint now) {
   std::vector<OutgoingGreeting> greetings;
-  for (const BalancerAge& peer : Sample(m_balancers.Alive(now), kPeersToldNews, m_random)) {
-    greetings.push_back({peer.address, Brief(false, now)});
-  }
+  TellSomePeers(kPeersToldNews, now, greetings);
   if (is_first) {
     for (const KnownAgent* agent : m_core.Agents().All()) {
       greetings.push_back({agent->address, ForAgent(*agent, now)});
@@ -139,6 +140,19 @@
   return greetings;
 }
 
+std::vector<OutgoingGreeting> BalancerGossip::OnEvacuation(base::TimePoint now) {
+  std::vector<OutgoingGreeting> greetings;
+  TellSomePeers(kPeersToldNews, now, greetings);
+  return greetings;
+}
+
+void BalancerGossip::TellSomePeers(std::size_t count, base::TimePoint now,
+                                   std::vector<OutgoingGreeting>& greetings) {
+  for (const BalancerAge& peer : Sample(m_balancers.Alive(now), count, m_random)) {
+    greetings.push_back({peer.address, Brief(false, now)});
+  }
+}
+
 OutgoingGreeting BalancerGossip::Ask(const base::SocketAddress& node, base::TimePoint now) {
   const bool wants_answer = m_asked_for_all < kListingsAsked;
   m_asked_for_all += wants_answer ? 1 : 0;
@@ -194,9 +208,7 @@
   if (alive.size() < StoreReaderRole::kReaders || !m_reader.TakeNews()) {
     return;
   }
-  for (const BalancerAge& peer : Sample(alive, kPeersToldContact, m_random)) {
-    greetings.push_back({peer.address, Brief(false, now)});
-  }
+  TellSomePeers(kPeersToldContact, now, greetings);
 }
 
 // Without any list: for news.
@@ -208,6 +220,7 @@
   greeting.wants_answer = wants_answer;
   greeting.is_learning = m_core.IsLearning(now);
   greeting.store_age = m_reader.Age(now);
+  greeting.evacuated = m_core.Evacuated();
   return greeting;
 }
 
--- a/libs/placement/src/forward_header.cpp
+++ b/libs/placement/src/forward_header.cpp
@@ -78,6 +78,10 @@
       return "busy";
     case ReturnReason::kOtherService:
       return "other_service";
+    case ReturnReason::kEvacuated:
+      return "evacuated";
+    case ReturnReason::kWarmingUp:
+      return "warming_up";
     default:
       return "none";
   }
@@ -107,7 +111,7 @@
   const bool has_known_kind = kind >= static_cast<std::uint8_t>(MessageKind::kForward) &&
                               kind <= static_cast<std::uint8_t>(MessageKind::kLoad);
   const bool has_known_flags = (flags & ~kKnownFlags) == 0;
-  const bool has_known_reason = reason <= static_cast<std::uint8_t>(ReturnReason::kOtherService);
+  const bool has_known_reason = reason < kReturnReasonCount;
   if (!has_known_kind || !has_known_flags || !has_known_reason) {
     return std::nullopt;
   }
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -43,6 +43,24 @@
   return {base::SocketAddress::Ipv4(node.address(), port), base::ServiceId(node.service())};
 }
 
+void Fill(const EvacuatedZones& evacuated, proto::EvacuatedZones& message) {
+  message.set_version(evacuated.version);
+  for (const std::string& zone : evacuated.zones) {
+    message.add_zones(zone);
+  }
+}
+
+// A list that is too long, or has names that are, says nothing.
+EvacuatedZones ReadEvacuated(const proto::EvacuatedZones& message) {
+  const bool has_fault =
+      static_cast<std::size_t>(message.zones_size()) > EvacuatedZones::kMostZones ||
+      std::any_of(message.zones().begin(), message.zones().end(),
+                  [](const std::string& zone) { return zone.size() > kMostText; });
+  return has_fault
+             ? EvacuatedZones{}
+             : EvacuatedZones{message.version(), {message.zones().begin(), message.zones().end()}};
+}
+
 void Fill(const AgentReport& report, proto::AgentReport& message) {
   message.set_life(report.life.value());
   message.set_sequence(report.sequence);
@@ -61,6 +79,9 @@
   message.set_wants_memory(report.wants_memory);
   message.set_is_ejected(report.is_ejected);
   message.set_agent_count(static_cast<std::uint32_t>(report.agent_count));
+  if (report.evacuated.version != 0) {
+    Fill(report.evacuated, *message.mutable_evacuated());
+  }
   for (const ListedAgent& agent : report.fellows) {
     Fill(agent, *message.add_fellows());
   }
@@ -92,6 +113,7 @@
   report.wants_memory = message.wants_memory();
   report.is_ejected = message.is_ejected();
   report.agent_count = std::min(message.agent_count(), kMostAgents);
+  report.evacuated = ReadEvacuated(message.evacuated());
   for (const proto::KnownNode& node : message.fellows()) {
     report.fellows.push_back(ReadListed(node, port));
   }
@@ -120,6 +142,14 @@
   message.set_is_learning(greeting.is_learning);
   message.set_store_age_ms_and_one(greeting.store_age ? ToMilliseconds(*greeting.store_age) + 1
                                                       : 0);
+  if (greeting.evacuated.version != 0) {
+    Fill(greeting.evacuated, *message.mutable_evacuated());
+  }
+  if (greeting.warm_up) {
+    message.mutable_warm_up()->set_openings_per_second(
+        static_cast<float>(greeting.warm_up->openings_per_second));
+    message.mutable_warm_up()->set_duration_ms(ToMilliseconds(greeting.warm_up->duration));
+  }
 }
 
 BalancerGreeting ReadGreeting(const proto::BalancerGreeting& message, std::uint16_t port) {
@@ -147,6 +177,11 @@
   if (message.store_age_ms_and_one() > 0) {
     greeting.store_age = FromMilliseconds(message.store_age_ms_and_one() - 1);
   }
+  greeting.evacuated = ReadEvacuated(message.evacuated());
+  if (message.has_warm_up() && message.warm_up().openings_per_second() >= 0) {
+    greeting.warm_up = WarmUpRate{message.warm_up().openings_per_second(),
+                                  FromMilliseconds(message.warm_up().duration_ms())};
+  }
   return greeting;
 }
 
--- /dev/null
+++ b/libs/placement/src/warm_up_limiter.cpp
@@ -0,0 +1,51 @@
+#include "gaugevalve/placement/warm_up_limiter.h"
+
+#include <cmath>
+
+namespace gaugevalve::placement {
+namespace {
+
+// The span over which openings are counted, and what the way to the endpoint may differ by from one
+// packet to the next, over loopback on a busy machine.
+constexpr base::Duration kSpan = std::chrono::milliseconds(1000);
+constexpr base::Duration kJitter = std::chrono::milliseconds(50);
+// Openings remembered: more in a second than any cold endpoint is given.
+constexpr std::size_t kMostOpenings = 4096;
+
+}  // namespace
+
+std::optional<std::size_t> WarmUpLimiter::Limit() const {
+  const bool is_unbounded = m_rate && m_rate->openings_per_second <= 0;
+  if (!m_tolerance || is_unbounded) {
+    return std::nullopt;
+  }
+  const double rate = m_rate ? m_rate->openings_per_second : 0;
+  return static_cast<std::size_t>(std::floor(rate * m_tolerance->overshoot + m_tolerance->slack));
+}
+
+void WarmUpLimiter::ForgetOld(base::TimePoint now) {
+  while (!m_openings.empty() && now - m_openings.front() > kSpan + kJitter) {
+    m_openings.pop_front();
+  }
+}
+
+bool WarmUpLimiter::HasRoom(base::TimePoint now) {
+  const std::optional<std::size_t> limit = Limit();
+  if (!limit) {
+    return true;
+  }
+  ForgetOld(now);
+  m_first_use = m_first_use.value_or(now);
+  const bool is_first_second = now - *m_first_use <= kSpan + kJitter;
+  return !is_first_second && m_openings.size() < *limit;
+}
+
+void WarmUpLimiter::Note(base::TimePoint now) {
+  m_first_use = m_first_use.value_or(now);
+  ForgetOld(now);
+  if (m_openings.size() < kMostOpenings) {
+    m_openings.push_back(now);
+  }
+}
+
+}  // namespace gaugevalve::placement
