--- a/libs/placement/include/gaugevalve/placement/agent_discovery.h
+++ b/libs/placement/include/gaugevalve/placement/agent_discovery.h
@@ -2,14 +2,13 @@
 /// How a balancer that knows few agents finds the others, and when it has found all.
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstddef>
-#include <optional>
+#include <functional>
 #include <vector>
 
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/agent_questions.h"
 
 namespace gaugevalve::placement {
 
@@ -20,22 +19,36 @@
 /// yet. Not thread-safe.
 class AgentDiscovery {
  public:
+  AgentDiscovery();
+
   /// Notes how many agents the deployment has, as a node says that knew them.
   void NoteAgentCount(std::size_t agents);
 
   /// Notes an agent that somebody named and that hasn't been heard.
   /// @return  whether it is to be asked now; otherwise TakeQuestions() names it later
-  bool TakeNamed(const base::SocketAddress& agent, base::TimePoint now);
+  bool TakeNamed(const base::SocketAddress& agent, base::TimePoint now) {
+    return m_questions.Ask(agent, now);
+  }
 
   /// Notes that the agent has been heard.
-  void NoteHeard(const base::SocketAddress& agent);
+  void NoteHeard(const base::SocketAddress& agent) { m_questions.NoteHeard(agent); }
 
   /// Returns whether an agent that has just been heard is to be asked which others it knows, and
   /// counts it as asked: the first few are, and more while agents are missing.
   bool TakeFellowsQuestion(std::size_t heard);
 
   /// Returns the agents to be asked now, again or for the first time. Call a few times a second.
-  std::vector<base::SocketAddress> TakeQuestions(base::TimePoint now);
+  std::vector<base::SocketAddress> TakeQuestions(base::TimePoint now) {
+    return m_questions.TakeDue(now);
+  }
+
+  /// Returns whether the agent was named and has answered none of its questions.
+  bool IsGivenUp(const base::SocketAddress& agent) const { return m_questions.IsGivenUp(agent); }
+
+  /// Forgets the named agents for which `is_gone` holds.
+  void Forget(const std::function<bool(const base::SocketAddress&)>& is_gone) {
+    m_questions.Forget(is_gone);
+  }
 
   /// Returns how many agents there are, as others say; 0 where nobody has said.
   std::size_t AgentCount() const { return m_agent_count; }
@@ -45,31 +58,19 @@
   bool MissesNames(std::size_t heard) const;
 
   /// Returns whether an agent that was named may still answer.
-  bool IsWaiting() const { return m_questions.size() > m_unreachable; }
+  bool IsWaiting() const { return m_questions.Count() > m_questions.GivenUpCount(); }
 
   /// Returns whether all agents have been heard or asked in vain, or nearly all heard.
   /// @param heard  agents that have been heard
   bool IsComplete(std::size_t heard) const;
 
   /// Returns how many agents didn't answer any question.
-  std::size_t UnreachableCount() const { return m_unreachable; }
+  std::size_t UnreachableCount() const { return m_questions.GivenUpCount(); }
 
  private:
-  struct Question {
-    base::TimePoint next_at{};
-    unsigned asked = 0;  // times
-    bool is_given_up = false;
-  };
-
-  bool TakeBudget(base::TimePoint now);
-  void NoteAsked(Question& question, base::TimePoint now);
-
   std::size_t m_agent_count = 0;
-  std::size_t m_unreachable = 0;
   std::size_t m_fellows_asked = 0;  // agents that were asked which others they know
-  absl::flat_hash_map<base::SocketAddress, Question> m_questions;  // of agents not heard
-  std::optional<base::TimePoint> m_budget_at;                      // when the present period began
-  std::size_t m_budget = 0;                                        // questions left of it
+  AgentQuestions m_questions;
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -13,6 +13,7 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/agent_directory.h"
 #include "gaugevalve/placement/agent_discovery.h"
+#include "gaugevalve/placement/agent_questions.h"
 #include "gaugevalve/placement/endpoint_chooser.h"
 #include "gaugevalve/placement/evacuated_zones.h"
 #include "gaugevalve/placement/flow_packet.h"
@@ -106,6 +107,16 @@
   ReportOutcome OnReport(const base::SocketAddress& address, const AgentReport& report,
                          base::TimePoint now);
 
+  /// Takes how busy an agent says that it is.
+  void OnLoad(const base::SocketAddress& address, const LoadNotice& notice, base::TimePoint now);
+
+  /// Returns the agents to be asked for a report now, as packets passed to them seem to be lost:
+  /// one that doesn't answer is asked last in searches, and after a part of
+  /// BalancerSettings::silence_limit it no longer counts as the holder of a flow. Call a few times
+  /// a second, and when there are new ones.
+  std::vector<base::SocketAddress> TakeSuspects(base::TimePoint now);
+  bool HasNewSuspects() const { return !m_new_suspects.empty(); }
+
   /// Forgets idle flows and silent agents. Call a few times a second: a longer gap means that this
   /// process was paused. Others weren't silent then, so what it knows ages by nothing, and it
   /// learns anew before it takes anything for certain.
@@ -135,10 +146,13 @@
     base::ServiceId service;
     base::TimePoint last_packet{};
     std::uint32_t opening_sequence = 0;
+    std::uint32_t data_sequence = 0;  // of the last packet with data; a copy has the same
+    bool has_data = false;
     bool is_open = false;       // a packet beyond the opening one has come from the client
     bool is_confirmed = false;  // the agent's endpoint was seen to hold the flow
     std::vector<base::SocketAddress> route;  // of the search under way, after `agent`
     base::TimePoint searched_at{};
+    bool is_searching = false;                 // and the holder hasn't been found
     std::uint8_t search_round = 0;             // counts the routes that were made
     std::uint32_t search_order = 0;            // each takes another order
     std::vector<base::SocketAddress> refused;  // agents that returned it
@@ -164,11 +178,15 @@
   BalancerDecision ForwardTo(const FlowRecord& record, BalancerReason reason,
                              std::uint8_t attempt) const;
   std::vector<KnownAgent*> PossibleHolders(const Route& route, base::TimePoint now);
-  void OrderForSearch(std::vector<KnownAgent*>& agents, const FlowKey& flow,
-                      std::uint32_t order_number, base::TimePoint now) const;
+  void OrderForSearch(std::vector<KnownAgent*>& agents, const FlowPacket& packet,
+                      const FlowRecord& record, base::TimePoint now) const;
   static void NoteServices(const Route& route, std::vector<base::ServiceId>& services);
   static bool IsSearchLost(const FlowRecord& record, base::TimePoint now);
   bool IsGivenUp(const FlowRecord& record, base::TimePoint now);
+  void Suspect(const KnownAgent& agent, base::TimePoint since, base::TimePoint now);
+  void SuspectRoute(const FlowRecord& record, base::TimePoint now);
+  void NoteData(const FlowPacket& packet, FlowRecord& record, base::TimePoint now);
+  bool IsResponsive(const KnownAgent& agent, base::TimePoint now) const;
   bool TakesNewFlows(const KnownAgent& agent) const;
   bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
   static void NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
@@ -180,7 +198,9 @@
   base::RandomSource& m_random;
   AgentDirectory m_agents;
   AgentDiscovery m_discovery;
-  bool m_has_learned = false;  // since the start or the last pause
+  AgentQuestions m_suspects;                        // agents that packets seem to be lost at
+  std::vector<base::SocketAddress> m_new_suspects;  // to be asked at once
+  bool m_has_learned = false;                       // since the start or the last pause
   EndpointChooser m_chooser;
   RouteTable m_routes;
   EvacuatedZones m_evacuated;
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -61,6 +61,10 @@
   /// @param is_first  whether it had none before; agents wait for their health check's path then
   std::vector<OutgoingGreeting> OnNewRoutes(bool is_first, base::TimePoint now);
 
+  /// Returns questions to the agents that packets seem to be lost at; see
+  /// BalancerCore::TakeSuspects().
+  std::vector<OutgoingGreeting> AskSuspects(base::TimePoint now);
+
   /// Returns the greetings that spread evacuated zones which have just changed here. Agents hear of
   /// them in their rounds.
   std::vector<OutgoingGreeting> OnEvacuation(base::TimePoint now);
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -292,8 +292,10 @@
   if (!m_is_stopping) {
     return standing;
   }
-  return standing == EndpointStanding::kLeaving ? EndpointStanding::kAbsent
-                                                : EndpointStanding::kStopping;
+  // The agent of an endpoint that left, or isn't there, ends for good: nothing is held here.
+  const bool has_ended =
+      standing == EndpointStanding::kLeaving || standing == EndpointStanding::kAbsent;
+  return has_ended ? EndpointStanding::kAbsent : EndpointStanding::kStopping;
 }
 
 AgentReport AgentCore::MakeReport(base::TimePoint now) {
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -18,6 +18,22 @@
 constexpr base::Duration kUnnamedLimit = std::chrono::milliseconds(2000);
 // Datagrams that waited meanwhile have all been read by then.
 constexpr base::Duration kWakingTime = std::chrono::milliseconds(500);
+// A copy of a packet makes its agent a suspect if it hasn't been heard for so long: those that are
+// used tell of their load four times a second.
+constexpr base::Duration kQuietTime = std::chrono::milliseconds(300);
+// A suspect that answers nothing for this part of the silence limit is no longer taken for the
+// holder of a flow. Half: an agent that is restarted is back within 1.2 s (logs), and each client
+// of a flow that has gone waits for it.
+constexpr int kSuspectPart = 2;
+
+// How many questions to a suspect take that long.
+unsigned SuspectQuestions(base::Duration silence_limit) {
+  constexpr unsigned kLeast = 4;  // some may be lost
+  const auto count =
+      static_cast<unsigned>(silence_limit / kSuspectPart / AgentQuestions::kRetryPause);
+  return std::max(kLeast, count);
+}
+
 // Added to the idle time-out, by which clients and endpoints may differ.
 constexpr base::Duration kIdleSlack = std::chrono::seconds(3);
 // A request that would wait for longer than this part of its target latency is refused at once.
@@ -72,6 +88,7 @@
     : m_settings(std::move(settings)),
       m_random(random),
       m_agents(m_settings.agent_limit, m_settings.fresh_for),
+      m_suspects(SuspectQuestions(m_settings.silence_limit)),
       m_chooser(m_settings.zone, random),
       m_started_at(now),
       m_swept_at(now) {}
@@ -113,6 +130,8 @@
   m_started_at = now;
   m_has_learned = false;
   m_agents.SkipTime(gap);
+  m_suspects.Forget([](const base::SocketAddress&) { return true; });
+  m_new_suspects.clear();
 }
 
 bool BalancerCore::HasJustWoken(base::TimePoint now) {
@@ -142,7 +161,7 @@
   }
   const KnownAgent* agent = m_agents.Find(record.agent);
   const bool is_copy = agent != nullptr && agent->report.service == record.service;
-  const bool is_alive = is_copy && m_agents.IsFresh(*agent, now) && TakesNewFlows(*agent);
+  const bool is_alive = is_copy && IsResponsive(*agent, now) && TakesNewFlows(*agent);
   if (is_copy && (record.is_open || is_alive)) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
@@ -183,7 +202,7 @@
     if (agent->is_only_listed) {
       named.push_back(agent);
     } else if (TakesNewFlows(*agent) && !agent->report.is_ejected) {
-      (m_agents.IsFresh(*agent, now) ? fresh : stale).push_back(agent);
+      (IsResponsive(*agent, now) ? fresh : stale).push_back(agent);
     }
   }
   // The few agents heard first can't carry what all of them do: a young balancer also uses those
@@ -249,7 +268,7 @@
   std::vector<KnownAgent*> ejected;
   for (KnownAgent* agent : m_agents.OfService(record.service)) {
     const bool is_ejected = agent->report.is_ejected && TakesNewFlows(*agent);
-    if (is_ejected && m_agents.IsFresh(*agent, now) && !Contains(record.refused, agent->address)) {
+    if (is_ejected && IsResponsive(*agent, now) && !Contains(record.refused, agent->address)) {
       ejected.push_back(agent);
     }
   }
@@ -281,7 +300,9 @@
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
   NoteOpen(record);
+  NoteData(packet, record, now);
   if (is_known && IsSearchLost(record, now)) {
+    SuspectRoute(record, now);
     ++record.search_order;
     return Search(packet, *route, record, 0, now);
   }
@@ -308,10 +329,64 @@
 }
 
 bool BalancerCore::MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
-  return agent.report.standing != EndpointStanding::kAbsent &&
+  const bool is_unreachable = m_suspects.IsGivenUp(agent.address) ||
+                              (agent.is_only_listed && m_discovery.IsGivenUp(agent.address));
+  return agent.report.standing != EndpointStanding::kAbsent && !is_unreachable &&
          now - agent.heard_at <= AgentDirectory::SilenceLimit(agent, m_settings.silence_limit);
 }
 
+// Whether what is known of the agent holds, and it owes no answer.
+bool BalancerCore::IsResponsive(const KnownAgent& agent, base::TimePoint now) const {
+  return m_agents.IsFresh(agent, now) && !m_suspects.IsOverdue(agent.address, now);
+}
+
+// Has the agent asked for a report unless it was heard after `since`.
+void BalancerCore::Suspect(const KnownAgent& agent, base::TimePoint since, base::TimePoint now) {
+  const bool is_silent = !agent.is_only_listed && agent.heard_at <= since;
+  if (is_silent && m_suspects.Ask(agent.address, now)) {
+    m_new_suspects.push_back(agent.address);
+  }
+}
+
+// A search got lost: one of the agents on its way has gone, and it isn't known which.
+void BalancerCore::SuspectRoute(const FlowRecord& record, base::TimePoint now) {
+  std::vector<base::SocketAddress> route = record.route;
+  route.push_back(record.agent);
+  for (const base::SocketAddress& address : route) {
+    const KnownAgent* agent = m_agents.Find(address);
+    if (agent != nullptr) {
+      Suspect(*agent, record.searched_at, now);
+    }
+  }
+}
+
+// A client that sends the same data again got no answer: its flow's agent may have gone.
+void BalancerCore::NoteData(const FlowPacket& packet, FlowRecord& record, base::TimePoint now) {
+  if (packet.data_size == 0) {
+    return;
+  }
+  const bool is_copy = record.has_data && record.data_sequence == packet.sequence;
+  record.has_data = true;
+  record.data_sequence = packet.sequence;
+  const KnownAgent* agent = is_copy ? m_agents.Find(record.agent) : nullptr;
+  if (agent != nullptr) {
+    Suspect(*agent, now - kQuietTime, now);
+  }
+}
+
+std::vector<base::SocketAddress> BalancerCore::TakeSuspects(base::TimePoint now) {
+  std::vector<base::SocketAddress> suspects = m_suspects.TakeDue(now);
+  suspects.insert(suspects.end(), m_new_suspects.begin(), m_new_suspects.end());
+  m_new_suspects.clear();
+  return suspects;
+}
+
+void BalancerCore::OnLoad(const base::SocketAddress& address, const LoadNotice& notice,
+                          base::TimePoint now) {
+  m_suspects.NoteHeard(address);
+  m_agents.TakeLoad(address, notice, now);
+}
+
 void BalancerCore::NoteOpen(FlowRecord& record) {
   if (!record.is_open) {
     record.is_open = true;
@@ -325,6 +400,7 @@
                                      base::TimePoint now) {
   NoticePause(now);
   m_discovery.NoteHeard(address);
+  m_suspects.NoteHeard(address);
   m_discovery.NoteAgentCount(report.agent_count);
   return m_agents.Take(address, report, now);
 }
@@ -391,6 +467,11 @@
   const base::Duration idle = std::min(m_settings.flow_memory, m_routes.idle_timeout + kIdleSlack);
   absl::erase_if(m_flows, [&](const auto& entry) { return now - entry.second.last_packet > idle; });
   m_agents.ForgetSilent(m_settings.flow_memory, now);
+  const auto is_gone = [this](const base::SocketAddress& agent) {
+    return m_agents.Find(agent) == nullptr;
+  };
+  m_discovery.Forget(is_gone);
+  m_suspects.Forget(is_gone);
 }
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -140,6 +140,14 @@
   return greetings;
 }
 
+std::vector<OutgoingGreeting> BalancerGossip::AskSuspects(base::TimePoint now) {
+  std::vector<OutgoingGreeting> greetings;
+  for (const base::SocketAddress& agent : m_core.TakeSuspects(now)) {
+    greetings.push_back({agent, Brief(true, now)});
+  }
+  return greetings;
+}
+
 std::vector<OutgoingGreeting> BalancerGossip::OnEvacuation(base::TimePoint now) {
   std::vector<OutgoingGreeting> greetings;
   TellSomePeers(kPeersToldNews, now, greetings);
@@ -188,7 +196,7 @@
 
 std::vector<OutgoingGreeting> BalancerGossip::Tick(base::TimePoint now) {
   m_balancers.ForgetSilent(kForgetAfter, now);
-  std::vector<OutgoingGreeting> greetings;
+  std::vector<OutgoingGreeting> greetings = AskSuspects(now);
   for (const base::SocketAddress& agent : m_core.Discovery().TakeQuestions(now)) {
     greetings.push_back({agent, Brief(true, now)});
   }
--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -20,8 +20,7 @@
 
 // Whether a search's packet should have found the holder, or come back, by now.
 bool BalancerCore::IsSearchLost(const FlowRecord& record, base::TimePoint now) {
-  const bool is_searching = !record.is_confirmed && !record.route.empty();
-  return is_searching && now - record.searched_at > kSearchTime;
+  return record.is_searching && !record.is_confirmed && now - record.searched_at > kSearchTime;
 }
 
 // The agents that may hold a flow of the route.
@@ -41,23 +40,27 @@
   return holders;
 }
 
-// Orders agents for a search: those lately heard first, and each flow and attempt in its own order.
-void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const FlowKey& flow,
-                                  std::uint32_t order_number, base::TimePoint now) const {
+// Orders agents for a search, each flow and attempt in its own order: after a search that got lost
+// those that were heard since it began come first, as any of the others may be where it ended;
+// those that seem to be gone come last.
+void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const FlowPacket& packet,
+                                  const FlowRecord& record, base::TimePoint now) const {
+  enum Rank : std::uint8_t { kHeardSince, kUsual, kSilent };
   struct Ranked {
-    bool is_stale;
+    Rank rank;
     std::uint64_t hash;
     KnownAgent* agent;
   };
-  const std::uint64_t flow_hash = base::HashPair(FlowHash(flow), order_number);
+  const std::uint64_t flow_hash = base::HashPair(FlowHash(packet.flow), record.search_order);
   std::vector<Ranked> ranked;
   ranked.reserve(agents.size());
   for (KnownAgent* agent : agents) {
-    ranked.push_back({!m_agents.IsFresh(*agent, now),
+    const Rank usual = agent->heard_at > record.searched_at ? kHeardSince : kUsual;
+    ranked.push_back({IsResponsive(*agent, now) ? usual : kSilent,
                       base::HashPair(flow_hash, AddressHash(agent->address)), agent});
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
-    return std::pair(left.is_stale, left.hash) < std::pair(right.is_stale, right.hash);
+    return std::pair(left.rank, left.hash) < std::pair(right.rank, right.hash);
   });
   std::transform(ranked.begin(), ranked.end(), agents.begin(),
                  [](const Ranked& entry) { return entry.agent; });
@@ -69,19 +72,20 @@
   std::vector<KnownAgent*> order = PossibleHolders(route, now);
   std::erase_if(order,
                 [&](const KnownAgent* agent) { return Contains(record.refused, agent->address); });
-  OrderForSearch(order, packet.flow, record.search_order, now);
+  OrderForSearch(order, packet, record, now);
   if (order.empty()) {
     return OnAllRefused(packet, record, now);
   }
   record.agent = order.front()->address;
   record.service = order.front()->report.service;
   record.searched_at = now;
+  record.is_searching = true;
   ++record.search_round;
   record.route.clear();
   // Agents that may be gone would end the packet's way: they are asked last, one by one.
   for (std::size_t index = 1; index < order.size(); ++index) {
     const KnownAgent& agent = *order[index];
-    const bool may_follow = m_agents.IsFresh(*order.front(), now) && m_agents.IsFresh(agent, now) &&
+    const bool may_follow = IsResponsive(*order.front(), now) && IsResponsive(agent, now) &&
                             agent.report.standing != EndpointStanding::kStopping &&
                             agent.report.service == record.service;
     if (may_follow && record.route.size() < SearchRoute::kMostAgents) {
@@ -108,6 +112,7 @@
                                                 base::TimePoint now) {
   NoticePause(now);
   m_agents.NoteLife(agent);
+  m_suspects.NoteHeard(agent);
   const Route* route = m_routes.Find(packet.flow.destination);
   if (route == nullptr) {
     return Drop(BalancerReason::kNoRoute);
@@ -166,12 +171,14 @@
                              base::ServiceId service, base::TimePoint now) {
   NoticePause(now);
   m_agents.NoteLife(agent);
+  m_suspects.NoteHeard(agent);
   FlowRecord& record = *Remember(flow);
   const bool is_news = record.agent != agent || !record.refused.empty();
   record.agent = agent;
   record.service = service;
   record.is_open = true;
   record.is_confirmed = true;
+  record.is_searching = false;
   record.route.clear();
   record.refused.clear();
   record.last_packet = now;
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(ARepeatedRequestPacketCountsOnce);
   CPPUNIT_TEST(OpeningsCountForAWhile);
   CPPUNIT_TEST(AnAgentThatStopsSaysSo);
+  CPPUNIT_TEST(AnAgentThatStopsBesideAnAbsentEndpointHoldsNothing);
   CPPUNIT_TEST(AnAbsentEndpointHoldsNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -197,6 +198,13 @@
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kAbsent);
   }
 
+  // Found in trouble-2 (docs/design/0018): its balancers waited for it as for one that restarts.
+  void AnAgentThatStopsBesideAnAbsentEndpointHoldsNothing() {
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    m_core.Stop();
+    CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kAbsent);
+  }
+
   void AnAbsentEndpointHoldsNothing() {
     m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
     ExpectReturn(ReturnReason::kNotHeld, Forward(Data(Flow(1), 101)));
