--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -26,7 +26,8 @@
   std::uint32_t placed_since_report = 0;  ///< opening packets passed to it since the last report
   /// The first opening packet passed to it since it was last heard.
   std::optional<base::TimePoint> unanswered_since;
-  double placed_share = 0;  ///< of this balancer's openings, decaying; for ties
+  base::TimePoint passed_over_until{};  ///< it is cold and has got what it bears
+  double placed_share = 0;              ///< of this balancer's openings, decaying; for ties
   /// The newest report that knew the endpoint, also of an earlier life: a restarted agent asks for
   /// it.
   std::optional<AgentReport> memory;
@@ -98,7 +99,8 @@
   /// Returns how many agents are present.
   std::size_t PresentCount() const;
 
-  /// Returns how many of those have been heard, not just listed.
+  /// Returns how many agents have been heard, not just listed. Those that said they end, or have no
+  /// endpoint, are among them: they are found, and others may still count them.
   std::size_t HeardCount() const;
 
  private:
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -163,9 +163,9 @@
 }
 
 std::size_t AgentDirectory::HeardCount() const {
-  return static_cast<std::size_t>(std::count_if(
-      m_agents.begin(), m_agents.end(),
-      [](const auto& entry) { return !entry.second.is_only_listed && IsPresent(entry.second); }));
+  return static_cast<std::size_t>(
+      std::count_if(m_agents.begin(), m_agents.end(),
+                    [](const auto& entry) { return !entry.second.is_only_listed; }));
 }
 
 std::vector<const KnownAgent*> AgentDirectory::All() const {
--- a/libs/placement/tests/agent_discovery_test.cpp
+++ b/libs/placement/tests/agent_discovery_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(MoreAgentsAreAskedForFellowsWhileSomeAreMissing);
   CPPUNIT_TEST(AFlowIsNotResetWhileAgentsAreMissing);
   CPPUNIT_TEST(AFlowThatNobodyHoldsIsResetOnceAllAreFound);
+  CPPUNIT_TEST(AgentsWithoutEndpointsAreFoundAsWell);
   CPPUNIT_TEST(MissingAgentsAreNotWaitedForForEver);
   CPPUNIT_TEST(NamedAgentsThatDoNotAnswerAreWaitedForForAShortTime);
   CPPUNIT_TEST(AnAgentThatHasEndedIsNotNamedToOthers);
@@ -142,6 +143,15 @@
     CPPUNIT_ASSERT(BalancerVerdict::kReset == VerdictOnUnknownFlow(800));
   }
 
+  // Found in trouble-2 (docs/design/0018): agents that lost their endpoints in a total stop were
+  // still counted by others, and all balancers waited two seconds for them.
+  void AgentsWithoutEndpointsAreFoundAsWell() {
+    HearAgent(2, 3);
+    m_core->OnReport(Node(3), Report(1, 0, EndpointStanding::kAbsent), At(0));
+    m_core->OnReport(Node(4), Report(1, 0, EndpointStanding::kStopping), At(0));
+    CPPUNIT_ASSERT(!m_core->IsLearning(At(800)));
+  }
+
   void MissingAgentsAreNotWaitedForForEver() {
     HearAgent(2, kAgents);
     CPPUNIT_ASSERT(BalancerVerdict::kReset == VerdictOnUnknownFlow(2'100));
