--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -17,6 +17,7 @@
 #include "gaugevalve/placement/forward_header.h"
 #include "gaugevalve/placement/outcome_monitor.h"
 #include "gaugevalve/placement/report_schedule.h"
+#include "gaugevalve/placement/warm_up_limiter.h"
 
 namespace gaugevalve::placement {
 
@@ -30,6 +31,8 @@
   std::size_t balancer_limit = 2'048;
   /// Whether an endpoint that resets requests is passed over for a while; see OutcomeMonitor.
   bool ejects_failing = true;
+  /// What cold endpoints may be given above their service's rate; nothing for no bound.
+  std::optional<WarmUpTolerance> warm_up_tolerance{};
 };
 
 enum class AgentVerdict : std::uint8_t { kDeliver, kReturn, kPassOn, kToClient, kDrop };
@@ -67,6 +70,13 @@
   /// @return  whether the zones have changed
   bool TakeEvacuated(const EvacuatedZones& evacuated, base::TimePoint now);
   const EvacuatedZones& Evacuated() const { return m_evacuated; }
+  /// Takes what the configuration says of the service's cold endpoints.
+  void SetWarmUpRate(const WarmUpRate& rate) { m_warm_up.SetRate(rate); }
+
+  /// Returns whether the endpoint is cold, or may be: from a start, or since its zone was taken
+  /// back.
+  bool MayBeCold(base::TimePoint now) const;
+
   bool IsEvacuated() const { return m_evacuated.Has(m_settings.zone); }
 
   /// From now on the agent takes no new flow: its process ends. Its endpoint, if it said that it
@@ -127,6 +137,8 @@
   AgentCoreSettings m_settings;
   EndpointGate m_gate;
   EvacuatedZones m_evacuated;
+  std::optional<base::TimePoint> m_taken_back_at;  // the agent's zone
+  WarmUpLimiter m_warm_up;
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
   std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
   std::uint64_t m_report_sequence = 0;
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -165,6 +165,7 @@
                          std::uint8_t attempt, base::TimePoint now);
   BalancerDecision PlaceBusy(const FlowPacket& packet, const Route& route, FlowRecord& record,
                              std::uint8_t attempt, base::TimePoint now);
+  void PassOver(const base::SocketAddress& address, base::TimePoint now);
   KnownAgent* TakeTrial(const FlowRecord& record, base::TimePoint now);
   std::vector<KnownAgent*> Ejected(const FlowRecord& record, base::TimePoint now);
   BalancerDecision ForwardForGood(KnownAgent& agent, FlowRecord& record, std::uint8_t attempt,
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -97,6 +97,7 @@
  private:
   void TellSomePeers(std::size_t count, base::TimePoint now,
                      std::vector<OutgoingGreeting>& greetings);
+  OutgoingGreeting AskAgent(const base::SocketAddress& address, base::TimePoint now) const;
   BalancerGreeting Brief(bool wants_answer, base::TimePoint now) const;
   BalancerGreeting Sampled(bool wants_answer, base::TimePoint now);
   BalancerGreeting ForAgent(const KnownAgent& agent, base::TimePoint now) const;
--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -35,9 +36,13 @@
 /// What became of an announcement.
 enum class AnnouncementOutcome : std::uint8_t {
   kTaken,
-  kLate,  ///< an older one than the last of its incarnation, or of one that has left
+  kLate,     ///< an older one than the last of its incarnation, or of one that is over
+  kDoubted,  ///< of another incarnation while the present one seems to live: perhaps late
 };
 
+/// Returns the outcome's name for logs.
+const char* AnnouncementOutcomeName(AnnouncementOutcome outcome);
+
 /// What a health check of the endpoint found.
 enum class ProbeResult : std::uint8_t {
   kHealthy,    ///< it is ready for work
@@ -49,7 +54,12 @@
 /// The last gate before an endpoint: after it has acknowledged that the endpoint leaves, it admits
 /// no new flow, however stale the balancers' knowledge is. A restarted agent knows nothing and
 /// admits nothing until the endpoint is heard, or a balancer's recent memory is taken for a while.
-/// Not thread-safe.
+///
+/// Announcements may be seconds late, so one of another incarnation may be of its predecessor,
+/// which has crashed, as well as of its successor. Numbers say nothing across incarnations. An
+/// incarnation that was heard more than once, answers and hasn't said that it leaves gives way only
+/// to one that is heard again after more than a period in which it was silent itself. One that said
+/// that it leaves, or that another has followed, never speaks again. Not thread-safe.
 class EndpointGate {
  public:
   /// @param period  the interval of announcements
@@ -73,9 +83,19 @@
 
   /// Notes that an opening packet went to the endpoint, and that the endpoint sent something.
   void NoteOpening(base::TimePoint now);
-  void NoteLife();
+  /// @param holds_flow  whether the packet is of a flow that the endpoint holds: one that is about
+  ///                    to end gives back or resets what it gets, beside a closed port
+  void NoteLife(bool holds_flow, base::TimePoint now);
 
   EndpointStanding Standing(base::TimePoint now) const;
+
+  /// Returns whether the endpoint has said that it leaves, or nothing listened when it was asked
+  /// last and it hasn't been heard since.
+  bool HasEnded() const { return (m_is_known && m_is_leaving) || m_is_refused; }
+
+  /// Returns whether the endpoint is cold, or may be: nothing is known of it, it was away since it
+  /// was last heard, or another incarnation may have taken its place.
+  bool MayBeCold(base::TimePoint now) const;
   /// Tells whether others may take this gate's word: the endpoint said itself that it leaves, or
   /// more than once that it is ready.
   bool IsCertain() const { return m_is_first_hand && (m_is_repeated || m_is_leaving); }
@@ -85,6 +105,13 @@
   base::Duration WarmUpLeft(base::TimePoint now) const;
 
  private:
+  void Take(const Announcement& announcement, base::TimePoint now);
+  bool IsOver(const std::string& id) const;
+  void NoteEnded(const std::string& id);
+  bool IsUnresponsive(base::TimePoint now) const;
+  bool GivesWayTo(const Announcement& announcement, base::TimePoint now);
+  base::Duration ConfirmationTime() const;
+
   base::Duration m_period;
   base::Duration m_memory_limit;
   Announcement m_current;
@@ -92,11 +119,18 @@
   bool m_is_first_hand = false;
   bool m_is_repeated = false;  // a later announcement has confirmed the first, which may be late
   bool m_is_leaving = false;
-  std::string m_left_id;  // the last incarnation that said it leaves
+  std::deque<std::string> m_ended;  // incarnations that are over, the last few
+  std::string m_predecessor;        // of the present one, until that is confirmed
+  std::string m_successor;          // heard, but doubted; empty without one
+  std::uint64_t m_successor_sequence = 0;
+  base::TimePoint m_successor_at{};    // first heard, with no word of the present one since
+  base::TimePoint m_first_heard_at{};  // of the present one
   base::TimePoint m_heard_at{};
   unsigned m_unanswered = 0;
   base::TimePoint m_unanswered_since{};
   bool m_is_absent = false;
+  bool m_is_refused = false;  // by the last probe, and not heard since
+  bool m_was_away = false;    // it didn't answer since it was last heard, and does now
   std::optional<base::TimePoint> m_healthy_at;  // by a probe, while nothing is known first hand
   std::optional<base::TimePoint> m_probed_at;
 };
--- a/libs/placement/include/gaugevalve/placement/route_table.h
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
 
   /// Returns the route of a virtual address, or null.
   const Route* Find(const base::SocketAddress& address) const;
+
+  /// Returns what cold endpoints of a service bear, or nothing where the table doesn't say.
+  std::optional<WarmUpRate> FindWarmUpRate(base::ServiceId service) const;
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/warm_up_limiter.h
+++ b/libs/placement/include/gaugevalve/placement/warm_up_limiter.h
@@ -37,6 +37,10 @@
   void SetRate(const WarmUpRate& rate) { m_rate = rate; }
   const std::optional<WarmUpRate>& Rate() const { return m_rate; }
 
+  /// Notes that the process runs: a second from the first call on, no opening of a former life of
+  /// it can count any more.
+  void Begin(base::TimePoint now) { m_begun_at = m_begun_at.value_or(now); }
+
   /// Returns whether a cold endpoint may be given one more opening now.
   bool HasRoom(base::TimePoint now);
 
@@ -49,7 +53,7 @@
 
   std::optional<WarmUpTolerance> m_tolerance;
   std::optional<WarmUpRate> m_rate;
-  std::optional<base::TimePoint> m_first_use;
+  std::optional<base::TimePoint> m_begun_at;
   std::deque<base::TimePoint> m_openings;  // of the last second; bounded by kMostOpenings
 };
 
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -35,7 +35,8 @@
 
 AgentCore::AgentCore(AgentCoreSettings settings)
     : m_settings(std::move(settings)),
-      m_gate(m_settings.announcement_period, m_settings.drain_limit * 2 / 3) {}
+      m_gate(m_settings.announcement_period, m_settings.drain_limit * 2 / 3),
+      m_warm_up(m_settings.warm_up_tolerance) {}
 
 AgentDecision AgentCore::OnForwarded(const FlowPacket& packet, const ForwardHeader& header,
                                      const SearchRoute& route, const base::SocketAddress& sender,
@@ -85,6 +86,9 @@
   if (!is_known && m_flows.size() >= m_settings.flow_limit) {
     return Return(header, balancer, ReturnReason::kBusy);
   }
+  if (!is_known && MayBeCold(now) && !m_warm_up.HasRoom(now)) {
+    return Return(header, balancer, ReturnReason::kWarmingUp);
+  }
   // A flow that has nowhere else to go is a trial as well: there may be no other.
   const bool is_admitted = is_known || Outcomes().TakeAdmission(now);
   if (!is_admitted && !header.must_accept) {
@@ -96,6 +100,7 @@
     record = {};
     record.last_packet = now;
     SetState(record, FlowState::kOpening, now);
+    m_warm_up.Note(now);
   }
   m_gate.NoteOpening(now);
   AgentDecision decision;
@@ -106,7 +111,7 @@
 
 AgentDecision AgentCore::OnEndpointPacket(const FlowPacket& packet, std::uint32_t mark,
                                           base::TimePoint now) {
-  m_gate.NoteLife();
+  m_gate.NoteLife(!packet.is_bounced && !packet.is_reset, now);
   if (packet.is_bounced) {
     return OnBounced(packet, mark, now);
   }
@@ -283,8 +288,20 @@
   }
 }
 
-bool AgentCore::TakeEvacuated(const EvacuatedZones& evacuated, base::TimePoint /*now*/) {
-  return m_evacuated.Take(evacuated);
+bool AgentCore::TakeEvacuated(const EvacuatedZones& evacuated, base::TimePoint now) {
+  const bool was_evacuated = IsEvacuated();
+  const bool has_changed = m_evacuated.Take(evacuated);
+  if (was_evacuated && !IsEvacuated()) {
+    m_taken_back_at = now;
+  }
+  return has_changed;
+}
+
+// Endpoints may turn cold during an evacuation, shortly before its end, and say so only later.
+bool AgentCore::MayBeCold(base::TimePoint now) const {
+  const base::Duration duration = m_warm_up.Rate() ? m_warm_up.Rate()->duration : base::Duration(0);
+  const bool was_just_taken_back = m_taken_back_at && now - *m_taken_back_at <= duration;
+  return was_just_taken_back || m_gate.MayBeCold(now);
 }
 
 EndpointStanding AgentCore::Standing(base::TimePoint now) const {
@@ -292,10 +309,8 @@
   if (!m_is_stopping) {
     return standing;
   }
-  // The agent of an endpoint that left, or isn't there, ends for good: nothing is held here.
-  const bool has_ended =
-      standing == EndpointStanding::kLeaving || standing == EndpointStanding::kAbsent;
-  return has_ended ? EndpointStanding::kAbsent : EndpointStanding::kStopping;
+  // The agent of an endpoint that has ended ends for good: nothing is held here.
+  return m_gate.HasEnded() ? EndpointStanding::kAbsent : EndpointStanding::kStopping;
 }
 
 AgentReport AgentCore::MakeReport(base::TimePoint now) {
@@ -327,6 +342,7 @@
 }
 
 void AgentCore::Tick(base::TimePoint now) {
+  m_warm_up.Begin(now);
   m_busy_average += (m_waiting - m_busy_average) * kBusyWeight;
   if (now - m_swept_at < kSweepPeriod) {
     return;
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -45,6 +45,10 @@
 // costs them a millisecond or two. Chosen so that an endpoint of a busy service gets a trial within
 // a second or so; no other part was measured.
 constexpr double kTrialPart = 0.05;
+// For so long a balancer gives nothing to a cold endpoint that has just returned an opening. Its
+// agent counts over a second, so that much of a second's part is free again by then; chosen, not
+// measured against other pauses.
+constexpr base::Duration kWarmUpPause = std::chrono::milliseconds(100);
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
@@ -196,7 +200,7 @@
   std::vector<KnownAgent*> stale;
   std::vector<KnownAgent*> named;
   for (KnownAgent* agent : m_agents.OfService(record.service)) {
-    if (Contains(without, agent->address)) {
+    if (Contains(without, agent->address) || now < agent->passed_over_until) {
       continue;
     }
     if (agent->is_only_listed) {
@@ -215,6 +219,14 @@
   return fresh.empty() ? stale : fresh;
 }
 
+// A cold endpoint has got what it bears: others are asked at once, and it gets no more for a while.
+void BalancerCore::PassOver(const base::SocketAddress& address, base::TimePoint now) {
+  KnownAgent* agent = m_agents.Find(address);
+  if (agent != nullptr) {
+    agent->passed_over_until = now + kWarmUpPause;
+  }
+}
+
 // The least loaded endpoints were full: the one with the shortest queue has to take the flow, if
 // that is worth it. What comes back from it is final.
 BalancerDecision BalancerCore::PlaceBusy(const FlowPacket& packet, const Route& route,
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -92,7 +92,7 @@
                                std::vector<OutgoingGreeting>& greetings) {
   for (const ListedAgent& agent : agents) {
     if (m_core.NoteListed(agent, now)) {
-      greetings.push_back({agent.address, Brief(true, now)});
+      greetings.push_back(AskAgent(agent.address, now));
     }
   }
 }
@@ -143,11 +143,22 @@
 std::vector<OutgoingGreeting> BalancerGossip::AskSuspects(base::TimePoint now) {
   std::vector<OutgoingGreeting> greetings;
   for (const base::SocketAddress& agent : m_core.TakeSuspects(now)) {
-    greetings.push_back({agent, Brief(true, now)});
+    greetings.push_back(AskAgent(agent, now));
   }
   return greetings;
 }
 
+// Asks for a report, and says what the agent needs for the flows that may follow.
+OutgoingGreeting BalancerGossip::AskAgent(const base::SocketAddress& address,
+                                          base::TimePoint now) const {
+  OutgoingGreeting question{address, Brief(true, now)};
+  const KnownAgent* agent = m_core.Agents().Find(address);
+  if (agent != nullptr) {
+    question.greeting.warm_up = m_core.Routes().FindWarmUpRate(agent->report.service);
+  }
+  return question;
+}
+
 std::vector<OutgoingGreeting> BalancerGossip::OnEvacuation(base::TimePoint now) {
   std::vector<OutgoingGreeting> greetings;
   TellSomePeers(kPeersToldNews, now, greetings);
@@ -198,7 +209,7 @@
   m_balancers.ForgetSilent(kForgetAfter, now);
   std::vector<OutgoingGreeting> greetings = AskSuspects(now);
   for (const base::SocketAddress& agent : m_core.Discovery().TakeQuestions(now)) {
-    greetings.push_back({agent, Brief(true, now)});
+    greetings.push_back(AskAgent(agent, now));
   }
   if (m_core.IsLearning(now) && m_core.Discovery().MissesNames(m_core.Agents().HeardCount())) {
     for (const ListedAgent& agent : Sample(ListAgents(), kAgentsAskedAgain, m_random)) {
@@ -243,6 +254,7 @@
   BalancerGreeting greeting = Brief(false, now);
   greeting.balancers = Sample(m_balancers.Alive(now), kBalancersForAgent, m_random);
   greeting.agents = Sample(ListAgents(), kAgentsForAgent, m_random);
+  greeting.warm_up = m_core.Routes().FindWarmUpRate(agent.report.service);
   const auto path = m_core.Routes().health_check_paths.find(agent.report.service);
   if (path != m_core.Routes().health_check_paths.end()) {
     greeting.health_check_path = path->second;
--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -141,6 +141,9 @@
     if (header.reason == ReturnReason::kBusy) {
       record.busy.push_back(agent);
     }
+    if (header.reason == ReturnReason::kWarmingUp) {
+      PassOver(agent, now);
+    }
     return Place(packet, *route, record, attempt, now);
   }
   if (record.is_confirmed && header.reason == ReturnReason::kNotHeld) {
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -11,6 +11,8 @@
 constexpr base::Duration kUnansweredTime = std::chrono::milliseconds(150);
 // Announcements may be seconds late; an endpoint is given up after this many missed ones.
 constexpr int kMissedLimit = 6;
+// Incarnations that are over and are remembered. Each lives for some seconds at least.
+constexpr std::size_t kEndedLimit = 16;
 // Between two health checks of an endpoint that isn't known.
 constexpr base::Duration kProbePeriod = std::chrono::milliseconds(1000);
 
@@ -33,20 +35,87 @@
   }
 }
 
+const char* AnnouncementOutcomeName(AnnouncementOutcome outcome) {
+  switch (outcome) {
+    case AnnouncementOutcome::kLate:
+      return "late";
+    case AnnouncementOutcome::kDoubted:
+      return "doubted";
+    default:
+      return "taken";
+  }
+}
+
+bool EndpointGate::IsOver(const std::string& id) const {
+  return std::find(m_ended.begin(), m_ended.end(), id) != m_ended.end();
+}
+
+void EndpointGate::NoteEnded(const std::string& id) {
+  if (id.empty() || IsOver(id)) {
+    return;
+  }
+  m_ended.push_back(id);
+  if (m_ended.size() > kEndedLimit) {
+    m_ended.pop_front();
+  }
+}
+
+// Longer than the present incarnation, if it lives, leaves between two announcements.
+base::Duration EndpointGate::ConfirmationTime() const { return m_period * 5 / 4; }
+
+// Whether another incarnation takes the place of the present one. Notes it as heard otherwise.
+bool EndpointGate::GivesWayTo(const Announcement& announcement, base::TimePoint now) {
+  const bool is_heard_again =
+      m_successor == announcement.id && announcement.sequence > m_successor_sequence;
+  if (announcement.is_draining) {
+    // Where it is believed wrongly, the next word of the present one opens the gate again.
+    return m_is_leaving || is_heard_again;
+  }
+  if (m_is_leaving || !m_is_repeated || m_is_absent || IsUnresponsive(now)) {
+    return true;
+  }
+  if (is_heard_again && now - m_successor_at > ConfirmationTime()) {
+    NoteEnded(m_current.id);
+    return true;
+  }
+  if (m_successor != announcement.id) {
+    m_successor = announcement.id;
+    m_successor_at = now;
+    m_successor_sequence = 0;
+  }
+  m_successor_sequence = std::max(m_successor_sequence, announcement.sequence);
+  return false;
+}
+
 AnnouncementOutcome EndpointGate::Announce(const Announcement& announcement, base::TimePoint now) {
   const bool is_same = m_is_known && announcement.id == m_current.id;
   const bool is_older = is_same && announcement.sequence < m_current.sequence;
-  const bool has_left = announcement.id == m_left_id && !announcement.is_draining;
-  if (is_older || has_left) {
+  const bool goes_on_leaving = is_same && announcement.is_draining;
+  if (is_older || (IsOver(announcement.id) && !goes_on_leaving)) {
     return AnnouncementOutcome::kLate;
   }
-  if (announcement.is_draining) {
-    m_left_id = announcement.id;
+  const bool is_stranger = m_is_first_hand && !is_same;
+  if (is_stranger && !GivesWayTo(announcement, now)) {
+    if (announcement.is_draining) {
+      NoteEnded(announcement.id);  // it says nothing about the one that is in place
+    }
+    return AnnouncementOutcome::kDoubted;
+  }
+  Take(announcement, now);
+  return AnnouncementOutcome::kTaken;
+}
+
+void EndpointGate::Take(const Announcement& announcement, base::TimePoint now) {
+  const bool is_same = m_is_known && announcement.id == m_current.id;
+  if (!is_same) {
+    m_predecessor = m_is_known ? m_current.id : "";
+    m_first_heard_at = now;
+  } else if (now - m_first_heard_at > ConfirmationTime()) {
+    NoteEnded(m_predecessor);
+    m_predecessor.clear();
   }
-  // Another incarnation that drains says nothing about the one that is in place.
-  const bool is_stranger = m_is_first_hand && !is_same && !m_is_leaving;
-  if (is_stranger && announcement.is_draining) {
-    return AnnouncementOutcome::kTaken;
+  if (announcement.is_draining) {
+    NoteEnded(announcement.id);
   }
   const bool is_next = m_is_first_hand && announcement.sequence > m_current.sequence;
   m_is_repeated = is_same && (m_is_repeated || is_next);
@@ -57,13 +126,17 @@
   m_heard_at = now;
   m_unanswered = 0;
   m_is_absent = false;
-  return AnnouncementOutcome::kTaken;
+  m_is_refused = false;
+  m_was_away = false;
+  m_successor.clear();
+  m_successor_sequence = 0;
 }
 
 void EndpointGate::Deregister(const std::string& id, base::TimePoint now) {
-  const bool is_stranger = m_is_first_hand && id != m_current.id;
-  m_left_id = id;
-  if (is_stranger) {
+  const bool may_be_present = !m_is_first_hand || id == m_current.id || id == m_successor;
+  const bool was_over = IsOver(id) && id != m_current.id;
+  NoteEnded(id);
+  if (!may_be_present || was_over) {
     return;
   }
   m_current.id = id;
@@ -71,6 +144,7 @@
   m_is_first_hand = true;
   m_is_leaving = true;
   m_heard_at = now;
+  m_successor.clear();
 }
 
 void EndpointGate::Remember(const Announcement& announcement, EndpointStanding standing,
@@ -85,7 +159,7 @@
   m_current = announcement;
   m_is_leaving = standing == EndpointStanding::kLeaving;
   if (m_is_leaving) {
-    m_left_id = announcement.id;
+    NoteEnded(announcement.id);
   }
   m_is_known = true;
   m_heard_at = now;
@@ -106,15 +180,17 @@
 
 void EndpointGate::NoteProbe(ProbeResult result, base::TimePoint now) {
   m_is_absent = result == ProbeResult::kRefused;
+  m_is_refused = m_is_absent || (m_is_refused && result == ProbeResult::kNoAnswer);
   if (result == ProbeResult::kHealthy) {
     m_healthy_at = now;
     m_unanswered = 0;
   }
 }
 
-void EndpointGate::NoteLife() {
+void EndpointGate::NoteLife(bool holds_flow, base::TimePoint now) {
+  m_was_away = m_was_away || m_is_absent || IsUnresponsive(now);
   m_unanswered = 0;
-  m_is_absent = false;
+  m_is_absent = m_is_absent && !holds_flow;
 }
 
 void EndpointGate::NoteOpening(base::TimePoint now) {
@@ -124,6 +200,10 @@
   ++m_unanswered;
 }
 
+bool EndpointGate::IsUnresponsive(base::TimePoint now) const {
+  return m_unanswered >= kUnansweredLimit && now - m_unanswered_since > kUnansweredTime;
+}
+
 EndpointStanding EndpointGate::Standing(base::TimePoint now) const {
   if (m_is_absent) {
     return EndpointStanding::kAbsent;
@@ -131,9 +211,7 @@
   if (m_is_known && m_is_leaving) {
     return EndpointStanding::kLeaving;
   }
-  const bool is_unresponsive =
-      m_unanswered >= kUnansweredLimit && now - m_unanswered_since > kUnansweredTime;
-  if (is_unresponsive) {
+  if (IsUnresponsive(now)) {
     return EndpointStanding::kSilent;
   }
   const bool was_healthy = m_healthy_at && now - *m_healthy_at <= m_memory_limit;
@@ -148,6 +226,10 @@
   return is_missed ? EndpointStanding::kSilent : EndpointStanding::kAdmitting;
 }
 
+bool EndpointGate::MayBeCold(base::TimePoint now) const {
+  return !m_is_known || m_was_away || !m_successor.empty() || WarmUpLeft(now) > base::Duration(0);
+}
+
 base::Duration EndpointGate::WarmUpLeft(base::TimePoint now) const {
   return std::max(base::Duration(0), m_current.warm_up_left - (now - m_heard_at));
 }
--- a/libs/placement/src/route_table.cpp
+++ b/libs/placement/src/route_table.cpp
@@ -25,4 +25,9 @@
   return found == routes.end() ? nullptr : &found->second;
 }
 
+std::optional<WarmUpRate> RouteTable::FindWarmUpRate(base::ServiceId service) const {
+  const auto found = warm_up_rates.find(service);
+  return found == warm_up_rates.end() ? std::nullopt : std::optional(found->second);
+}
+
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/warm_up_limiter.cpp
+++ b/libs/placement/src/warm_up_limiter.cpp
@@ -35,13 +35,13 @@
     return true;
   }
   ForgetOld(now);
-  m_first_use = m_first_use.value_or(now);
-  const bool is_first_second = now - *m_first_use <= kSpan + kJitter;
+  Begin(now);
+  const bool is_first_second = now - *m_begun_at <= kSpan + kJitter;
   return !is_first_second && m_openings.size() < *limit;
 }
 
 void WarmUpLimiter::Note(base::TimePoint now) {
-  m_first_use = m_first_use.value_or(now);
+  Begin(now);
   ForgetOld(now);
   if (m_openings.size() < kMostOpenings) {
     m_openings.push_back(now);
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -52,6 +52,9 @@
   CPPUNIT_TEST(AnAgentThatStopsSaysSo);
   CPPUNIT_TEST(AnAgentThatStopsBesideAnAbsentEndpointHoldsNothing);
   CPPUNIT_TEST(AnAbsentEndpointHoldsNothing);
+  CPPUNIT_TEST(AColdEndpointGetsNoMoreThanItBears);
+  CPPUNIT_TEST(AWarmEndpointHasNoBound);
+  CPPUNIT_TEST(AnEndpointTakenBackMayBeCold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -201,6 +204,14 @@
   // Found in trouble-2 (docs/design/0018): its balancers waited for it as for one that restarts.
   void AnAgentThatStopsBesideAnAbsentEndpointHoldsNothing() {
     m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    // One that is about to end gives back what it gets, and resets flows that it has closed.
+    FlowPacket reset = Answer(Flow(1), 0);
+    reset.is_reset = true;
+    m_core.OnEndpointPacket(reset, 0, m_now);
+    FlowPacket bounced = Data(Flow(2), 101);
+    bounced.is_bounced = true;
+    m_core.OnEndpointPacket(bounced, 0, m_now);
+    ExpectReturn(ReturnReason::kNotHeld, Forward(Data(Flow(3), 101)));
     m_core.Stop();
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kAbsent);
   }
@@ -211,7 +222,59 @@
     ExpectReturn(ReturnReason::kNotHeld, Forward(Opening(Flow(1))));
   }
 
+  // Whatever balancers insist on; copies of an opening count once.
+  void AColdEndpointGetsNoMoreThanItBears() {
+    MakeBounded();
+    m_core.Gate().Announce({"a", false, 100, milliseconds(4000), 1}, m_now);
+    m_now += milliseconds(1000);
+    m_core.Gate().Announce({"a", false, 100, milliseconds(3000), 2}, m_now);
+    m_now += milliseconds(1000);
+    m_header.must_accept = true;
+    int delivered = 0;
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+      Forward(Opening(Flow(port)));
+      delivered += Forward(Opening(Flow(port))).verdict == AgentVerdict::kDeliver ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(20, delivered);  // 10 * 1.5 + 5
+    ExpectReturn(ReturnReason::kWarmingUp, Forward(Opening(Flow(60))));
+    m_now += milliseconds(1100);
+    m_core.OnEndpointPacket(OpeningAnswer(Flow(1)), 0, m_now);
+    CPPUNIT_ASSERT(Forward(Opening(Flow(61))).verdict == AgentVerdict::kDeliver);
+  }
+
+  void AWarmEndpointHasNoBound() {
+    MakeBounded();
+    m_core.Gate().Announce({"a", false, 100, milliseconds(0), 1}, m_now);
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+      CPPUNIT_ASSERT(Forward(Opening(Flow(port))).verdict == AgentVerdict::kDeliver);
+    }
+  }
+
+  void AnEndpointTakenBackMayBeCold() {
+    MakeBounded();
+    m_core.Gate().Announce({"a", false, 100, milliseconds(0), 1}, m_now);
+    m_core.TakeEvacuated({1, {"east"}}, m_now);
+    CPPUNIT_ASSERT(!m_core.MayBeCold(m_now));
+    m_core.TakeEvacuated({2, {}}, m_now);
+    CPPUNIT_ASSERT(m_core.MayBeCold(m_now + milliseconds(3000)));
+    CPPUNIT_ASSERT(!m_core.MayBeCold(m_now + milliseconds(3001)));
+    m_core.TakeEvacuated({3, {"west"}}, m_now + milliseconds(4000));
+    m_core.TakeEvacuated({4, {}}, m_now + milliseconds(4100));  // not its own zone
+    CPPUNIT_ASSERT(!m_core.MayBeCold(m_now + milliseconds(4200)));
+  }
+
  private:
+  // An agent that has run for a while, of a service whose cold endpoints bear 10 a second.
+  void MakeBounded() {
+    AgentCoreSettings settings;
+    settings.service = orders_service;
+    settings.zone = "east";
+    settings.warm_up_tolerance = WarmUpTolerance{1.5, 5};
+    m_core = AgentCore(settings);
+    m_core.SetWarmUpRate({10, milliseconds(3000)});
+    m_core.Tick(m_now - milliseconds(2000));
+  }
+
   void Announce() { m_core.Gate().Announce({"a", false, 2, milliseconds(0), 1}, m_now); }
 
   AgentDecision Forward(const FlowPacket& packet) {
--- a/libs/placement/tests/endpoint_gate_test.cpp
+++ b/libs/placement/tests/endpoint_gate_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+
 #include "placement_fixture.h"
 
 namespace gaugevalve::placement {
@@ -35,6 +37,18 @@
   CPPUNIT_TEST(AHealthyProbeAdmitsForALimitedTime);
   CPPUNIT_TEST(ProbesAreSpacedAndOnlyInDoubt);
   CPPUNIT_TEST(WarmUpRunsOut);
+  CPPUNIT_TEST(ALateWordOfACrashedIncarnationIsNotBelieved);
+  CPPUNIT_TEST(ALateDeregistrationOfACrashedIncarnationIsNotBelieved);
+  CPPUNIT_TEST(SeveralLateWordsAtOnceAreNotBelieved);
+  CPPUNIT_TEST(AnIncarnationThatWasFollowedNeverSpeaksAgain);
+  CPPUNIT_TEST(AfterARestartTheLateWordMayComeFirst);
+  CPPUNIT_TEST(AfterARestartTheLateWordMayComeSecond);
+  CPPUNIT_TEST(ALateDrainOfAnOlderOneDoesNotReopenTheGate);
+  CPPUNIT_TEST(ASuccessorTakesOverOnceThePresentOneIsSilent);
+  CPPUNIT_TEST(ASuccessorTakesOverAtOnceWhereThePresentOneDoesNotAnswer);
+  CPPUNIT_TEST(ASuccessorThatLeavesBeforeItIsBelievedClosesTheGate);
+  CPPUNIT_TEST(WhatIsNotKnownMayBeCold);
+  CPPUNIT_TEST(OnesThatAreOverAreRememberedBoundedly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,7 +137,7 @@
     }
     Expect(EndpointStanding::kAdmitting, 100);
     Expect(EndpointStanding::kSilent, 200);
-    m_gate.NoteLife();
+    m_gate.NoteLife(true, At(200));
     Expect(EndpointStanding::kAdmitting, 200);
   }
 
@@ -151,6 +165,133 @@
     CPPUNIT_ASSERT(!m_gate.TakeProbe(At(5000)));
   }
 
+  // Its heartbeat was delayed by a cut; another incarnation stands at the address since.
+  void ALateWordOfACrashedIncarnationIsNotBelieved() {
+    HearTwice("b", 0);
+    for (const std::uint64_t sequence : {1U, 50U}) {
+      const AnnouncementOutcome outcome = m_gate.Announce(Ready("a", sequence), At(100));
+      CPPUNIT_ASSERT(outcome == AnnouncementOutcome::kDoubted);
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+    }
+    m_gate.Announce(Draining("b", 3), At(200));
+    Expect(EndpointStanding::kLeaving, 200);
+  }
+
+  void ALateDeregistrationOfACrashedIncarnationIsNotBelieved() {
+    HearTwice("b", 0);
+    m_gate.Deregister("a", At(100));
+    Expect(EndpointStanding::kAdmitting, 100);
+    CPPUNIT_ASSERT(m_gate.Announce(Ready("a", 9), At(110)) == AnnouncementOutcome::kLate);
+  }
+
+  void SeveralLateWordsAtOnceAreNotBelieved() {
+    HearTwice("b", 0);
+    for (std::uint64_t sequence = 40; sequence < 50; ++sequence) {
+      m_gate.Announce(Ready("a", sequence), At(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+    m_gate.Announce(Ready("b", 3), At(1000));  // it lives
+    m_gate.Announce(Ready("a", 50), At(1400));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+  }
+
+  void AnIncarnationThatWasFollowedNeverSpeaksAgain() {
+    HearTwice("a", 0);
+    m_gate.Announce(Ready("b", 1), At(3000));
+    m_gate.Announce(Ready("b", 2), At(4000));
+    m_gate.Announce(Ready("b", 3), At(5000));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+    CPPUNIT_ASSERT(m_gate.Announce(Ready("a", 99), At(5100)) == AnnouncementOutcome::kLate);
+    CPPUNIT_ASSERT(m_gate.Announce(Draining("a", 100), At(5200)) == AnnouncementOutcome::kLate);
+    m_gate.Deregister("a", At(5300));
+    Expect(EndpointStanding::kAdmitting, 5300);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+  }
+
+  void AfterARestartTheLateWordMayComeFirst() {
+    m_gate.Announce(Ready("a", 70), At(0));  // late
+    m_gate.Announce(Ready("b", 1), At(300));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+    m_gate.Announce(Ready("b", 2), At(1300));
+    m_gate.Announce(Ready("b", 3), At(2300));
+    CPPUNIT_ASSERT(m_gate.Announce(Ready("a", 71), At(2400)) == AnnouncementOutcome::kLate);
+  }
+
+  void AfterARestartTheLateWordMayComeSecond() {
+    m_gate.Announce(Ready("b", 12), At(0));
+    m_gate.Announce(Ready("a", 70), At(100));  // late; neither is certain yet
+    m_gate.Announce(Ready("b", 13), At(1000));
+    m_gate.Announce(Ready("b", 14), At(2000));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+    m_gate.Announce(Ready("b", 15), At(3000));
+    CPPUNIT_ASSERT(m_gate.Announce(Ready("a", 71), At(3100)) == AnnouncementOutcome::kLate);
+    m_gate.Announce(Draining("b", 16), At(3200));
+    Expect(EndpointStanding::kLeaving, 3200);
+  }
+
+  // The gate remembered only the last one that left.
+  void ALateDrainOfAnOlderOneDoesNotReopenTheGate() {
+    HearTwice("b", 0);
+    m_gate.Deregister("b", At(2000));
+    m_gate.Announce(Draining("a", 60), At(2100));
+    m_gate.Announce(Ready("b", 9), At(2200));  // sent before it deregistered
+    Expect(EndpointStanding::kLeaving, 2200);
+  }
+
+  void ASuccessorTakesOverOnceThePresentOneIsSilent() {
+    HearTwice("a", 0);
+    m_gate.Announce(Ready("b", 1), At(1500));
+    m_gate.Announce(Ready("b", 2), At(2500));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), m_gate.Newest().id);
+    Expect(EndpointStanding::kAdmitting, 2500);
+    m_gate.Announce(Ready("b", 3), At(3500));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+  }
+
+  void ASuccessorTakesOverAtOnceWhereThePresentOneDoesNotAnswer() {
+    HearTwice("a", 0);
+    m_gate.NoteProbe(ProbeResult::kRefused, At(1100));
+    m_gate.Announce(Ready("b", 1), At(1500));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().id);
+    Expect(EndpointStanding::kAdmitting, 1500);
+  }
+
+  // The acknowledgement binds.
+  void ASuccessorThatLeavesBeforeItIsBelievedClosesTheGate() {
+    HearTwice("a", 0);
+    m_gate.Announce(Ready("b", 1), At(1500));
+    CPPUNIT_ASSERT(m_gate.Announce(Draining("b", 2), At(1800)) == AnnouncementOutcome::kTaken);
+    Expect(EndpointStanding::kLeaving, 1800);
+    HearTwice("c", 4000);
+    m_gate.Announce(Ready("d", 1), At(5500));
+    m_gate.Deregister("d", At(5600));
+    Expect(EndpointStanding::kLeaving, 5600);
+  }
+
+  void WhatIsNotKnownMayBeCold() {
+    CPPUNIT_ASSERT(m_gate.MayBeCold(At(0)));
+    HearTwice("a", 0);
+    CPPUNIT_ASSERT(!m_gate.MayBeCold(At(1000)));
+    m_gate.Announce(Ready("b", 1), At(1100));  // it may have taken its place
+    CPPUNIT_ASSERT(m_gate.MayBeCold(At(1100)));
+    m_gate.Announce(Ready("a", 3), At(2000));
+    CPPUNIT_ASSERT(!m_gate.MayBeCold(At(2000)));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(2100));
+    m_gate.NoteLife(true, At(2200));  // another process may answer now
+    CPPUNIT_ASSERT(m_gate.MayBeCold(At(2200)));
+    m_gate.Announce({"a", false, 4, milliseconds(500), 4}, At(3000));
+    CPPUNIT_ASSERT(m_gate.MayBeCold(At(3400)));
+    CPPUNIT_ASSERT(!m_gate.MayBeCold(At(3600)));
+  }
+
+  void OnesThatAreOverAreRememberedBoundedly() {
+    for (int number = 0; number < 100; ++number) {
+      m_gate.Deregister("old-" + std::to_string(number), At(number));
+    }
+    CPPUNIT_ASSERT(m_gate.Announce(Ready("old-99", 1), At(200)) == AnnouncementOutcome::kLate);
+    CPPUNIT_ASSERT(m_gate.Announce(Ready("old-50", 1), At(200)) == AnnouncementOutcome::kTaken);
+  }
+
   void WarmUpRunsOut() {
     m_gate.Announce({"a", false, 4, milliseconds(500), 1}, At(0));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{300'000}, std::int64_t{m_gate.WarmUpLeft(At(200)).count()});
@@ -158,6 +299,12 @@
   }
 
  private:
+  // Heard at `at` and a period later.
+  void HearTwice(const std::string& id, std::int64_t at) {
+    m_gate.Announce(Ready(id, 1), At(at));
+    m_gate.Announce(Ready(id, 2), At(at + 1000));
+  }
+
   void Expect(EndpointStanding standing, std::int64_t at) const {
     CPPUNIT_ASSERT_EQUAL(std::string(EndpointStandingName(standing)),
                          std::string(EndpointStandingName(m_gate.Standing(At(at)))));
