--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -155,6 +155,7 @@
     bool is_searching = false;                 // and the holder hasn't been found
     std::uint8_t search_round = 0;             // counts the routes that were made
     std::uint32_t search_order = 0;            // each takes another order
+    unsigned forced = 0;                       // openings that had to be accepted
     std::vector<base::SocketAddress> refused;  // agents that returned it
     std::vector<base::SocketAddress> busy;     // those of them that did so for their load
   };
@@ -168,8 +169,10 @@
   void PassOver(const base::SocketAddress& address, base::TimePoint now);
   KnownAgent* TakeTrial(const FlowRecord& record, base::TimePoint now);
   std::vector<KnownAgent*> Ejected(const FlowRecord& record, base::TimePoint now);
-  BalancerDecision ForwardForGood(KnownAgent& agent, FlowRecord& record, std::uint8_t attempt,
-                                  base::TimePoint now);
+  BalancerDecision ForwardForGood(KnownAgent& agent, const Route& route, FlowRecord& record,
+                                  std::uint8_t attempt, base::TimePoint now);
+  BalancerDecision OnForcedReturn(const FlowPacket& packet, const Route& route, FlowRecord& record,
+                                  const ForwardHeader& header, base::TimePoint now);
   std::vector<KnownAgent*> Candidates(const FlowRecord& record,
                                       const std::vector<base::SocketAddress>& without,
                                       base::TimePoint now);
--- a/libs/placement/include/gaugevalve/placement/forward_header.h
+++ b/libs/placement/include/gaugevalve/placement/forward_header.h
@@ -48,8 +48,12 @@
   bool is_search = false;    ///< the balancer doesn't know the owner: tell it if it is you
   bool has_route = false;    ///< a SearchRoute follows
   bool must_accept = false;  ///< no endpoint is free: take the opening packet in spite of the load
-  std::uint8_t attempt = 0;  ///< how often this packet has been passed on
-  ReturnReason reason = ReturnReason::kNone;
+  /// For must_accept in a kForward: with so many requests at the endpoint the flow would come too
+  /// late, so that the opening is given back all the same; 0 for no limit, at most kLargestLimit.
+  std::uint8_t busy_limit = 0;
+  static constexpr std::uint8_t kLargestLimit = 127;
+  std::uint8_t attempt = 0;                   ///< how often this packet has been passed on
+  ReturnReason reason = ReturnReason::kNone;  ///< of a kReturned
   base::ServiceId service;
   std::uint64_t routes_version = 0;  ///< of the balancer's route table; its lower 56 bits
   std::uint8_t search_round = 0;     ///< of the flow's searches at its balancer, modulo 256
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -80,7 +80,8 @@
   const auto found = m_flows.find(packet.flow);
   const bool is_known = found != m_flows.end() && !found->second.is_not_held;
   const bool is_full = Busy() >= std::max(1U, m_gate.Newest().capacity);
-  if (!is_known && is_full && !header.must_accept) {
+  const bool is_too_full = header.busy_limit > 0 && Busy() >= header.busy_limit;
+  if (!is_known && is_full && (!header.must_accept || is_too_full)) {
     return Return(header, balancer, ReturnReason::kBusy);
   }
   if (!is_known && m_flows.size() >= m_settings.flow_limit) {
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -41,6 +41,8 @@
 // After this many full endpoints, the least loaded by their reports, the others are likely full
 // too.
 constexpr std::size_t kMostBusyTries = 7;
+// Endpoints that an opening is offered to although they are full, one after the other.
+constexpr unsigned kMostForcedTries = 3;
 // The part of openings that try an ejected endpoint, while there is one. Most are given back, which
 // costs them a millisecond or two. Chosen so that an endpoint of a busy service gets a trial within
 // a second or so; no other part was measured.
@@ -67,6 +69,20 @@
   return route.target_latency.count() == 0 || expected < route.target_latency * kWaitPercent / 100;
 }
 
+// The number of requests at an endpoint from which on a new one would come too late; see
+// IsWorthWaiting().
+std::uint8_t BusyLimit(const KnownAgent& agent, const Route& route) {
+  const EndpointLoad& load = agent.report.load;
+  if (route.target_latency.count() == 0 || load.answer_time.count() <= 0) {
+    return 0;
+  }
+  const std::int64_t capacity = std::max(1U, load.capacity);
+  const base::Duration longest = route.target_latency * kWaitPercent / 100 - load.answer_time;
+  const std::int64_t ahead = std::max<std::int64_t>(0, longest * capacity / load.answer_time);
+  return static_cast<std::uint8_t>(
+      std::clamp<std::int64_t>(capacity + ahead, 1, ForwardHeader::kLargestLimit));
+}
+
 }  // namespace
 
 const char* BalancerReasonName(BalancerReason reason) {
@@ -244,14 +260,13 @@
       best = best == nullptr || ExpectedWait(*agent) < ExpectedWait(*best) ? agent : best;
     }
   }
-  record.busy.clear();
   if (best != nullptr && IsWorthWaiting(*best, route)) {
-    return ForwardForGood(*best, record, attempt, now);
+    return ForwardForGood(*best, route, record, attempt, now);
   }
   // An endpoint that fails some requests is better than none.
   KnownAgent* ejected = m_chooser.Choose(Ejected(record, now), now);
   if (ejected != nullptr && IsWorthWaiting(*ejected, route)) {
-    return ForwardForGood(*ejected, record, attempt, now);
+    return ForwardForGood(*ejected, route, record, attempt, now);
   }
   const bool had_any = !record.refused.empty();
   m_flows.erase(packet.flow);
@@ -261,20 +276,34 @@
   return Reset(had_any ? BalancerReason::kAllRefused : BalancerReason::kNoEndpoint, packet);
 }
 
-// Passes an opening to an agent that has to take it: what comes back from it is final.
-BalancerDecision BalancerCore::ForwardForGood(KnownAgent& agent, FlowRecord& record,
-                                              std::uint8_t attempt, base::TimePoint now) {
-  for (const KnownAgent* other : m_agents.OfService(record.service)) {
-    AddOnce(record.refused, other->address);
-  }
+// Passes an opening to an agent that has to take it, unless its queue, which only it knows exactly,
+// has become too long meanwhile.
+BalancerDecision BalancerCore::ForwardForGood(KnownAgent& agent, const Route& route,
+                                              FlowRecord& record, std::uint8_t attempt,
+                                              base::TimePoint now) {
+  ++record.forced;
   record.agent = agent.address;
   agent.placed_since_report += 1;
   AgentDirectory::NoteOpening(agent, now);
   BalancerDecision decision = ForwardTo(record, BalancerReason::kPlaced, attempt);
   decision.header.must_accept = true;
+  decision.header.busy_limit = BusyLimit(agent, route);
   return decision;
 }
 
+// An endpoint whose queue had grown too long is passed over for the next one; any other return of
+// an opening that had to be accepted is final.
+BalancerDecision BalancerCore::OnForcedReturn(const FlowPacket& packet, const Route& route,
+                                              FlowRecord& record, const ForwardHeader& header,
+                                              base::TimePoint now) {
+  if (header.reason == ReturnReason::kBusy && record.forced < kMostForcedTries) {
+    std::erase(record.busy, record.agent);  // it is refused for good now
+    return PlaceBusy(packet, route, record, static_cast<std::uint8_t>(header.attempt + 1), now);
+  }
+  m_flows.erase(packet.flow);
+  return Reset(BalancerReason::kAllRefused, packet);
+}
+
 // The agents whose endpoints fail requests, that were heard lately and haven't refused the flow.
 std::vector<KnownAgent*> BalancerCore::Ejected(const FlowRecord& record, base::TimePoint now) {
   std::vector<KnownAgent*> ejected;
--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -137,6 +137,9 @@
     NoteOpen(record);
   }
   NoteRefusal(record, agent, header);
+  if (packet.is_opening && record.forced > 0) {
+    return OnForcedReturn(packet, *route, record, header, now);
+  }
   if (packet.is_opening) {
     if (header.reason == ReturnReason::kBusy) {
       record.busy.push_back(agent);
--- a/libs/placement/src/forward_header.cpp
+++ b/libs/placement/src/forward_header.cpp
@@ -94,7 +94,8 @@
                                        (header.must_accept ? kMustAcceptFlag : 0) |
                                        (header.has_route ? kRouteFlag : 0));
   bytes[2] = header.attempt;
-  bytes[3] = static_cast<std::uint8_t>(header.reason);
+  bytes[3] = header.kind == MessageKind::kForward ? header.busy_limit
+                                                  : static_cast<std::uint8_t>(header.reason);
   WriteNumber(std::span(bytes), kServiceOffset, header.service.value());
   WriteNumber(std::span(bytes), kVersionOffset, header.routes_version);
   bytes[kRoundOffset] = header.search_round;
@@ -107,12 +108,15 @@
   }
   const std::uint8_t kind = datagram[0];
   const std::uint8_t flags = datagram[1];
-  const std::uint8_t reason = datagram[3];
+  const bool is_forward = kind == static_cast<std::uint8_t>(MessageKind::kForward);
+  const std::uint8_t reason = is_forward ? 0 : datagram[3];
+  const std::uint8_t busy_limit = is_forward ? datagram[3] : 0;
   const bool has_known_kind = kind >= static_cast<std::uint8_t>(MessageKind::kForward) &&
                               kind <= static_cast<std::uint8_t>(MessageKind::kLoad);
   const bool has_known_flags = (flags & ~kKnownFlags) == 0;
   const bool has_known_reason = reason < kReturnReasonCount;
-  if (!has_known_kind || !has_known_flags || !has_known_reason) {
+  const bool has_limit_in_range = busy_limit <= ForwardHeader::kLargestLimit;
+  if (!has_known_kind || !has_known_flags || !has_known_reason || !has_limit_in_range) {
     return std::nullopt;
   }
   ForwardHeader header;
@@ -122,6 +126,7 @@
   header.has_route = (flags & kRouteFlag) != 0;
   header.attempt = datagram[2];
   header.reason = static_cast<ReturnReason>(reason);
+  header.busy_limit = busy_limit;
   header.service = base::ServiceId(ReadNumber<std::uint32_t>(datagram, kServiceOffset));
   header.routes_version = ReadNumber<std::uint64_t>(datagram, kVersionOffset) & kVersionMask;
   header.search_round = datagram[kRoundOffset];
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(AfterALeaveNoOpeningIsDelivered);
   CPPUNIT_TEST(AnotherServicesPacketsAreReturned);
   CPPUNIT_TEST(AFullEndpointReturnsOpeningsUnlessItMustAccept);
+  CPPUNIT_TEST(AnOpeningThatWouldComeTooLateIsReturnedThoughItMustBeAccepted);
   CPPUNIT_TEST(CopiesOfAnOpeningAreDeliveredAlsoWhenFull);
   CPPUNIT_TEST(ABouncedPacketGoesBackToItsBalancer);
   CPPUNIT_TEST(AnUnknownMarkIsDropped);
@@ -92,6 +93,18 @@
     CPPUNIT_ASSERT(Forward(Opening(Flow(3))).verdict == AgentVerdict::kDeliver);
   }
 
+  // The balancer's word of the queue is older than the agent's.
+  void AnOpeningThatWouldComeTooLateIsReturnedThoughItMustBeAccepted() {
+    Announce();
+    m_header.must_accept = true;
+    m_header.busy_limit = 4;
+    for (std::uint16_t port = 1; port <= 4; ++port) {
+      CPPUNIT_ASSERT(Forward(Opening(Flow(port))).verdict == AgentVerdict::kDeliver);
+    }
+    ExpectReturn(ReturnReason::kBusy, Forward(Opening(Flow(5))));
+    CPPUNIT_ASSERT(Forward(Opening(Flow(4))).verdict == AgentVerdict::kDeliver);  // a copy
+  }
+
   void CopiesOfAnOpeningAreDeliveredAlsoWhenFull() {
     Announce();
     Forward(Opening(Flow(1)));
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(AnOpeningThatAllReturnIsResetAtOnce);
   CPPUNIT_TEST(ALateCopyOfAnOpenFlowsOpeningResetsNothing);
   CPPUNIT_TEST(WhereAllAreBusyTheShortestQueueMustAccept);
+  CPPUNIT_TEST(AQueueThatGrewMeanwhileIsLeftForTheNextShortest);
+  CPPUNIT_TEST(OpeningsAreForcedOnFewEndpoints);
   CPPUNIT_TEST(OfManyBusyEndpointsOnlyAFewAreTried);
   CPPUNIT_TEST(WhereAllQueuesAreTooLongItIsResetAtOnce);
   CPPUNIT_TEST(AnUnknownFlowIsOfferedToEachAgentOnce);
@@ -161,6 +163,37 @@
     Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
   }
 
+  void AQueueThatGrewMeanwhileIsLeftForTheNextShortest() {
+    Start();
+    Hear(1, 6);
+    Hear(2, 5);
+    Hear(3, 7);
+    BalancerDecision decision = Send(Opening(Flow(1)));
+    for (int count = 0; count < 3; ++count) {
+      decision = Return(Opening(Flow(1)), decision, ReturnReason::kBusy);
+    }
+    CPPUNIT_ASSERT_EQUAL(Node(2), decision.agent);
+    // 60 % of 250 ms is time for two answers of 50 ms before it, on four slots.
+    CPPUNIT_ASSERT_EQUAL(12, +decision.header.busy_limit);
+    decision = Return(Opening(Flow(1)), decision, ReturnReason::kBusy);
+    CPPUNIT_ASSERT(decision.header.must_accept);
+    CPPUNIT_ASSERT_EQUAL(Node(1), decision.agent);
+  }
+
+  void OpeningsAreForcedOnFewEndpoints() {
+    Start();
+    for (std::uint32_t number = 1; number <= 20; ++number) {
+      Hear(number, 5);
+    }
+    BalancerDecision decision = Send(Opening(Flow(1)));
+    for (int count = 0; count < 9; ++count) {  // seven that are full, then three
+      decision = Return(Opening(Flow(1)), decision, ReturnReason::kBusy);
+      CPPUNIT_ASSERT(decision.verdict == BalancerVerdict::kForward);
+    }
+    decision = Return(Opening(Flow(1)), decision, ReturnReason::kBusy);
+    Expect(BalancerVerdict::kReset, BalancerReason::kAllRefused, decision);
+  }
+
   void OfManyBusyEndpointsOnlyAFewAreTried() {
     Start();
     for (std::uint32_t number = 1; number <= 20; ++number) {
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -250,6 +250,10 @@
     header.routes_version = 0x22334455667788;
     header.search_round = 0x99;
     CPPUNIT_ASSERT(DecodeForwardHeader(EncodeForwardHeader(header)) == header);
+    header.kind = MessageKind::kForward;
+    header.reason = ReturnReason::kNone;
+    header.busy_limit = ForwardHeader::kLargestLimit;
+    CPPUNIT_ASSERT(DecodeForwardHeader(EncodeForwardHeader(header)) == header);
   }
 
   void RoutesAreReadAsWritten() {
