--- a/libs/placement/include/gaugevalve/placement/route_table.h
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -49,7 +49,8 @@
   /// Returns the route of a virtual address, or null.
   const Route* Find(const base::SocketAddress& address) const;
 
-  /// Returns what cold endpoints of a service bear, or nothing where the table doesn't say.
+  /// Returns what cold endpoints of a service bear: no bound where the configuration doesn't say,
+  /// and nothing while none is known.
   std::optional<WarmUpRate> FindWarmUpRate(base::ServiceId service) const;
 };
 
--- a/libs/placement/src/route_table.cpp
+++ b/libs/placement/src/route_table.cpp
@@ -26,8 +26,11 @@
 }
 
 std::optional<WarmUpRate> RouteTable::FindWarmUpRate(base::ServiceId service) const {
+  if (version == 0) {
+    return std::nullopt;
+  }
   const auto found = warm_up_rates.find(service);
-  return found == warm_up_rates.end() ? std::nullopt : std::optional(found->second);
+  return found == warm_up_rates.end() ? WarmUpRate() : found->second;
 }
 
 }  // namespace gaugevalve::placement
