--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -22,7 +22,8 @@
 // used tell of their load four times a second.
 constexpr base::Duration kQuietTime = std::chrono::milliseconds(300);
 // A suspect that answers nothing for this part of the silence limit is no longer taken for the
-// holder of a flow. Half: an agent that is restarted is back within 1.2 s (logs), and each client
+// holder of a flow. Half: restarted agents were back within 0.57 s, by plan, and 0.85 s after total
+// stops (logs, docs/design/0018 and AgentQuestions::kRetryPause), and each client
 // of a flow that has gone waits for it.
 constexpr int kSuspectPart = 2;
 
