--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -91,7 +91,8 @@
         self.wait_for_drain(name)
         flows = self.flows_seen_by(name)
         self.let_traffic_pass(5000)
-        self.assertEqual(flows, self.flows_seen_by(name), "new flows on a drained endpoint")
+        self.assertEqual(flows, self.flows_seen_by(name),
+                         f"new flows on a drained endpoint; tables:\n{self.describe_owners()}")
         self.assert_nothing_broke()
 
     def test_settings_edited(self) -> None:
--- a/proofs/real_processes/scenario.py
+++ b/proofs/real_processes/scenario.py
@@ -112,6 +112,18 @@
 
         polling.wait_until(saw_none, f"no new flow comes to {endpoint}")
 
+    def describe_owners(self) -> str:
+        """Returns each node's revision, table versions and the endpoints that own buckets there."""
+        lines = []
+        for node in [*self.deployment.layout.balancers,
+                     *(endpoint.agent for endpoint in self.deployment.layout.endpoints)]:
+            status = self.deployment.status(node)
+            services = {service["name"]: (service["table_version"],
+                                          [owner.get("endpoint") for owner in service["owners"]])
+                        for service in status["services"]}
+            lines.append(f"{node.name}: {status['settings']['revision_in_force']} {services}")
+        return "\n".join(lines)
+
     def end_load(self, check_ledgers: bool = True) -> dict[str, Any]:
         """Ends the load run and returns its report, having noted it in the table.
 
