--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -4,6 +4,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
 #include "gaugevalve/placement/held_addresses.h"
 #include "gaugevalve/placement/outcome_monitor.h"
 #include "gaugevalve/placement/report_schedule.h"
+#include "gaugevalve/placement/request_class.h"
+#include "gaugevalve/placement/request_queue.h"
 #include "gaugevalve/placement/warm_up_limiter.h"
 
 namespace gaugevalve::placement {
@@ -32,6 +35,8 @@
   std::size_t balancer_limit = 2'048;
   /// Whether an endpoint that resets requests is passed over for a while; see OutcomeMonitor.
   bool ejects_failing = true;
+  /// Whether requests on open flows wait here while the endpoint is full, the more urgent first.
+  bool queues_requests = false;
   /// No flow is older.
   base::Duration flow_lifetime = std::chrono::seconds(60);
   /// Whether the endpoint held no flow when the agent started.
@@ -40,12 +45,35 @@
   std::optional<WarmUpTolerance> warm_up_tolerance{};
 };
 
-enum class AgentVerdict : std::uint8_t { kDeliver, kReturn, kPassOn, kToClient, kDrop };
+enum class AgentVerdict : std::uint8_t {
+  kDeliver,
+  kReturn,
+  kPassOn,
+  kToClient,
+  kQueue,  ///< keep the packet until AgentCore::TakeReleased() names its flow
+  kDrop
+};
+
+/// Flows that no longer wait.
+struct QueueRelease {
+  std::vector<FlowKey> passed;  ///< their packets go to the endpoint now, in this order
+  /// Their callers have given up, or more urgent ones took their place: drop the packets. Nothing
+  /// of them has reached the endpoint.
+  std::vector<FlowKey> dropped;
+};
+
+/// What became of requests on open flows.
+struct QueueCounters {
+  std::uint64_t queued = 0;
+  std::uint64_t given_up = 0;       ///< their callers had, while they waited
+  std::uint64_t without_place = 0;  ///< dropped from a full queue; their callers send them again
+};
 
 /// What to do with one packet.
 struct AgentDecision {
   AgentVerdict verdict = AgentVerdict::kDrop;
-  std::uint32_t mark = 0;        ///< for kDeliver: the endpoint gives it back if it doesn't take it
+  std::uint32_t mark =
+      0;  ///< for kDeliver and kQueue: the endpoint gives it back if it doesn't take it
   base::SocketAddress balancer;  ///< for kReturn
   ForwardHeader header;          ///< for kReturn and kPassOn
   base::SocketAddress next;      ///< for kPassOn: the next agent of the search
@@ -87,6 +115,17 @@
   /// back.
   bool MayBeCold(base::TimePoint now) const;
 
+  /// Takes what the priorities of the service's requests mean. Until then none waits.
+  void SetClasses(const RequestClassTable& classes) { m_queue.SetClasses(classes); }
+
+  /// Returns the flows whose requests may go on now. Call after each batch of packets, and in each
+  /// period of Tick().
+  QueueRelease TakeReleased(base::TimePoint now);
+
+  /// Returns how many requests wait here, by priority.
+  const PriorityCounts& Queued() const { return m_queue.Counts(); }
+  const QueueCounters& QueueTotals() const { return m_queue_counters; }
+
   bool IsEvacuated() const { return m_evacuated.Has(m_settings.zone); }
 
   /// From now on the agent takes no new flow: its process ends. Its endpoint, if it said that it
@@ -112,7 +151,12 @@
   OutcomeMonitor& Outcomes();
 
  private:
-  enum class FlowState : std::uint8_t { kOpening, kIdle, kWaiting };
+  enum class FlowState : std::uint8_t {
+    kOpening,
+    kIdle,
+    kWaiting,  // for the endpoint's answer
+    kQueued,   // the request hasn't gone to the endpoint yet
+  };
 
   struct FlowRecord {
     FlowState state = FlowState::kIdle;
@@ -120,6 +164,11 @@
     base::TimePoint last_packet{};
     std::uint32_t client_end = 0;  // the client's data is known up to here
     bool has_client_end = false;
+    std::uint32_t request_begin = 0;  // of the request under way
+    std::uint32_t queued_end = 0;     // the client's data up to here waits
+    bool is_held = false;             // the endpoint was seen to hold the flow
+    bool is_large = false;            // the request under way takes long to arrive
+    bool is_stuck = false;            // its answer is overdue by far
     bool client_closed = false;
     bool endpoint_closed = false;
     std::optional<base::SocketAddress> searcher;
@@ -143,7 +192,26 @@
   void NoteOutcome(const FlowRecord& record, const FlowPacket& packet, base::TimePoint now);
   bool IsIdle(const FlowRecord& record, base::TimePoint now) const;
   void NoteHeldAddresses(base::TimePoint now);
-  std::uint32_t Busy() const { return m_waiting + m_opening; }
+  std::uint32_t Busy() const {
+    return m_waiting + m_opening + static_cast<std::uint32_t>(m_queue.Size());
+  }
+  std::uint32_t BusyFor(std::uint8_t priority) const;
+  bool MustWait(const FlowRecord& record, const FlowPacket& packet,
+                const ForwardHeader& header) const;
+  AgentDecision Enqueue(FlowRecord& record, const FlowPacket& packet, const ForwardHeader& header,
+                        const base::SocketAddress& balancer, base::TimePoint now);
+  std::uint32_t AtEndpoint() const;
+  bool HasRoom() const;
+  std::uint32_t Slots() const { return std::max(1U, m_gate.Newest().capacity); }
+  bool PassesAll(base::TimePoint now) const;
+  void Release(const FlowKey& flow, base::TimePoint now);
+  void Abandon(const FlowKey& flow, base::TimePoint now);
+  void NoteRequestSize(FlowRecord& record);
+  void NoteStuck(FlowRecord& record, base::TimePoint now);
+  // Whether byte number `left` comes after `right`, around the end of the number range.
+  static bool IsAfterByte(std::uint32_t left, std::uint32_t right) {
+    return static_cast<std::int32_t>(left - right) > 0;
+  }
 
   AgentCoreSettings m_settings;
   EndpointGate m_gate;
@@ -157,7 +225,13 @@
   ReportSchedule m_reports;
   OutcomeMonitor m_outcomes;
   std::string m_monitored;  // the incarnation that they are of
-  std::uint32_t m_waiting = 0;
+  RequestQueue m_queue;
+  std::vector<FlowKey> m_displaced;  // more urgent ones took their places
+  QueueCounters m_queue_counters;
+  std::string m_queued_for;     // the incarnation that the waiting requests are for
+  std::uint32_t m_waiting = 0;  // for answers
+  std::uint32_t m_large = 0;    // of them
+  std::uint32_t m_stuck = 0;    // of them, and not large
   std::uint32_t m_opening = 0;
   std::uint32_t m_open_flows = 0;  // as of the last sweep
   double m_busy_average = 0;
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -13,6 +13,7 @@
 #include "gaugevalve/placement/endpoint_gate.h"
 #include "gaugevalve/placement/evacuated_zones.h"
 #include "gaugevalve/placement/held_addresses.h"
+#include "gaugevalve/placement/request_class.h"
 
 namespace gaugevalve::placement {
 
@@ -20,6 +21,7 @@
 struct EndpointLoad {
   std::uint32_t capacity = 1;      ///< requests at a time
   std::uint32_t busy = 0;          ///< requests without an answer yet, and openings under way
+  PriorityCounts queued{};         ///< those of them that wait at the agent, by priority
   double busy_average = 0;         ///< of the last second or so
   std::uint32_t open_flows = 0;    ///< as far as the agent knows
   base::Duration answer_time{0};   ///< average from a request to its answer's first byte
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -147,7 +147,8 @@
     base::ServiceId service;
     base::TimePoint last_packet{};
     std::uint32_t opening_sequence = 0;
-    std::uint32_t data_sequence = 0;  // of the last packet with data; a copy has the same
+    std::uint8_t priority = kDefaultPriority;  // of its requests
+    std::uint32_t data_sequence = 0;           // of the last packet with data; a copy has the same
     bool has_data = false;
     bool is_open = false;       // a packet beyond the opening one has come from the client
     bool is_confirmed = false;  // the agent's endpoint was seen to hold the flow
--- a/libs/placement/include/gaugevalve/placement/forward_header.h
+++ b/libs/placement/include/gaugevalve/placement/forward_header.h
@@ -12,6 +12,7 @@
 
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
+#include "gaugevalve/placement/request_class.h"
 
 namespace gaugevalve::placement {
 
@@ -55,8 +56,9 @@
   std::uint8_t attempt = 0;                   ///< how often this packet has been passed on
   ReturnReason reason = ReturnReason::kNone;  ///< of a kReturned
   base::ServiceId service;
-  std::uint64_t routes_version = 0;  ///< of the balancer's route table; its lower 56 bits
-  std::uint8_t search_round = 0;     ///< of the flow's searches at its balancer, modulo 256
+  std::uint64_t routes_version = 0;          ///< of the balancer's route table; its lower 56 bits
+  std::uint8_t priority = kDefaultPriority;  ///< of a kForward's requests; see RequestClass
+  std::uint8_t search_round = 0;             ///< of the flow's searches at its balancer, modulo 256
 
   friend bool operator==(const ForwardHeader&, const ForwardHeader&) = default;
 };
--- a/libs/placement/include/gaugevalve/placement/load_notice.h
+++ b/libs/placement/include/gaugevalve/placement/load_notice.h
@@ -15,11 +15,13 @@
 /// The part of an agent's report that changes all the time. It speaks for a report of the same life
 /// that the receiver has; alone it says nothing.
 struct LoadNotice {
-  static constexpr std::size_t kSize = 22;  ///< bytes
+  static constexpr std::size_t kSize = 30;       ///< bytes
+  static constexpr std::size_t kOlderSize = 22;  ///< of releases without `queued`
 
   base::Incarnation life;      ///< of the agent; its lower 32 bits are sent
   std::uint64_t sequence = 0;  ///< counts with the reports; its lower 32 bits are sent
   std::uint32_t busy = 0;
+  PriorityCounts queued{};  ///< each up to 255
   double busy_average = 0;
   std::uint32_t open_flows = 0;
   base::Duration answer_time{0};
--- a/libs/placement/include/gaugevalve/placement/node_message.h
+++ b/libs/placement/include/gaugevalve/placement/node_message.h
@@ -35,6 +35,7 @@
   std::optional<base::Duration> store_age;
   EvacuatedZones evacuated;           ///< as far as the sender knows
   std::optional<WarmUpRate> warm_up;  ///< of the service of the agent written to
+  std::vector<RequestClass> classes;  ///< likewise; empty where none is known
   std::optional<AgentReport> memory;  ///< of the endpoint beside the agent written to
   base::Duration memory_age{0};
 };
--- a/libs/placement/include/gaugevalve/placement/route_table.h
+++ b/libs/placement/include/gaugevalve/placement/route_table.h
@@ -12,6 +12,7 @@
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/placement/request_class.h"
 #include "gaugevalve/placement/warm_up_limiter.h"
 
 namespace gaugevalve::placement {
@@ -28,7 +29,7 @@
 struct Route {
   base::SocketAddress address;
   std::vector<WeightedService> services;  ///< at least one
-  base::Duration target_latency{0};       ///< of one request; 0 when not given
+  RequestClass request_class;             ///< of what comes on its flows
 
   /// Returns the service for a new flow: the same one for the same `hash`, shares by weight.
   base::ServiceId Choose(std::uint64_t hash) const;
@@ -46,6 +47,12 @@
   absl::flat_hash_map<base::ServiceId, WarmUpRate>
       warm_up_rates;  ///< of services that say what their cold endpoints bear
 
+  absl::flat_hash_map<base::ServiceId, std::vector<RequestClass>>
+      classes;  ///< of the routes to each service, each once; see NoteClasses()
+
+  /// Fills `classes` from the routes. Call when all are there.
+  void NoteClasses();
+
   /// Returns the route of a virtual address, or null.
   const Route* Find(const base::SocketAddress& address) const;
 
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -28,11 +28,6 @@
 constexpr unsigned kAttemptBits = 8;
 constexpr std::uint32_t kAttemptMask = (1U << kAttemptBits) - 1;
 
-// Whether byte number `left` comes after `right`, around the end of the number range.
-bool IsAfter(std::uint32_t left, std::uint32_t right) {
-  return static_cast<std::int32_t>(left - right) > 0;
-}
-
 }  // namespace
 
 AgentCore::AgentCore(AgentCoreSettings settings)
@@ -62,6 +57,9 @@
       record.route = header.has_route ? route : SearchRoute();
       record.search_round = header.search_round;
     }
+    if (MustWait(record, packet, header)) {
+      return Enqueue(record, packet, header, balancer, now);
+    }
     NoteClientPacket(record, packet, now);
   }
   AgentDecision decision;
@@ -82,8 +80,9 @@
   }
   const auto found = m_flows.find(packet.flow);
   const bool is_known = found != m_flows.end() && !found->second.is_not_held;
-  const bool is_full = Busy() >= std::max(1U, m_gate.Newest().capacity);
-  const bool is_too_full = header.busy_limit > 0 && Busy() >= header.busy_limit;
+  const std::uint32_t busy = BusyFor(header.priority);
+  const bool is_full = busy >= std::max(1U, m_gate.Newest().capacity);
+  const bool is_too_full = header.busy_limit > 0 && busy >= header.busy_limit;
   if (!is_known && is_full && (!header.must_accept || is_too_full)) {
     return Return(header, balancer, ReturnReason::kBusy);
   }
@@ -215,19 +214,22 @@
   record.last_packet = now;
   record.client_closed = record.client_closed || packet.is_closing || packet.is_reset;
   if (packet.is_reset) {
+    m_queue.Remove(packet.flow);
     SetState(record, FlowState::kIdle, now);
     return;
   }
   const std::uint32_t end = packet.sequence + packet.data_size;
-  const bool is_new = !record.has_client_end || IsAfter(end, record.client_end);
+  const bool is_new = !record.has_client_end || IsAfterByte(end, record.client_end);
   if (packet.data_size == 0 || !is_new) {
     return;
   }
-  record.client_end = end;
-  record.has_client_end = true;
   if (record.state != FlowState::kWaiting) {
+    record.request_begin = record.has_client_end ? record.client_end : packet.sequence;
     SetState(record, FlowState::kWaiting, now);
   }
+  record.client_end = end;
+  record.has_client_end = true;
+  NoteRequestSize(record);
 }
 
 OutcomeMonitor& AgentCore::Outcomes() {
@@ -261,6 +263,7 @@
   NoteOutcome(record, packet, now);
   record.last_packet = now;
   record.is_not_held = false;
+  record.is_held = true;
   record.endpoint_closed = record.endpoint_closed || packet.is_closing || packet.is_reset;
   const bool is_answer = packet.data_size > 0 || packet.is_closing;
   if (record.state != FlowState::kWaiting || !is_answer) {
@@ -278,6 +281,10 @@
 void AgentCore::SetState(FlowRecord& record, FlowState state, base::TimePoint now) {
   m_waiting -= record.state == FlowState::kWaiting ? 1 : 0;
   m_opening -= record.state == FlowState::kOpening ? 1 : 0;
+  m_large -= record.is_large ? 1 : 0;
+  m_stuck -= record.is_stuck ? 1 : 0;
+  record.is_large = false;
+  record.is_stuck = false;
   record.state = state;
   record.since = now;
   m_waiting += state == FlowState::kWaiting ? 1 : 0;
@@ -287,6 +294,7 @@
 void AgentCore::Forget(const FlowKey& flow) {
   const auto found = m_flows.find(flow);
   if (found != m_flows.end()) {
+    m_queue.Remove(flow);
     SetState(found->second, FlowState::kIdle, {});
     m_flows.erase(found);
   }
@@ -328,6 +336,7 @@
   report.announcement = m_gate.Newest().sequence;
   report.load.capacity = std::max(1U, m_gate.Newest().capacity);
   report.load.busy = Busy();
+  report.load.queued = m_queue.Counts();
   report.load.busy_average = m_busy_average;
   report.load.open_flows = m_open_flows;
   report.load.answer_time = m_answer_time;
@@ -374,10 +383,12 @@
     if (is_stuck_opening || is_stuck_waiting) {
       SetState(record, FlowState::kIdle, now);
     }
+    NoteStuck(record, now);
   }
   absl::erase_if(m_flows, [&](auto& entry) {
     const bool is_idle = IsIdle(entry.second, now);
     if (is_idle) {
+      m_queue.Remove(entry.first);
       SetState(entry.second, FlowState::kIdle, now);
     }
     return is_idle;
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -73,6 +73,7 @@
   agent->report.load.warm_up_left =
       std::max(base::Duration(0), agent->report.load.warm_up_left - (now - agent->heard_at));
   agent->report.load.busy = notice.busy;
+  agent->report.load.queued = notice.queued;
   agent->report.load.busy_average = notice.busy_average;
   agent->report.load.open_flows = notice.open_flows;
   agent->report.load.answer_time = notice.answer_time;
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -55,10 +55,11 @@
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
-// How long a new request would wait at an endpoint all of whose slots are in use.
-base::Duration ExpectedWait(const KnownAgent& agent) {
+// How long a new request of the priority would wait at an endpoint all of whose slots are in use.
+base::Duration ExpectedWait(const KnownAgent& agent, std::uint8_t priority) {
   const EndpointLoad& load = agent.report.load;
-  const std::uint32_t busy = load.busy + agent.placed_since_report;
+  const std::uint32_t behind = std::min(load.busy, CountBehind(load.queued, priority));
+  const std::uint32_t busy = load.busy - behind + agent.placed_since_report;
   const std::uint32_t capacity = std::max(1U, load.capacity);
   const std::uint32_t ahead = busy < capacity ? 0 : busy - capacity + 1;
   return load.answer_time * ahead / capacity;
@@ -66,19 +67,22 @@
 
 // Whether a new request on the route is likely to be answered in time at a full endpoint.
 bool IsWorthWaiting(const KnownAgent& agent, const Route& route) {
-  const base::Duration expected = ExpectedWait(agent) + agent.report.load.answer_time;
-  return route.target_latency.count() == 0 || expected < route.target_latency * kWaitPercent / 100;
+  const base::Duration expected =
+      ExpectedWait(agent, route.request_class.priority) + agent.report.load.answer_time;
+  const base::Duration target = route.request_class.target_latency;
+  return target.count() == 0 || expected < target * kWaitPercent / 100;
 }
 
 // The number of requests at an endpoint from which on a new one would come too late; see
 // IsWorthWaiting().
 std::uint8_t BusyLimit(const KnownAgent& agent, const Route& route) {
   const EndpointLoad& load = agent.report.load;
-  if (route.target_latency.count() == 0 || load.answer_time.count() <= 0) {
+  const base::Duration target = route.request_class.target_latency;
+  if (target.count() == 0 || load.answer_time.count() <= 0) {
     return 0;
   }
   const std::int64_t capacity = std::max(1U, load.capacity);
-  const base::Duration longest = route.target_latency * kWaitPercent / 100 - load.answer_time;
+  const base::Duration longest = target * kWaitPercent / 100 - load.answer_time;
   const std::int64_t ahead = std::max<std::int64_t>(0, longest * capacity / load.answer_time);
   return static_cast<std::uint8_t>(
       std::clamp<std::int64_t>(capacity + ahead, 1, ForwardHeader::kLargestLimit));
@@ -180,6 +184,7 @@
     record.last_packet = now;
     record.opening_sequence = packet.sequence;
   }
+  record.priority = route->request_class.priority;
   const KnownAgent* agent = m_agents.Find(record.agent);
   const bool is_copy = agent != nullptr && agent->report.service == record.service;
   const bool is_alive = is_copy && IsResponsive(*agent, now) && TakesNewFlows(*agent);
@@ -258,7 +263,10 @@
   KnownAgent* best = nullptr;
   if (!record.busy.empty()) {
     for (KnownAgent* agent : Candidates(record, unable, now)) {
-      best = best == nullptr || ExpectedWait(*agent) < ExpectedWait(*best) ? agent : best;
+      const std::uint8_t priority = route.request_class.priority;
+      const bool is_better =
+          best == nullptr || ExpectedWait(*agent, priority) < ExpectedWait(*best, priority);
+      best = is_better ? agent : best;
     }
   }
   if (best != nullptr && IsWorthWaiting(*best, route)) {
@@ -341,6 +349,7 @@
   }
   FlowRecord& record = *Remember(packet.flow);
   record.last_packet = now;
+  record.priority = route->request_class.priority;
   NoteOpen(record);
   NoteData(packet, record, now);
   if (is_known && IsSearchLost(record, now)) {
@@ -477,6 +486,7 @@
   decision.header.kind = MessageKind::kForward;
   decision.header.is_search = record.is_open && !record.is_confirmed;
   decision.header.attempt = attempt;
+  decision.header.priority = record.priority;
   decision.header.service = record.service;
   decision.header.routes_version = m_routes.version;
   decision.header.search_round = record.search_round;
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -255,6 +255,10 @@
   greeting.balancers = Sample(m_balancers.Alive(now), kBalancersForAgent, m_random);
   greeting.agents = Sample(ListAgents(), kAgentsForAgent, m_random);
   greeting.warm_up = m_core.Routes().FindWarmUpRate(agent.report.service);
+  const auto classes = m_core.Routes().classes.find(agent.report.service);
+  if (classes != m_core.Routes().classes.end()) {
+    greeting.classes = classes->second;
+  }
   const auto path = m_core.Routes().health_check_paths.find(agent.report.service);
   if (path != m_core.Routes().health_check_paths.end()) {
     greeting.health_check_path = path->second;
--- a/libs/placement/src/forward_header.cpp
+++ b/libs/placement/src/forward_header.cpp
@@ -13,7 +13,11 @@
 constexpr std::uint8_t kSearchFlag = 1;
 constexpr std::uint8_t kMustAcceptFlag = 2;
 constexpr std::uint8_t kRouteFlag = 4;
-constexpr std::uint8_t kKnownFlags = kSearchFlag | kMustAcceptFlag | kRouteFlag;
+// Three bits with the priority's distance from the default, so that a header without it, as earlier
+// releases write, has the default.
+constexpr unsigned kPriorityShift = 3;
+constexpr std::uint8_t kPriorityMask = (kPriorityCount - 1) << kPriorityShift;
+constexpr std::uint8_t kKnownFlags = kSearchFlag | kMustAcceptFlag | kRouteFlag | kPriorityMask;
 constexpr std::size_t kServiceOffset = 4;
 constexpr std::size_t kVersionOffset = 8;
 constexpr std::size_t kRoundOffset = 15;  // the version's highest byte
@@ -33,6 +37,15 @@
   return address;
 }
 
+std::uint8_t PriorityBits(std::uint8_t priority) {
+  return static_cast<std::uint8_t>(((priority ^ kDefaultPriority) << kPriorityShift) &
+                                   kPriorityMask);
+}
+
+std::uint8_t PriorityOf(std::uint8_t flags) {
+  return static_cast<std::uint8_t>(((flags & kPriorityMask) >> kPriorityShift) ^ kDefaultPriority);
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> EncodeSearch(const ForwardHeader& header, const SearchRoute& route) {
@@ -90,9 +103,9 @@
 std::array<std::uint8_t, ForwardHeader::kSize> EncodeForwardHeader(const ForwardHeader& header) {
   std::array<std::uint8_t, ForwardHeader::kSize> bytes{};
   bytes[0] = static_cast<std::uint8_t>(header.kind);
-  bytes[1] = static_cast<std::uint8_t>((header.is_search ? kSearchFlag : 0) |
-                                       (header.must_accept ? kMustAcceptFlag : 0) |
-                                       (header.has_route ? kRouteFlag : 0));
+  bytes[1] = static_cast<std::uint8_t>(
+      (header.is_search ? kSearchFlag : 0) | (header.must_accept ? kMustAcceptFlag : 0) |
+      (header.has_route ? kRouteFlag : 0) | PriorityBits(header.priority));
   bytes[2] = header.attempt;
   bytes[3] = header.kind == MessageKind::kForward ? header.busy_limit
                                                   : static_cast<std::uint8_t>(header.reason);
@@ -124,6 +137,7 @@
   header.is_search = (flags & kSearchFlag) != 0;
   header.must_accept = (flags & kMustAcceptFlag) != 0;
   header.has_route = (flags & kRouteFlag) != 0;
+  header.priority = PriorityOf(flags);
   header.attempt = datagram[2];
   header.reason = static_cast<ReturnReason>(reason);
   header.busy_limit = busy_limit;
--- a/libs/placement/src/load_notice.cpp
+++ b/libs/placement/src/load_notice.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kAnswerOffset = 10;
 constexpr std::size_t kSequenceOffset = 14;
 constexpr std::size_t kLifeOffset = 18;
+constexpr std::size_t kQueuedOffset = 22;
 constexpr double kAverageUnit = 16;  // parts of a request
 
 template <class Number>
@@ -42,6 +43,7 @@
   return {report.life,
           report.sequence,
           report.load.busy,
+          report.load.queued,
           report.load.busy_average,
           report.load.open_flows,
           report.load.answer_time};
@@ -59,11 +61,17 @@
   WriteNumber(datagram, kAnswerOffset, static_cast<std::uint32_t>(answer));
   WriteNumber(datagram, kSequenceOffset, static_cast<std::uint32_t>(notice.sequence));
   WriteNumber(datagram, kLifeOffset, static_cast<std::uint32_t>(notice.life.value()));
+  constexpr std::uint32_t kLargest = std::numeric_limits<std::uint8_t>::max();
+  for (std::size_t priority = 0; priority < kPriorityCount; ++priority) {
+    bytes[kQueuedOffset + priority] =
+        static_cast<std::uint8_t>(std::min(notice.queued[priority], kLargest));
+  }
   return bytes;
 }
 
 std::optional<LoadNotice> DecodeLoadNotice(std::span<const std::uint8_t> datagram) {
-  const bool is_notice = datagram.size() == LoadNotice::kSize &&
+  const bool has_queued = datagram.size() == LoadNotice::kSize;
+  const bool is_notice = (has_queued || datagram.size() == LoadNotice::kOlderSize) &&
                          datagram[0] == static_cast<std::uint8_t>(MessageKind::kLoad);
   if (!is_notice) {
     return std::nullopt;
@@ -75,6 +83,9 @@
   notice.answer_time = base::Duration(ReadNumber<std::uint32_t>(datagram, kAnswerOffset));
   notice.sequence = ReadNumber<std::uint32_t>(datagram, kSequenceOffset);
   notice.life = base::Incarnation(ReadNumber<std::uint32_t>(datagram, kLifeOffset));
+  for (std::size_t priority = 0; has_queued && priority < kPriorityCount; ++priority) {
+    notice.queued[priority] = datagram[kQueuedOffset + priority];
+  }
   return notice;
 }
 
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -107,6 +107,9 @@
     Fill(report.evacuated, *message.mutable_evacuated());
   }
   Fill(report.held, message);
+  for (const std::uint32_t count : report.load.queued) {
+    message.add_queued(count);
+  }
   for (const ListedAgent& agent : report.fellows) {
     Fill(agent, *message.add_fellows());
   }
@@ -140,6 +143,11 @@
   report.agent_count = std::min(message.agent_count(), kMostAgents);
   report.evacuated = ReadEvacuated(message.evacuated());
   report.held = ReadHeld(message);
+  const auto queued =
+      std::min<std::size_t>(static_cast<std::size_t>(message.queued_size()), kPriorityCount);
+  for (std::size_t priority = 0; priority < queued; ++priority) {
+    report.load.queued[priority] = message.queued(static_cast<int>(priority));
+  }
   for (const proto::KnownNode& node : message.fellows()) {
     report.fellows.push_back(ReadListed(node, port));
   }
@@ -176,6 +184,21 @@
         static_cast<float>(greeting.warm_up->openings_per_second));
     message.mutable_warm_up()->set_duration_ms(ToMilliseconds(greeting.warm_up->duration));
   }
+  for (const RequestClass& item : greeting.classes) {
+    proto::RequestClass& part = *message.add_classes();
+    part.set_priority(item.priority);
+    part.set_target_latency_ms(ToMilliseconds(item.target_latency));
+    part.set_time_limit_ms(ToMilliseconds(item.time_limit));
+  }
+}
+
+RequestClass ReadClass(const proto::RequestClass& message) {
+  RequestClass read;
+  read.priority =
+      static_cast<std::uint8_t>(std::min<std::size_t>(message.priority(), kPriorityCount - 1));
+  read.target_latency = FromMilliseconds(message.target_latency_ms());
+  read.time_limit = FromMilliseconds(message.time_limit_ms());
+  return read;
 }
 
 BalancerGreeting ReadGreeting(const proto::BalancerGreeting& message, std::uint16_t port) {
@@ -208,6 +231,9 @@
     greeting.warm_up = WarmUpRate{message.warm_up().openings_per_second(),
                                   FromMilliseconds(message.warm_up().duration_ms())};
   }
+  for (const proto::RequestClass& item : message.classes()) {
+    greeting.classes.push_back(ReadClass(item));
+  }
   return greeting;
 }
 
--- a/libs/placement/src/route_table.cpp
+++ b/libs/placement/src/route_table.cpp
@@ -1,6 +1,15 @@
 #include "gaugevalve/placement/route_table.h"
 
+#include <algorithm>
+
 namespace gaugevalve::placement {
+namespace {
+
+// Different classes of one service that agents are told; there are only so many priorities, and
+// routes of one priority seldom differ.
+constexpr std::size_t kMostClasses = 16;
+
+}  // namespace
 
 base::ServiceId Route::Choose(std::uint64_t hash) const {
   std::uint64_t total = 0;
@@ -20,6 +29,20 @@
   return services.back().service;
 }
 
+void RouteTable::NoteClasses() {
+  classes.clear();
+  for (const auto& [address, route] : routes) {
+    for (const WeightedService& part : route.services) {
+      std::vector<RequestClass>& known = classes[part.service];
+      const bool is_known =
+          std::find(known.begin(), known.end(), route.request_class) != known.end();
+      if (!is_known && known.size() < kMostClasses) {
+        known.push_back(route.request_class);
+      }
+    }
+  }
+}
+
 const Route* RouteTable::Find(const base::SocketAddress& address) const {
   const auto found = routes.find(address);
   return found == routes.end() ? nullptr : &found->second;
--- a/libs/placement/tests/placement_fixture.h
+++ b/libs/placement/tests/placement_fixture.h
@@ -68,7 +68,7 @@
   Route route;
   route.address = virtual_address;
   route.services = {{orders_service, 1}};
-  route.target_latency = std::chrono::milliseconds(250);
+  route.request_class.target_latency = std::chrono::milliseconds(250);
   table.routes[virtual_address] = route;
   return table;
 }
