--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -12,6 +12,7 @@
 
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/agent_report.h"
+#include "gaugevalve/placement/dead_flows.h"
 #include "gaugevalve/placement/endpoint_gate.h"
 #include "gaugevalve/placement/evacuated_zones.h"
 #include "gaugevalve/placement/flow_packet.h"
@@ -122,6 +123,14 @@
   /// period of Tick().
   QueueRelease TakeReleased(base::TimePoint now);
 
+  /// Nothing listens at the endpoint's address: the flows that it held are dead. Those whose
+  /// clients' acknowledgements were seen are given out by DeadOnes().
+  /// @return  how many
+  std::size_t NoteEndpointGone(base::TimePoint now);
+
+  /// The flows that are to be reset towards their clients.
+  DeadFlows& DeadOnes() { return m_dead; }
+
   /// Returns how many requests wait here, by priority.
   const PriorityCounts& Queued() const { return m_queue.Counts(); }
   const QueueCounters& QueueTotals() const { return m_queue_counters; }
@@ -164,6 +173,8 @@
     base::TimePoint last_packet{};
     std::uint32_t client_end = 0;  // the client's data is known up to here
     bool has_client_end = false;
+    std::uint32_t acknowledged = 0;  // by the client, last
+    bool has_acknowledged = false;
     std::uint32_t request_begin = 0;  // of the request under way
     std::uint32_t queued_end = 0;     // the client's data up to here waits
     bool is_held = false;             // the endpoint was seen to hold the flow
@@ -225,6 +236,7 @@
   ReportSchedule m_reports;
   OutcomeMonitor m_outcomes;
   std::string m_monitored;  // the incarnation that they are of
+  DeadFlows m_dead;
   RequestQueue m_queue;
   std::vector<FlowKey> m_displaced;  // more urgent ones took their places
   QueueCounters m_queue_counters;
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -15,6 +15,7 @@
 #include "gaugevalve/placement/agent_directory.h"
 #include "gaugevalve/placement/agent_discovery.h"
 #include "gaugevalve/placement/agent_questions.h"
+#include "gaugevalve/placement/dead_flows.h"
 #include "gaugevalve/placement/endpoint_chooser.h"
 #include "gaugevalve/placement/evacuated_zones.h"
 #include "gaugevalve/placement/flow_packet.h"
@@ -123,6 +124,10 @@
   /// learns anew before it takes anything for certain.
   void Tick(base::TimePoint now);
 
+  /// The flows whose agents were given up, together with their machines as far as this balancer can
+  /// tell, and whose clients are silent: they are to be reset.
+  DeadFlows& DeadOnes() { return m_dead; }
+
   /// Returns whether the process has just started or woken from a pause: what it receives may have
   /// waited in its sockets for as long as it stood still.
   bool HasJustWoken(base::TimePoint now);
@@ -148,6 +153,8 @@
     base::TimePoint last_packet{};
     std::uint32_t opening_sequence = 0;
     std::uint8_t priority = kDefaultPriority;  // of its requests
+    std::uint32_t acknowledged = 0;            // by the client, last
+    base::TimePoint data_at{};                 // when the client last sent data
     std::uint32_t data_sequence = 0;           // of the last packet with data; a copy has the same
     bool has_data = false;
     bool is_open = false;       // a packet beyond the opening one has come from the client
@@ -197,6 +204,8 @@
   void Suspect(const KnownAgent& agent, base::TimePoint since, base::TimePoint now);
   void SuspectRoute(const FlowRecord& record, base::TimePoint now);
   void NoteData(const FlowPacket& packet, FlowRecord& record, base::TimePoint now);
+  void NoteDeadFlows(base::TimePoint now);
+  bool IsDead(const FlowKey& flow, const FlowRecord& record, base::TimePoint now);
   bool IsResponsive(const KnownAgent& agent, base::TimePoint now) const;
   bool TakesNewFlows(const KnownAgent& agent) const;
   bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
@@ -218,6 +227,7 @@
   // Services that ever stood behind an address: open flows stay where they are.
   absl::flat_hash_map<base::SocketAddress, std::vector<base::ServiceId>> m_past_services;
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
+  DeadFlows m_dead;
   FlowRecord m_overflow;         // stands in for a record when there is no room
   base::TimePoint m_started_at;  // or woken from a pause
   base::TimePoint m_swept_at;
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -213,6 +213,10 @@
                                  base::TimePoint now) {
   record.last_packet = now;
   record.client_closed = record.client_closed || packet.is_closing || packet.is_reset;
+  if (packet.is_acknowledging) {
+    record.acknowledged = packet.acknowledged;
+    record.has_acknowledged = true;
+  }
   if (packet.is_reset) {
     m_queue.Remove(packet.flow);
     SetState(record, FlowState::kIdle, now);
@@ -355,6 +359,26 @@
   return now - record.last_packet > (is_closed ? kClosedLimit : kIdleLimit);
 }
 
+std::size_t AgentCore::NoteEndpointGone(base::TimePoint now) {
+  std::size_t count = 0;
+  absl::erase_if(m_flows, [&](auto& entry) {
+    FlowRecord& record = entry.second;
+    const bool is_open =
+        record.is_held && !record.is_not_held && !record.client_closed && !record.endpoint_closed;
+    // A flow that is just being opened may be one of the endpoint's successor.
+    const bool is_dead = is_open && record.has_acknowledged &&
+                         now - record.last_packet > kOpeningTime &&
+                         m_dead.Add({entry.first, record.acknowledged});
+    if (is_dead) {
+      m_queue.Remove(entry.first);
+      SetState(record, FlowState::kIdle, now);
+      ++count;
+    }
+    return is_dead;
+  });
+  return count;
+}
+
 void AgentCore::NoteHeldAddresses(base::TimePoint now) {
   absl::flat_hash_set<base::SocketAddress> addresses;
   for (const auto& [flow, record] : m_flows) {
--- a/libs/placement/src/agent_requests.cpp
+++ b/libs/placement/src/agent_requests.cpp
@@ -45,6 +45,8 @@
                                  const ForwardHeader& header, const base::SocketAddress& balancer,
                                  base::TimePoint now) {
   record.last_packet = now;
+  record.acknowledged = packet.acknowledged;
+  record.has_acknowledged = packet.is_acknowledging;
   const std::optional<FlowKey> without_place = m_queue.Add(packet.flow, header.priority, now);
   m_queue_counters.without_place += without_place ? 1 : 0;
   if (without_place == packet.flow) {
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -413,9 +413,11 @@
 
 // A client that sends the same data again got no answer: its flow's agent may have gone.
 void BalancerCore::NoteData(const FlowPacket& packet, FlowRecord& record, base::TimePoint now) {
+  record.acknowledged = packet.acknowledged;
   if (packet.data_size == 0) {
     return;
   }
+  record.data_at = now;
   const bool is_copy = record.has_data && record.data_sequence == packet.sequence;
   record.has_data = true;
   record.data_sequence = packet.sequence;
@@ -425,6 +427,30 @@
   }
 }
 
+// Whether the flow's agent has gone with its endpoint, and the client waits for nothing.
+bool BalancerCore::IsDead(const FlowKey& flow, const FlowRecord& record, base::TimePoint now) {
+  const Route* route = m_routes.Find(flow.destination);
+  if (route == nullptr || !record.is_open || record.is_searching || !IsGivenUp(record, now)) {
+    return false;
+  }
+  const base::Duration patience =
+      std::max<base::Duration>(route->request_class.time_limit, m_settings.silence_limit / 2);
+  return now - record.data_at > patience;
+}
+
+// Flows whose clients are silent are reset once their agent is given up, as those are whose clients
+// send: what is sent on them later would be lost. An agent that is only cut off may be given up as
+// well, and then its idle flows are opened anew elsewhere; answers under way are waited for.
+void BalancerCore::NoteDeadFlows(base::TimePoint now) {
+  if (IsLearning(now)) {
+    return;
+  }
+  absl::erase_if(m_flows, [&](const auto& entry) {
+    return IsDead(entry.first, entry.second, now) &&
+           m_dead.Add({entry.first, entry.second.acknowledged});
+  });
+}
+
 std::vector<base::SocketAddress> BalancerCore::TakeSuspects(base::TimePoint now) {
   std::vector<base::SocketAddress> suspects = m_suspects.TakeDue(now);
   suspects.insert(suspects.end(), m_new_suspects.begin(), m_new_suspects.end());
@@ -518,6 +544,7 @@
   m_swept_at = now;
   const base::Duration idle = std::min(m_settings.flow_memory, m_routes.idle_timeout + kIdleSlack);
   absl::erase_if(m_flows, [&](const auto& entry) { return now - entry.second.last_packet > idle; });
+  NoteDeadFlows(now);
   m_agents.ForgetSilent(m_settings.flow_memory, now);
   const auto is_gone = [this](const base::SocketAddress& agent) {
     return m_agents.Find(agent) == nullptr;
