--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -93,7 +93,7 @@
   /// Returns whether what is known of the agent still holds, as far as its reports can tell.
   bool IsFresh(const KnownAgent& agent, base::TimePoint now) const;
 
-  /// Returns all agents, for listings.
+  /// Returns all agents in the order of their addresses, for listings.
   std::vector<const KnownAgent*> All() const;
   bool IsEmpty() const { return m_agents.empty(); }
   std::size_t Size() const { return m_agents.size(); }
--- a/libs/placement/include/gaugevalve/placement/balancer_list.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_list.h
@@ -2,8 +2,7 @@
 /// The balancers that a node knows, with the time each was last heard of by anybody.
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
-
+#include <map>
 #include <span>
 #include <vector>
 
@@ -51,7 +50,8 @@
   base::SocketAddress m_self;
   base::Duration m_alive_for;
   std::vector<base::SocketAddress> m_seeds;
-  absl::flat_hash_map<base::SocketAddress, base::TimePoint> m_heard_at;
+  // In order: draws from the list are the same for the same random numbers.
+  std::map<base::SocketAddress, base::TimePoint> m_heard_at;
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -189,6 +189,9 @@
   for (const auto& [address, agent] : m_agents) {
     agents.push_back(&agent);
   }
+  std::sort(agents.begin(), agents.end(), [](const KnownAgent* left, const KnownAgent* right) {
+    return left->address < right->address;
+  });
   return agents;
 }
 
--- a/libs/placement/src/balancer_list.cpp
+++ b/libs/placement/src/balancer_list.cpp
@@ -58,7 +58,7 @@
 }
 
 void BalancerList::ForgetSilent(base::Duration silence, base::TimePoint now) {
-  absl::erase_if(m_heard_at, [&](const auto& entry) { return now - entry.second > silence; });
+  std::erase_if(m_heard_at, [&](const auto& entry) { return now - entry.second > silence; });
 }
 
 }  // namespace gaugevalve::placement
