--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -18,6 +18,7 @@
         self.layout = nodes.make_layout(spec)
         self._programs = programs
         self._directory = directory
+        self.used_ports_file = directory / "used_ports"  # of the load's runs, for those that follow
         self.fabric = self._make_fabric()
         self.store = self._make_store()
         self.backends = {endpoint.name: self._make_backend(endpoint)
--- a/scripts/local/load.py
+++ b/scripts/local/load.py
@@ -47,7 +47,8 @@
              f"--request_interval={settings.request_interval_milliseconds}ms",
              f"--mode={'http3' if layout.spec.has_http3() else 'datagram'}",
              f"--silence={settings.silence_seconds}s", f"--seed={settings.seed}",
-             f"--drawing_share={settings.drawing_share}", f"--output={settings.output}"])
+             f"--drawing_share={settings.drawing_share}", f"--output={settings.output}",
+             f"--used_ports={deployment.used_ports_file}"])
 
     def is_running(self) -> bool:
         """Tells whether the run goes on."""
--- a/tools/load/src/datagram_run.cpp
+++ b/tools/load/src/datagram_run.cpp
@@ -54,7 +54,8 @@
       random_(settings.seed),
       received_(kDatagramsPerTurn),
       tick_(loop, [this] { OnTick(); }),
-      ended_ports_(kPortQuarantine) {
+      ended_ports_(kPortQuarantine),
+      used_ports_(settings.used_ports) {
   for (const standins::NamedAddress& target : settings_.services) {
     services_.push_back(std::make_unique<Service>(Service{target, &report_.services[target.name]}));
   }
@@ -111,6 +112,7 @@
   if (!socket) {
     return;
   }
+  used_ports_.insert(socket->LocalAddress().port);
   const std::uint64_t number = (settings_.seed << kSeedShift) + ++flows_opened_;
   const double mean_lifetime = static_cast<double>(settings_.mean_flow_lifetime.count());
   const base::Duration lifetime(static_cast<std::int64_t>(random_.NextExponential(mean_lifetime)));
@@ -127,7 +129,8 @@
   std::vector<tasks::UdpSocket> refused;  // kept open meanwhile, so that others are offered
   while (refused.size() < kMaxPortOffers) {
     tasks::UdpSocket socket = tasks::UdpSocket::Connect(target);
-    if (!ended_ports_.Holds(socket.LocalAddress().port, now)) {
+    const std::uint16_t port = socket.LocalAddress().port;
+    if (!ended_ports_.Holds(port, now) && !settings_.used_ports.contains(port)) {
       return socket;
     }
     refused.push_back(std::move(socket));
--- a/tools/load/src/datagram_run.h
+++ b/tools/load/src/datagram_run.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
   FlowTiming timing;
   std::size_t payload_bytes = 0;
   std::uint64_t seed = 1;
+  std::set<std::uint16_t> used_ports{};  // source ports of earlier runs: no flow has one of them
 };
 
 // Opens flows at the set rate, each on a socket and a source port of its own, which no other flow
@@ -47,6 +49,9 @@
   // Ends the run early, as when the duration is over.
   void EndSoon();
 
+  // Returns the source ports of earlier runs and of this one's flows.
+  const std::set<std::uint16_t>& UsedPorts() const { return used_ports_; }
+
  private:
   struct OpenFlow;
   struct Service;
@@ -76,6 +81,7 @@
   std::vector<std::unique_ptr<Service>> services_;
   std::vector<std::unique_ptr<OpenFlow>> flows_;
   PortQuarantine ended_ports_;
+  std::set<std::uint16_t> used_ports_;
 };
 
 }  // namespace gaugevalve::load
--- a/tools/load/src/main.cpp
+++ b/tools/load/src/main.cpp
@@ -15,6 +15,7 @@
 #include "gaugevalve/standins/command_line.h"
 #include "gaugevalve/tasks/task.h"
 #include "http3_run.h"
+#include "used_ports.h"
 
 ABSL_FLAG(
     std::string, mode, "datagram",
@@ -38,6 +39,11 @@
 ABSL_FLAG(std::uint64_t, payload_bytes, 100, "size of a request, bytes, at most 1400");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the lifetimes; also the upper half of flow numbers");
 ABSL_FLAG(double, drawing_share, 0.2, "share of requests that fetch a drawing; mode http3 only");
+ABSL_FLAG(
+    std::string, used_ports, "",
+    "file with the source ports of earlier runs against the same deployment, to which this "
+    "run's are added: no flow gets one of them, as agents may still hold the flow that had it. "
+    "Datagram mode only");
 ABSL_FLAG(std::string, output, "text", "form of the report on standard output: text or json");
 
 namespace gaugevalve::load {
@@ -137,6 +143,7 @@
     findings.push_back({{"--payload_bytes", 0, 0, ""}, "must be at most 1400"});
   }
   settings.seed = report.seed;
+  settings.used_ports = ReadUsedPorts(absl::GetFlag(FLAGS_used_ports));
   ThrowIfAny(findings);
   timing.attempts = static_cast<std::uint32_t>(std::max<std::int64_t>(
       1, (common.silence + timing.retry_after - base::Duration(1)) / timing.retry_after));
@@ -162,6 +169,15 @@
   return settings;
 }
 
+// Tells later runs which ports are taken.
+void KeepUsedPorts(const DatagramRun& run) {
+  if (!absl::GetFlag(FLAGS_used_ports).empty()) {
+    WriteUsedPorts(absl::GetFlag(FLAGS_used_ports), run.UsedPorts());
+  }
+}
+
+void KeepUsedPorts(const Http3Run& /*run*/) {}  // its connections have identifiers of their own
+
 // Runs until the load has ended, prints the report and returns the exit status.
 template <class LoadRun, class Settings, class Report>
 int RunLoad(const Settings& settings, Report& report) {
@@ -172,6 +188,7 @@
   const auto on_interrupt = tasks::Watch::Signal(loop.get(), SIGINT, end_soon);
   run.Start();
   event_base_dispatch(loop.get());
+  KeepUsedPorts(run);
   if (absl::GetFlag(FLAGS_output) == "json") {
     std::cout << report.ToJson().dump() << "\n";
   } else {
--- a/tools/load/tests/datagram_run_test.cpp
+++ b/tools/load/tests/datagram_run_test.cpp
@@ -59,10 +59,26 @@
 class DatagramRunTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DatagramRunTest);
   CPPUNIT_TEST(NoTwoFlowsHaveTheSamePort);
+  CPPUNIT_TEST(NoFlowHasAPortOfAnEarlierRun);
   CPPUNIT_TEST_SUITE_END();
 
   // Of 1,500 short flows on the system's choice of 28,000 ports some 40 would share one.
   void NoTwoFlowsHaveTheSamePort() {
+    Run({});
+    ExpectOneFlowAPort();
+  }
+
+  // An agent goes on with the flow that it knows under a port: a later run's flow there would reach
+  // its endpoint, also a drained one.
+  void NoFlowHasAPortOfAnEarlierRun() {
+    const std::set<std::uint16_t> used = Run({});
+    const std::set<std::uint16_t> all = Run(used);
+    CPPUNIT_ASSERT_EQUAL(m_flows_opened, static_cast<std::uint64_t>(all.size()));
+    ExpectOneFlowAPort();
+  }
+
+  // Runs a load until the echo has seen enough of its flows; returns all ports used by then.
+  std::set<std::uint16_t> Run(const std::set<std::uint16_t>& used_ports) {
     const tasks::LoopPointer loop = tasks::MakeLoop();
     DatagramRun* run_to_end = nullptr;
     Echo echo(loop.get(), [&] { run_to_end->EndSoon(); });
@@ -75,6 +91,8 @@
     settings.timing.request_interval = std::chrono::milliseconds(1);
     settings.timing.retry_after = std::chrono::seconds(5);
     settings.timing.attempts = 10;
+    settings.seed = ++m_seed;
+    settings.used_ports = used_ports;
     RunReport report;
     report.services["stock"] = {};
     DatagramRun run(loop.get(), settings, report);
@@ -84,10 +102,22 @@
     const ServiceReport& service = report.services["stock"];
     CPPUNIT_ASSERT(service.flows_opened >= kFlows);
     CPPUNIT_ASSERT_EQUAL(service.flows_opened, service.flows_finished);
+    m_flows_opened += service.flows_opened;
     for (const auto& [port, flows] : echo.FlowsByPort()) {
+      m_flows[port].insert(flows.begin(), flows.end());
+    }
+    return run.UsedPorts();
+  }
+
+  void ExpectOneFlowAPort() const {
+    for (const auto& [port, flows] : m_flows) {
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, flows.size());
     }
   }
+
+  std::uint64_t m_seed = 0;
+  std::uint64_t m_flows_opened = 0;
+  std::map<std::uint16_t, std::set<std::uint64_t>> m_flows;  // by source port, of all runs
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DatagramRunTest);
