--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -21,6 +21,7 @@
 struct KnownAgent {
   base::SocketAddress address;
   AgentReport report;
+  std::uint32_t zone = 0;           ///< ZoneHash() of its zone, also before its first report
   base::Incarnation previous_life;  ///< of the agent; what still comes from it is late
   base::TimePoint heard_at{};
   base::TimePoint reported_at{};          ///< its last whole report, which names the endpoint
@@ -61,7 +62,7 @@
 
   /// Notes an agent that somebody else has heard: it isn't fresh until it reports, but may hold
   /// flows. Known agents are left as they are.
-  void NoteListed(const base::SocketAddress& address, base::ServiceId service, base::TimePoint now);
+  void NoteListed(const ListedAgent& listed, base::TimePoint now);
 
   /// Notes that an opening packet was passed to the agent: it is to be heard soon.
   static void NoteOpening(KnownAgent& agent, base::TimePoint now);
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gaugevalve/base/identifiers.h"
@@ -33,8 +34,12 @@
 struct ListedAgent {
   base::SocketAddress address;
   base::ServiceId service;
+  std::uint32_t zone = 0;  ///< ZoneHash() of its zone; 0 where it isn't known
 };
 
+/// Returns what stands for a zone among nodes: the same on each of them.
+std::uint32_t ZoneHash(std::string_view zone);
+
 struct AgentReport {
   base::Incarnation life;      ///< of the agent's process; any number of its own, without order
   std::uint64_t sequence = 0;  ///< rises with each report of this life
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -2,7 +2,14 @@
 
 #include <algorithm>
 
+#include "gaugevalve/base/hash.h"
+
 namespace gaugevalve::placement {
+
+std::uint32_t ZoneHash(std::string_view zone) {
+  return static_cast<std::uint32_t>(base::HashText(zone));
+}
+
 namespace {
 
 // How much of the share of openings is forgotten with each report of the agent.
@@ -21,6 +28,7 @@
     agent.memory->fellows.clear();
     agent.memory_at = now;
   }
+  agent.zone = ZoneHash(report.zone);
   agent.report = report;
   agent.report.fellows.clear();  // they are listed on their own
   agent.heard_at = now;
@@ -85,14 +93,14 @@
   return true;
 }
 
-void AgentDirectory::NoteListed(const base::SocketAddress& address, base::ServiceId service,
-                                base::TimePoint now) {
-  if (m_agents.size() >= m_limit || m_agents.contains(address)) {
+void AgentDirectory::NoteListed(const ListedAgent& listed, base::TimePoint now) {
+  if (m_agents.size() >= m_limit || m_agents.contains(listed.address)) {
     return;
   }
-  KnownAgent& agent = m_agents[address];
-  agent.address = address;
-  agent.report.service = service;
+  KnownAgent& agent = m_agents[listed.address];
+  agent.address = listed.address;
+  agent.zone = listed.zone;
+  agent.report.service = listed.service;
   agent.heard_at = now;
   agent.is_only_listed = true;
 }
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -5,6 +5,7 @@
 
 #include "balancer_decision.h"
 #include "gaugevalve/placement/flow_hash.h"
+#include "gaugevalve/placement/flow_preference.h"
 
 namespace gaugevalve::placement {
 namespace {
@@ -200,7 +201,8 @@
   if (record.service == base::ServiceId()) {
     record.service = route.Choose(FlowHash(packet.flow));
   }
-  const std::vector<KnownAgent*> untried = Candidates(record, record.refused, now);
+  const std::vector<KnownAgent*> untried =
+      FirstForFlow(FlowHash(packet.flow), Candidates(record, record.refused, now));
   KnownAgent* chosen =
       record.busy.size() < kMostBusyTries ? m_chooser.Choose(untried, now) : nullptr;
   if (chosen == nullptr) {
@@ -493,7 +495,7 @@
   if (known != nullptr && !known->is_only_listed) {
     return false;
   }
-  m_agents.NoteListed(agent.address, agent.service, now);
+  m_agents.NoteListed(agent, now);
   return m_discovery.TakeNamed(agent.address, now);
 }
 
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -23,7 +23,7 @@
 // What a round's greeting lists of each kind.
 constexpr std::size_t kSampleSize = 8;
 // What each datagram of a whole listing holds; it stays below 1,400 bytes.
-constexpr std::size_t kListingSize = 50;
+constexpr std::size_t kListingSize = 45;
 // A balancer that has just started asks this many peers for everything they know.
 constexpr unsigned kListingsAsked = 4;
 // Agents that are kept in the store for balancers that know none: 4 KB. Each of them knows others.
@@ -289,7 +289,7 @@
   std::vector<ListedAgent> listed;
   for (const KnownAgent* agent : m_core.Agents().All()) {
     if (AgentDirectory::IsPresent(*agent)) {
-      listed.push_back({agent->address, agent->report.service});
+      listed.push_back({agent->address, agent->report.service, agent->zone});
     }
   }
   return listed;
--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -1,11 +1,13 @@
 // BalancerCore's search for the agent whose endpoint holds a flow that the balancer doesn't
 // remember.
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "balancer_decision.h"
 #include "gaugevalve/placement/balancer_core.h"
 #include "gaugevalve/placement/flow_hash.h"
+#include "gaugevalve/placement/flow_preference.h"
 
 namespace gaugevalve::placement {
 namespace {
@@ -72,43 +74,53 @@
   return HoldersOfOtherServices(route, now).size() > kMostUncertain;
 }
 
-// Orders agents for a search, each flow and attempt in its own order: after a search that got lost
-// those that were heard since it began come first, as any of the others may be where it ended. Then
-// come those of other services, and last those that seem to be gone.
+// Orders agents for a search. Those that the flow prefers come first, the own zone's before others,
+// and even those of them that were only named: the flow is most likely there. Among the others come
+// those of other services late, and last those that seem to be gone. After a search that got lost
+// those that were heard since it began come first, as any of the others may be where it ended, and
+// each such search takes another order.
 void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const Route& route,
                                   const FlowPacket& packet, const FlowRecord& record,
                                   base::TimePoint now) const {
   enum Rank : std::uint8_t { kHeardSince, kUsual, kOtherService, kSilent };
-  struct Ranked {
+  struct Place {
+    bool is_later_tier;
     Rank rank;
+    std::size_t tier;
+    bool is_far;
     std::uint64_t hash;
     KnownAgent* agent;
   };
-  const std::uint64_t flow_hash = base::HashPair(FlowHash(packet.flow), record.search_order);
+  const std::uint32_t own_zone = ZoneHash(m_settings.zone);
   const std::span<const base::ServiceId> services = ServicesOf(route);
-  std::vector<Ranked> ranked;
-  ranked.reserve(agents.size());
-  for (KnownAgent* agent : agents) {
-    const Rank usual = agent->heard_at > record.searched_at ? kHeardSince : kUsual;
-    const bool is_of_route = Contains(services, agent->report.service);
-    const Rank rank = is_of_route ? usual : kOtherService;
-    ranked.push_back({IsResponsive(*agent, now) ? rank : kSilent,
-                      base::HashPair(flow_hash, AddressHash(agent->address)), agent});
-  }
-  std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
-    return std::pair(left.rank, left.hash) < std::pair(right.rank, right.hash);
+  std::vector<Place> places;
+  places.reserve(agents.size());
+  for (const RankedAgent& ranked : RankForFlow(FlowHash(packet.flow), agents)) {
+    KnownAgent& agent = *ranked.agent;
+    const Rank usual = agent.heard_at > record.searched_at ? kHeardSince : kUsual;
+    const bool is_of_route = Contains(services, agent.report.service);
+    const Rank rank = !IsResponsive(agent, now) ? kSilent : is_of_route ? usual : kOtherService;
+    places.push_back({ranked.tier > 0 || !is_of_route, rank, ranked.tier, agent.zone != own_zone,
+                      base::HashPair(ranked.hash, record.search_order), &agent});
+  }
+  std::sort(places.begin(), places.end(), [](const Place& left, const Place& right) {
+    const auto key = [](const Place& place) {
+      return std::tie(place.is_later_tier, place.rank, place.tier, place.is_far, place.hash);
+    };
+    return key(left) < key(right);
   });
-  std::transform(ranked.begin(), ranked.end(), agents.begin(),
-                 [](const Ranked& entry) { return entry.agent; });
+  std::transform(places.begin(), places.end(), agents.begin(),
+                 [](const Place& place) { return place.agent; });
 }
 
 BalancerDecision BalancerCore::Search(const FlowPacket& packet, const Route& route,
                                       FlowRecord& record, std::uint8_t attempt,
                                       base::TimePoint now) {
   std::vector<KnownAgent*> order = PossibleHolders(route, now);
+  OrderForSearch(order, route, packet, record, now);
+  // Afterwards: an agent's place is among all, whoever was asked before.
   std::erase_if(order,
                 [&](const KnownAgent* agent) { return Contains(record.refused, agent->address); });
-  OrderForSearch(order, route, packet, record, now);
   if (order.empty()) {
     return OnAllRefused(packet, route, record, now);
   }
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -38,10 +38,12 @@
 void Fill(const ListedAgent& agent, proto::KnownNode& node) {
   node.set_address(ToNumber(agent.address));
   node.set_service(agent.service.value());
+  node.set_zone(agent.zone);
 }
 
 ListedAgent ReadListed(const proto::KnownNode& node, std::uint16_t port) {
-  return {base::SocketAddress::Ipv4(node.address(), port), base::ServiceId(node.service())};
+  return {base::SocketAddress::Ipv4(node.address(), port), base::ServiceId(node.service()),
+          node.zone()};
 }
 
 void Fill(const EvacuatedZones& evacuated, proto::EvacuatedZones& message) {
--- a/libs/placement/tests/balancer_core_test.cpp
+++ b/libs/placement/tests/balancer_core_test.cpp
@@ -321,7 +321,7 @@
   void AnAgentNotHeardYetMayHoldTheFlow() {
     Start();
     HearThree();
-    m_core->Agents().NoteListed(Node(9), orders_service, m_now);
+    m_core->Agents().NoteListed({Node(9), orders_service}, m_now);
     BalancerDecision decision = Send(Data(Flow(1), 101));
     for (int count = 0; count < 3; ++count) {
       CPPUNIT_ASSERT(decision.agent != Node(9));
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -85,7 +85,7 @@
   }
 
   void AListedAgentIsNotFresh() {
-    m_agents.NoteListed(Node(1), testing::orders_service, At(0));
+    m_agents.NoteListed({Node(1), testing::orders_service}, At(0));
     CPPUNIT_ASSERT(!m_agents.IsFresh(*m_agents.Find(Node(1)), At(0)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_agents.OfService(testing::orders_service).size());
     CPPUNIT_ASSERT(m_agents.Take(Node(1), Report(1), At(1)) == ReportOutcome::kNew);
@@ -121,7 +121,7 @@
 
   void ANoticeThatIsLateOrOfAnotherLifeSaysNothing() {
     CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(1), MakeLoadNotice(Report(6, 3)), At(0)));
-    m_agents.NoteListed(Node(2), testing::orders_service, At(0));
+    m_agents.NoteListed({Node(2), testing::orders_service}, At(0));
     CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(2), MakeLoadNotice(Report(6, 3)), At(0)));
     m_agents.Take(Node(1), Report(6), At(0));
     CPPUNIT_ASSERT(!m_agents.TakeLoad(Node(1), MakeLoadNotice(Report(6, 3)), At(0)));
