--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -139,8 +139,8 @@
   base::TimePoint m_successor_at{};    // first heard, with no word of the present one since
   base::TimePoint m_first_heard_at{};  // of the present one
   base::TimePoint m_heard_at{};
-  unsigned m_unanswered = 0;
-  base::TimePoint m_unanswered_since{};
+  std::optional<base::TimePoint>
+      m_unanswered_since;  // the first opening with no sign of life since
   bool m_is_absent = false;
   bool m_is_refused = false;  // by the last probe, and not heard since
   bool m_was_away = false;    // it didn't answer since it was last heard, and does now
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -5,9 +5,11 @@
 namespace gaugevalve::placement {
 namespace {
 
-// An endpoint that leaves this many opening packets in a row without any sign of life for this long
-// gets no more until it speaks again.
-constexpr unsigned kUnansweredLimit = 4;
+// An endpoint that leaves an opening packet without any sign of life for this long gets no more
+// until it speaks again. It is beside the agent and answers an opening within a millisecond, or
+// gives it back; clients send a copy after 200 ms, which then goes elsewhere. One packet is enough:
+// in a large fleet an agent sees one in two seconds, and each that is needed more costs a client
+// its time.
 constexpr base::Duration kUnansweredTime = std::chrono::milliseconds(150);
 // Announcements may be seconds late; an endpoint is given up after this many missed ones.
 constexpr int kMissedLimit = 6;
@@ -158,7 +160,7 @@
   m_is_first_hand = true;
   m_is_leaving = announcement.is_draining;
   m_heard_at = now;
-  m_unanswered = 0;
+  m_unanswered_since.reset();
   m_is_absent = false;
   m_is_refused = false;
   m_was_away = false;
@@ -224,25 +226,24 @@
   m_is_refused = m_is_absent || (m_is_refused && result == ProbeResult::kNoAnswer);
   if (result == ProbeResult::kHealthy) {
     m_healthy_at = now;
-    m_unanswered = 0;
+    m_unanswered_since.reset();
   }
 }
 
 void EndpointGate::NoteLife(bool holds_flow, base::TimePoint now) {
   m_was_away = m_was_away || m_is_absent || IsUnresponsive(now);
-  m_unanswered = 0;
+  m_unanswered_since.reset();
   m_is_absent = m_is_absent && !holds_flow;
 }
 
 void EndpointGate::NoteOpening(base::TimePoint now) {
-  if (m_unanswered == 0) {
+  if (!m_unanswered_since) {
     m_unanswered_since = now;
   }
-  ++m_unanswered;
 }
 
 bool EndpointGate::IsUnresponsive(base::TimePoint now) const {
-  return m_unanswered >= kUnansweredLimit && now - m_unanswered_since > kUnansweredTime;
+  return m_unanswered_since && now - *m_unanswered_since > kUnansweredTime;
 }
 
 EndpointStanding EndpointGate::Standing(base::TimePoint now) const {
--- a/libs/placement/tests/endpoint_gate_test.cpp
+++ b/libs/placement/tests/endpoint_gate_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(ASingleAnnouncementIsBelievedForALimitedTime);
   CPPUNIT_TEST(MissedAnnouncementsMakeItSilent);
   CPPUNIT_TEST(UnansweredOpeningsMakeItSilent);
+  CPPUNIT_TEST(OneUnansweredOpeningMakesItSilent);
   CPPUNIT_TEST(ARefusedProbeMakesItAbsentUntilItSpeaks);
   CPPUNIT_TEST(AHealthyProbeAdmitsForALimitedTime);
   CPPUNIT_TEST(ProbesAreSpacedAndOnlyInDoubt);
@@ -141,6 +142,18 @@
     Expect(EndpointStanding::kAdmitting, 200);
   }
 
+  // In a large fleet openings come seconds apart, and each of them is a client's.
+  void OneUnansweredOpeningMakesItSilent() {
+    m_gate.Announce(Ready("a", 1), At(0));
+    m_gate.Announce(Ready("a", 2), At(0));
+    m_gate.NoteOpening(At(1000));
+    Expect(EndpointStanding::kAdmitting, 1150);
+    Expect(EndpointStanding::kSilent, 1151);
+    CPPUNIT_ASSERT(m_gate.TakeProbe(At(1151)));  // a health check shows it well again, too
+    m_gate.NoteProbe(ProbeResult::kHealthy, At(1160));
+    Expect(EndpointStanding::kAdmitting, 1160);
+  }
+
   void ARefusedProbeMakesItAbsentUntilItSpeaks() {
     m_gate.NoteProbe(ProbeResult::kRefused, At(0));
     Expect(EndpointStanding::kAbsent, 5000);
