--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -219,6 +219,7 @@
   bool RecallHolder(const FlowKey& flow, FlowRecord& record, base::TimePoint now);
   bool IsDead(const FlowKey& flow, const FlowRecord& record, base::TimePoint now);
   bool IsResponsive(const KnownAgent& agent, base::TimePoint now) const;
+  static bool IsOpeningLost(const KnownAgent& agent, const FlowRecord& record, base::TimePoint now);
   bool TakesNewFlows(const KnownAgent& agent) const;
   bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
   static void NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -53,6 +53,9 @@
 // agent counts over a second, so that much of a second's part is free again by then; chosen, not
 // measured against other pauses.
 constexpr base::Duration kWarmUpPause = std::chrono::milliseconds(100);
+// Copies that come later than this after an opening are its client's, which waited 200 ms for an
+// answer; others were doubled on their way.
+constexpr base::Duration kCopyTime = std::chrono::milliseconds(150);
 // Past services that are remembered for an address.
 constexpr std::size_t kPastServiceLimit = 8;
 
@@ -188,13 +191,26 @@
   record.priority = route->request_class.priority;
   const KnownAgent* agent = m_agents.Find(record.agent);
   const bool is_copy = agent != nullptr && agent->report.service == record.service;
-  const bool is_alive = is_copy && IsResponsive(*agent, now) && TakesNewFlows(*agent);
+  const bool is_lost = is_copy && IsOpeningLost(*agent, record, now);
+  const bool is_alive = is_copy && !is_lost && IsResponsive(*agent, now) && TakesNewFlows(*agent);
   if (is_copy && (record.is_open || is_alive)) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
+  if (is_lost) {
+    AddOnce(record.refused, record.agent);
+  }
   return Place(packet, *route, record, 0, now);
 }
 
+// Whether the agent that got the opening seems to have gone: its client sends a copy since nobody
+// answered, and the agent hasn't been heard since either. Should the endpoint have taken the
+// opening after all, the client goes on with whoever answers first, which a search finds.
+bool BalancerCore::IsOpeningLost(const KnownAgent& agent, const FlowRecord& record,
+                                 base::TimePoint now) {
+  const bool is_unheard = agent.unanswered_since && *agent.unanswered_since <= record.held_since;
+  return is_unheard && record.forced == 0 && now - record.held_since >= kCopyTime;
+}
+
 BalancerDecision BalancerCore::Place(const FlowPacket& packet, const Route& route,
                                      FlowRecord& record, std::uint8_t attempt,
                                      base::TimePoint now) {
