--- a/libs/placement/tests/flow_preference_test.cpp
+++ b/libs/placement/tests/flow_preference_test.cpp
@@ -181,6 +181,7 @@
 
   static std::vector<KnownAgent*> PointersTo(std::vector<KnownAgent>& agents) {
     std::vector<KnownAgent*> pointers;
+    pointers.reserve(agents.size());
     for (KnownAgent& agent : agents) {
       pointers.push_back(&agent);
     }
