--- a/libs/placement/include/gaugevalve/placement/agent_questions.h
+++ b/libs/placement/include/gaugevalve/placement/agent_questions.h
@@ -6,9 +6,9 @@
 
 #include <cstddef>
 #include <functional>
-#include <optional>
 #include <vector>
 
+#include "gaugevalve/base/rate_budget.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 
@@ -57,14 +57,14 @@
     bool is_given_up = false;
   };
 
-  bool TakeBudget(base::TimePoint now);
   static void NoteAsked(Question& question, base::TimePoint now);
 
   unsigned m_most_questions;
   std::size_t m_given_up = 0;
   absl::flat_hash_map<base::SocketAddress, Question> m_questions;  // of agents not heard
-  std::optional<base::TimePoint> m_budget_at;                      // when the present period began
-  std::size_t m_budget = 0;                                        // questions left of it
+  // 1,000 questions a second, so that the reports that answer them take less than 130 KB a second,
+  // and a fleet of 3,800 agents is asked within four seconds.
+  base::RateBudget m_budget{250, std::chrono::milliseconds(250)};
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gaugevalve/base/random_source.h"
+#include "gaugevalve/base/rate_budget.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/placement/balancer_core.h"
@@ -115,6 +116,10 @@
   StoreReaderRole m_reader;
   base::TimePoint m_started_at;
   unsigned m_asked_for_all = 0;  // peers that were asked for everything they know
+  base::TimePoint m_news_at;     // when a greeting last named a node that wasn't known
+  // Datagrams of whole listings that are sent: 400 a second, 480 KB. All balancers of a fleet may
+  // start at once and ask the few that their settings name.
+  base::RateBudget m_listings{40, std::chrono::milliseconds(100)};
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/report_schedule.h
+++ b/libs/placement/include/gaugevalve/placement/report_schedule.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <vector>
 
+#include "gaugevalve/base/rate_budget.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
 
@@ -55,7 +56,7 @@
   std::vector<base::SocketAddress> TakeShare(base::TimePoint now);
 
   /// Returns whether one more balancer that asks may be answered now.
-  bool TakeAnswer(base::TimePoint now);
+  bool TakeAnswer(base::TimePoint now) { return m_answers.Take(now); }
 
   /// Returns the time to the next round, as of the last one.
   base::Duration Period() const { return m_period; }
@@ -77,12 +78,12 @@
   std::size_t m_agents = 0;
   base::Duration m_period{0};
   base::TimePoint m_round_at{};
-  base::TimePoint m_all_told_at{};              // at once, in a round that wasn't spread
-  std::vector<base::SocketAddress> m_round;     // balancers of a spread round, in order
-  std::size_t m_told = 0;                       // of them
-  bool m_tells_all = false;                     // the round begins by telling all at once
-  std::optional<base::TimePoint> m_answers_at;  // when the present period began
-  unsigned m_answers = 0;                       // left of it
+  base::TimePoint m_all_told_at{};           // at once, in a round that wasn't spread
+  std::vector<base::SocketAddress> m_round;  // balancers of a spread round, in order
+  std::size_t m_told = 0;                    // of them
+  bool m_tells_all = false;                  // the round begins by telling all at once
+  // 1,000 answers a second: 130 KB. Who gets none asks again.
+  base::RateBudget m_answers{100, std::chrono::milliseconds(100)};
   std::optional<base::TimePoint> m_first_round_at;
   absl::flat_hash_map<base::SocketAddress, User> m_users;  // since the last round
 };
--- a/libs/placement/src/agent_questions.cpp
+++ b/libs/placement/src/agent_questions.cpp
@@ -5,10 +5,6 @@
 
 // Agents that are remembered until they are heard; the directory's limit.
 constexpr std::size_t kQuestionLimit = 8'192;
-// At most this many questions in a period: 1,000 a second, so that the reports that answer them
-// take less than 130 KB a second, and a fleet of 3,800 agents is asked within four seconds.
-constexpr std::size_t kQuestionsPerPeriod = 250;
-constexpr base::Duration kBudgetPeriod = std::chrono::milliseconds(250);
 // Answers come within some milliseconds; an agent of 0.15 of a core that has a backlog takes some
 // tens. Chosen between that and the 200 ms after which clients send again; no other was measured.
 constexpr base::Duration kAnswerTime = std::chrono::milliseconds(100);
@@ -18,18 +14,6 @@
 
 }  // namespace
 
-bool AgentQuestions::TakeBudget(base::TimePoint now) {
-  if (!m_budget_at || now - *m_budget_at >= kBudgetPeriod) {
-    m_budget_at = now;
-    m_budget = kQuestionsPerPeriod;
-  }
-  if (m_budget == 0) {
-    return false;
-  }
-  --m_budget;
-  return true;
-}
-
 void AgentQuestions::NoteAsked(Question& question, base::TimePoint now) {
   question.next_at = now + (question.is_given_up ? kGivenUpPause : kRetryPause);
   ++question.asked;
@@ -42,7 +26,7 @@
   Question& question = m_questions[agent];
   question.first_at = now;
   question.next_at = now;
-  if (!TakeBudget(now)) {
+  if (!m_budget.Take(now)) {
     return false;
   }
   NoteAsked(question, now);
@@ -68,7 +52,7 @@
       question.is_given_up = true;
       ++m_given_up;
     }
-    if (TakeBudget(now)) {
+    if (m_budget.Take(now)) {
       NoteAsked(question, now);
       due.push_back(agent);
     }
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -9,6 +9,9 @@
 constexpr base::Duration kPeerPeriod = std::chrono::milliseconds(1000);
 constexpr base::Duration kJoiningPeriod = std::chrono::milliseconds(50);
 constexpr base::Duration kJoiningTime = std::chrono::seconds(5);
+// A balancer that has just started asks for everything until no listing has named anybody new for
+// so long: more than a round of peers. Each listing names the whole fleet.
+constexpr base::Duration kNewsTime = std::chrono::milliseconds(1500);
 constexpr base::Duration kAliveFor = std::chrono::milliseconds(4000);
 constexpr base::Duration kForgetAfter = std::chrono::seconds(60);
 // Seeds are written to as well until this many others are alive.
@@ -58,12 +61,14 @@
       m_random(random),
       m_balancers(self, kAliveFor),
       m_reader(self, reader, random, now),
-      m_started_at(now) {}
+      m_started_at(now),
+      m_news_at(now) {}
 
 std::vector<OutgoingGreeting> BalancerGossip::OnGreeting(const BalancerGreeting& greeting,
                                                          const base::SocketAddress& sender,
                                                          base::TimePoint now, bool& is_new) {
   std::vector<OutgoingGreeting> greetings;
+  const std::size_t agents_before = m_core.Agents().Size();
   is_new = m_balancers.Note(sender, base::Duration(0), now);
   for (const BalancerAge& balancer : greeting.balancers) {
     if (m_balancers.Note(balancer.address, balancer.age, now)) {
@@ -74,6 +79,10 @@
     m_core.Discovery().NoteAgentCount(greeting.agent_count);
   }
   AskListed(greeting.agents, now, greetings);
+  const bool names_agents = m_core.Agents().Size() > agents_before;
+  if (is_new || names_agents || !greetings.empty()) {
+    m_news_at = now;
+  }
   if (m_core.TakeEvacuated(greeting.evacuated)) {
     TellSomePeers(kPeersToldNews, now, greetings);
   }
@@ -180,7 +189,8 @@
 
 std::vector<OutgoingGreeting> BalancerGossip::PeerRound(base::TimePoint now) {
   // Peers that were asked first may have been as young as this balancer.
-  const bool wants_all = now - m_started_at < kJoiningTime || m_balancers.Alive(now).empty();
+  const bool is_joining = now - m_started_at < kJoiningTime && now - m_news_at < kNewsTime;
+  const bool wants_all = is_joining || m_balancers.Alive(now).empty();
   std::vector<OutgoingGreeting> greetings;
   for (const base::SocketAddress& peer :
        Sample(m_balancers.Targets(kEnoughBalancers, now), kPeersPerRound, m_random)) {
@@ -271,6 +281,10 @@
   const std::vector<BalancerAge> balancers = m_balancers.Alive(now);
   const std::vector<ListedAgent> agents = ListAgents();
   const std::size_t most = std::max(balancers.size(), agents.size());
+  if (!m_listings.Take(now, most / kListingSize + 1)) {
+    greetings.push_back({receiver, Sampled(false, now)});  // others are named, who can be asked
+    return;
+  }
   for (std::size_t first = 0; first == 0 || first < most; first += kListingSize) {
     BalancerGreeting part = Brief(false, now);
     const auto take = [first](const auto& from, auto& to) {
--- a/libs/placement/src/report_schedule.cpp
+++ b/libs/placement/src/report_schedule.cpp
@@ -22,10 +22,6 @@
 // Where a period grows by more than this factor, all balancers are told of it first: they give an
 // agent up after three of the periods that they know.
 constexpr int kGrowthUntold = 2;
-// Balancers that ask are answered at most this often in a period, 1,000 times a second: 130 KB. Who
-// gets no answer asks again.
-constexpr base::Duration kAnswerPeriod = std::chrono::milliseconds(100);
-constexpr unsigned kAnswersPerPeriod = 100;
 // Balancers noted between two rounds; the rest waits for the round.
 constexpr std::size_t kUserLimit = 4'096;
 
@@ -100,18 +96,6 @@
   return share;
 }
 
-bool ReportSchedule::TakeAnswer(base::TimePoint now) {
-  if (!m_answers_at || now - *m_answers_at >= kAnswerPeriod) {
-    m_answers_at = now;
-    m_answers = kAnswersPerPeriod;
-  }
-  if (m_answers == 0) {
-    return false;
-  }
-  --m_answers;
-  return true;
-}
-
 void ReportSchedule::NoteUse(const base::SocketAddress& balancer) {
   if (m_period <= kShortestPeriod) {
     return;  // the next round comes as soon
--- a/libs/placement/tests/balancer_gossip_test.cpp
+++ b/libs/placement/tests/balancer_gossip_test.cpp
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(NewRoutesGoToAFewPeersWithoutLists);
   CPPUNIT_TEST(TheFirstRoutesAreToldToAgents);
   CPPUNIT_TEST(AListingHoldsAllAndFitsDatagrams);
+  CPPUNIT_TEST(ListingsAreBoundedWhenAllStartAtOnce);
+  CPPUNIT_TEST(WhoHearsNothingNewStopsAskingForEverything);
   CPPUNIT_TEST(AnUnknownAgentIsAskedForAReport);
   CPPUNIT_TEST(OnlyTheFirstPeersAreAskedForEverything);
   CPPUNIT_TEST(AgentsHearABoundedNumberOfGreetings);
@@ -145,6 +147,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{100}, balancers.size());
   }
 
+  // Hundreds of balancers start within a moment, and all know the same few by their settings.
+  void ListingsAreBoundedWhenAllStartAtOnce() {
+    HearBalancers(300);
+    HearAgents(700);
+    BalancerGreeting question;
+    question.wants_answer = true;
+    std::size_t datagrams = 0;
+    for (std::uint32_t number = 2; number < 300; ++number) {
+      bool is_new = false;
+      const auto answers = m_gossip->OnGreeting(question, Node(number), At(0), is_new);
+      CPPUNIT_ASSERT(!answers.empty());
+      CPPUNIT_ASSERT(!answers.front().greeting.balancers.empty());  // there are others to ask
+      datagrams += answers.size();
+    }
+    CPPUNIT_ASSERT(datagrams < 400);  // 4,768 without a bound
+    bool is_new = false;
+    CPPUNIT_ASSERT(m_gossip->OnGreeting(question, Node(5), At(100), is_new).size() >= 700 / 50);
+  }
+
+  // Each listing names the whole fleet, however large it is.
+  void WhoHearsNothingNewStopsAskingForEverything() {
+    HearBalancers(20);
+    BalancerGreeting known;
+    bool is_new = false;
+    m_gossip->OnGreeting(known, Node(2), At(1000), is_new);
+    CPPUNIT_ASSERT(m_gossip->PeerRound(At(1400)).front().greeting.wants_answer);
+    CPPUNIT_ASSERT(!m_gossip->PeerRound(At(2000)).front().greeting.wants_answer);
+    BalancerGreeting news;
+    news.agents = {{Node(kFirstAgent), testing::orders_service}};
+    m_gossip->OnGreeting(news, Node(2), At(2100), is_new);
+    CPPUNIT_ASSERT(m_gossip->PeerRound(At(3000)).front().greeting.wants_answer);
+    CPPUNIT_ASSERT(!m_gossip->PeerRound(At(4000)).front().greeting.wants_answer);
+  }
+
   void AnUnknownAgentIsAskedForAReport() {
     BalancerGreeting greeting;
     greeting.agents = {{Node(kFirstAgent), testing::orders_service}};
