--- a/libs/placement/include/gaugevalve/placement/agent_questions.h
+++ b/libs/placement/include/gaugevalve/placement/agent_questions.h
@@ -50,6 +50,11 @@
   std::size_t GivenUpCount() const { return m_given_up; }
 
  private:
+  // 1,000 questions a second, so that the reports that answer them take less than 130 KB a second,
+  // and a fleet of 3,800 agents is asked within four seconds.
+  static constexpr std::size_t kQuestionsPerPeriod = 250;
+  static constexpr base::Duration kBudgetPeriod = std::chrono::milliseconds(250);
+
   struct Question {
     base::TimePoint first_at{};
     base::TimePoint next_at{};
@@ -62,9 +67,7 @@
   unsigned m_most_questions;
   std::size_t m_given_up = 0;
   absl::flat_hash_map<base::SocketAddress, Question> m_questions;  // of agents not heard
-  // 1,000 questions a second, so that the reports that answer them take less than 130 KB a second,
-  // and a fleet of 3,800 agents is asked within four seconds.
-  base::RateBudget m_budget{250, std::chrono::milliseconds(250)};
+  base::RateBudget m_budget{kQuestionsPerPeriod, kBudgetPeriod};
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -109,6 +109,11 @@
   void AskListed(std::span<const ListedAgent> agents, base::TimePoint now,
                  std::vector<OutgoingGreeting>& greetings);
 
+  // Datagrams of whole listings that are sent: 400 a second, 480 KB. All balancers of a fleet may
+  // start at once and ask the few that their settings name.
+  static constexpr std::size_t kListingDatagramsPerPeriod = 40;
+  static constexpr base::Duration kListingPeriod = std::chrono::milliseconds(100);
+
   base::Incarnation m_life;
   BalancerCore& m_core;
   base::RandomSource& m_random;
@@ -117,9 +122,7 @@
   base::TimePoint m_started_at;
   unsigned m_asked_for_all = 0;  // peers that were asked for everything they know
   base::TimePoint m_news_at;     // when a greeting last named a node that wasn't known
-  // Datagrams of whole listings that are sent: 400 a second, 480 KB. All balancers of a fleet may
-  // start at once and ask the few that their settings name.
-  base::RateBudget m_listings{40, std::chrono::milliseconds(100)};
+  base::RateBudget m_listings{kListingDatagramsPerPeriod, kListingPeriod};
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/include/gaugevalve/placement/report_schedule.h
+++ b/libs/placement/include/gaugevalve/placement/report_schedule.h
@@ -68,6 +68,10 @@
   std::vector<base::SocketAddress> TakeUsers(base::TimePoint now);
 
  private:
+  // 1,000 answers a second: 130 KB. Who gets none asks again.
+  static constexpr std::size_t kAnswersPerPeriod = 100;
+  static constexpr base::Duration kAnswerPeriod = std::chrono::milliseconds(100);
+
   struct User {
     base::TimePoint told_at{};
     bool is_waiting = false;
@@ -82,8 +86,7 @@
   std::vector<base::SocketAddress> m_round;  // balancers of a spread round, in order
   std::size_t m_told = 0;                    // of them
   bool m_tells_all = false;                  // the round begins by telling all at once
-  // 1,000 answers a second: 130 KB. Who gets none asks again.
-  base::RateBudget m_answers{100, std::chrono::milliseconds(100)};
+  base::RateBudget m_answers{kAnswersPerPeriod, kAnswerPeriod};
   std::optional<base::TimePoint> m_first_round_at;
   absl::flat_hash_map<base::SocketAddress, User> m_users;  // since the last round
 };
--- a/libs/placement/src/balancer_placement.cpp
+++ b/libs/placement/src/balancer_placement.cpp
@@ -103,11 +103,12 @@
 BalancerDecision BalancerCore::Place(const FlowPacket& packet, const Route& route,
                                      FlowRecord& record, std::uint8_t attempt,
                                      base::TimePoint now) {
+  const std::uint64_t flow_hash = FlowHash(packet.flow);
   if (record.service == base::ServiceId()) {
-    record.service = route.Choose(FlowHash(packet.flow));
+    record.service = route.Choose(flow_hash);
   }
   const std::vector<KnownAgent*> untried =
-      FirstForFlow(FlowHash(packet.flow), Candidates(record, record.refused, now));
+      FirstForFlow(flow_hash, Candidates(record, record.refused, now));
   KnownAgent* chosen =
       record.busy.size() < kMostBusyTries ? m_chooser.Choose(untried, now) : nullptr;
   if (chosen == nullptr) {
