--- a/daemons/agent/src/http3_service.cpp
+++ b/daemons/agent/src/http3_service.cpp
@@ -6,6 +6,7 @@
 
 #include "gaugevalve/base/hash.h"
 #include "gaugevalve/connection_id/issuer.h"
+#include "gaugevalve/telemetry/event.h"
 
 namespace gaugevalve::agent {
 namespace {
@@ -92,6 +93,9 @@
           "Callers asked to prove their address before a connection is opened.")),
       resets_(daemon::MakeCounter(registry, "gaugevalve_agent_stateless_resets_total",
                                   "Callers told that their connection is gone.")),
+      stalled_answers_(
+          daemon::MakeCounter(registry, "gaugevalve_agent_unacknowledged_answers_total",
+                              "Answers of which callers acknowledged nothing for five seconds.")),
       connections_(MakeGauge(registry, "gaugevalve_agent_open_flows", "Flows that are open now.")),
       requests_(MakeGauge(registry, "gaugevalve_agent_open_requests",
                           "Requests in progress, event streams included.")) {}
@@ -244,7 +248,27 @@
   }
 }
 
+void Http3Service::HandleTick(base::TimePoint now) {
+  for (const quic::StreamOutput& output :
+       answer_monitor_.TakeStalled(server_.WaitingOutputs(), now)) {
+    stalled_answers_.Add();
+    telemetry::Event(telemetry::Level::kWarning, "answer_unacknowledged")
+        .Field("caller", output.remote)
+        .Field("stream", output.stream)
+        .Field("acknowledged", output.acknowledged)
+        .Field("waiting", output.waiting)
+        .Field("untaken", output.untaken)
+        .Field("whole", output.is_ended)
+        .Field("end_sent", output.is_end_sent)
+        .Field("writable", output.is_writable)
+        .Field("stream_window", output.stream_window)
+        .Field("congestion_room", output.congestion_room)
+        .Field("in_flight", output.in_flight);
+  }
+}
+
 void Http3Service::PublishCounters() {
+  stalled_answers_.Publish();
   backend_->PublishCounters();
   dropped_.Publish();
   dropped_quic_.Publish();
--- a/daemons/agent/src/http3_service.h
+++ b/daemons/agent/src/http3_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "agent_output.h"
+#include "answer_monitor.h"
 #include "departed_agents.h"
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/connection_id/codec.h"
@@ -59,7 +60,7 @@
   void HandlePeerMessage(base::NodeId sender, std::string_view payload) override {
     backend_->HandlePeerMessage(sender, payload);
   }
-  void HandleTick(base::TimePoint) override {}
+  void HandleTick(base::TimePoint now) override;
   void StartDraining(base::TimePoint now) override;
   void FillReport(routing::AgentReport& report) const override;
   bool IsNamed() const override { return ownership_.IsNamed(); }
@@ -108,6 +109,8 @@
   daemon::PublishedCounter refused_;
   daemon::PublishedCounter retries_;
   daemon::PublishedCounter resets_;
+  AnswerMonitor answer_monitor_;
+  daemon::PublishedCounter stalled_answers_;
   prometheus::Gauge* connections_;
   prometheus::Gauge* requests_;
 };
--- a/libs/quic/include/gaugevalve/quic/http3_server.h
+++ b/libs/quic/include/gaugevalve/quic/http3_server.h
@@ -14,6 +14,7 @@
 #include "gaugevalve/quic/credentials.h"
 #include "gaugevalve/quic/datagram_sink.h"
 #include "gaugevalve/quic/request_handler.h"
+#include "gaugevalve/quic/stream_output.h"
 
 namespace gaugevalve::quic {
 
@@ -107,6 +108,9 @@
   // Number of requests whose handlers are alive.
   std::size_t RequestCount() const;
 
+  // Returns the streams that have more to send, or whose callers haven't acknowledged all.
+  std::vector<StreamOutput> WaitingOutputs() const;
+
  private:
   class Core;
   std::unique_ptr<Core> core_;
--- a/libs/quic/src/connection.h
+++ b/libs/quic/src/connection.h
@@ -17,6 +17,7 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/quic/connection_end.h"
 #include "gaugevalve/quic/datagram_sink.h"
+#include "gaugevalve/quic/stream_output.h"
 #include "stream.h"
 #include "tls_session.h"
 
@@ -64,6 +65,8 @@
   bool IsOpen() const { return state_ == State::kOpen; }
   bool IsHandshakeDone() const;
   std::size_t StreamCount() const { return streams_.size(); }
+  // Adds the streams that have more to send or wait for acknowledgements.
+  void AddWaitingOutputs(std::vector<StreamOutput>& outputs) const;
 
   // For streams.
   void ResumeStream(std::int64_t id);
@@ -143,6 +146,7 @@
   void RemoveStream(std::int64_t id);
   void ApplyStreamActions();
   bool WritePackets(base::TimePoint now);
+  void NoteWritten(std::int64_t id, bool has_end);
   ngtcp2_ssize WritePacket(ngtcp2_path_storage& path, std::span<std::uint8_t> buffer,
                            base::TimePoint now);
   int HttpFailure(int result);
--- a/libs/quic/src/connection_streams.cpp
+++ b/libs/quic/src/connection_streams.cpp
@@ -127,6 +127,33 @@
   }
 }
 
+void Connection::AddWaitingOutputs(std::vector<StreamOutput>& outputs) const {
+  if (state_ != State::kOpen) {
+    return;
+  }
+  ngtcp2_conn_stat statistics{};
+  ngtcp2_conn_get_conn_stat(transport_.get(), &statistics);
+  for (const auto& [id, stream] : streams_) {
+    const SendBuffer& buffer = stream->Output();
+    if (buffer.size() == 0 && !buffer.IsEnded()) {
+      continue;
+    }
+    StreamOutput output;
+    output.remote = FromNative(*ngtcp2_conn_get_path(transport_.get())).remote;
+    output.stream = id;
+    output.acknowledged = buffer.AcknowledgedCount();
+    output.waiting = buffer.size();
+    output.untaken = buffer.UntakenSize();
+    output.is_ended = buffer.IsEnded();
+    output.is_end_sent = stream->IsEndSent();
+    output.is_writable = nghttp3_conn_is_stream_writable(http_.get(), id) != 0;
+    output.stream_window = ngtcp2_conn_get_max_stream_data_left(transport_.get(), id);
+    output.congestion_room = ngtcp2_conn_get_cwnd_left(transport_.get());
+    output.in_flight = statistics.bytes_in_flight;
+    outputs.push_back(output);
+  }
+}
+
 void Connection::ResumeStream(std::int64_t id) {
   resumed_streams_.push_back(id);
   OnFlushWanted();
--- a/libs/quic/src/http3_server.cpp
+++ b/libs/quic/src/http3_server.cpp
@@ -204,6 +204,14 @@
     return count;
   }
 
+  std::vector<StreamOutput> WaitingOutputs() const {
+    std::vector<StreamOutput> outputs;
+    for (const auto& [address, connection] : connections_) {
+      connection->AddWaitingOutputs(outputs);
+    }
+    return outputs;
+  }
+
  private:
   // Marks that a public call runs: it flushes by itself in the end.
   class CallGuard {
@@ -411,4 +419,6 @@
 
 std::size_t Http3Server::RequestCount() const { return core_->RequestCount(); }
 
+std::vector<StreamOutput> Http3Server::WaitingOutputs() const { return core_->WaitingOutputs(); }
+
 }  // namespace gaugevalve::quic
--- a/libs/quic/src/send_buffer.cpp
+++ b/libs/quic/src/send_buffer.cpp
@@ -43,7 +43,16 @@
   return filled;
 }
 
+std::size_t SendBuffer::UntakenSize() const {
+  std::size_t untaken = 0;
+  for (std::size_t index = next_chunk_; index < chunks_.size(); ++index) {
+    untaken += chunks_[index].size();
+  }
+  return untaken - next_offset_;
+}
+
 void SendBuffer::Acknowledge(std::size_t count) {
+  acknowledged_in_all_ += std::min(count, size_);
   size_ -= std::min(count, size_);
   while (count > 0 && !chunks_.empty()) {
     const std::size_t step = std::min(count, chunks_.front().size() - acknowledged_);
--- a/libs/quic/src/send_buffer.h
+++ b/libs/quic/src/send_buffer.h
@@ -35,12 +35,19 @@
 
   bool IsEnded() const { return ended_; }
 
+  // Bytes that were never taken.
+  std::size_t UntakenSize() const;
+
+  // Bytes that arrived, of all that were ever added.
+  std::uint64_t AcknowledgedCount() const { return acknowledged_in_all_; }
+
  private:
   std::deque<std::vector<std::uint8_t>> chunks_;  // each never grows past its reserved capacity
   std::size_t next_chunk_ = 0;                    // first chunk that isn't taken as a whole
   std::size_t next_offset_ = 0;                   // bytes of it that are taken
   std::size_t acknowledged_ = 0;                  // bytes of the first chunk that are acknowledged
   std::size_t size_ = 0;
+  std::uint64_t acknowledged_in_all_ = 0;
   bool ended_ = false;
 };
 
--- a/libs/quic/src/stream.h
+++ b/libs/quic/src/stream.h
@@ -31,12 +31,16 @@
 
   std::int64_t Id() const { return id_; }
   SendBuffer& Output() { return send_buffer_; }
+  const SendBuffer& Output() const { return send_buffer_; }
   HeaderBlock& Headers() { return header_block_; }
 
   // Queues body bytes; false at the high-water mark.
   bool Write(std::span<const std::uint8_t> bytes);
   // Ends the body.
   void EndWrite();
+  // Takes note that QUIC has taken the end.
+  void NoteEndSent() { is_end_sent_ = true; }
+  bool IsEndSent() const { return is_end_sent_; }
   // Gives credit for body bytes that the application is done with.
   void Consume(std::size_t bytes);
   // Takes note of body bytes that the application has not consumed yet.
@@ -66,6 +70,7 @@
   HeaderBlock header_block_;
   std::size_t unconsumed_ = 0;
   bool wants_writable_ = false;
+  bool is_end_sent_ = false;
 };
 
 }  // namespace gaugevalve::quic
--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -417,9 +417,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--programs", type=pathlib.Path, default=ROOT / "build" / "bin",
                         help="directory of the programs to run (default: %(default)s)")
+    parser.add_argument("--failed_logs", type=pathlib.Path, default=pathlib.Path("failed-logs"),
+                        help="where the logs of failed tests are kept (default: %(default)s)")
     parser.add_argument("tests", nargs="*", help="names of tests, as BalancerFaults (default: all)")
     arguments = parser.parse_args()
     ScenarioTest.programs = arguments.programs
+    ScenarioTest.failed_logs = arguments.failed_logs
     pass_over_known_red()
     program = unittest.main(argv=[sys.argv[0], *arguments.tests], verbosity=2, exit=False)
     print(format_rows(ScenarioTest.rows))
--- a/proofs/real_processes/scenario.py
+++ b/proofs/real_processes/scenario.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import re
+import shutil
 import signal
 import tempfile
 import unittest
@@ -40,6 +41,7 @@
 
     spec: DeploymentSpec
     programs: pathlib.Path
+    failed_logs: pathlib.Path  # where the logs of failed tests are kept
     flows_per_second = 40
     rows: list[Row] = []
     _seed = 0
@@ -48,10 +50,40 @@
     def setUpClass(cls) -> None:
         directory = tempfile.TemporaryDirectory(prefix="gaugevalve-")
         cls.addClassCleanup(directory.cleanup)
+        cls._failed_tests: list[str] = []
+        cls.addClassCleanup(cls._keep_failed_logs, pathlib.Path(directory.name))
         cls.deployment = Deployment(cls.spec, cls.programs, pathlib.Path(directory.name))
         cls.addClassCleanup(cls.deployment.end)
         cls.deployment.__enter__()
 
+    @classmethod
+    def _keep_failed_logs(cls, directory: pathlib.Path) -> None:
+        """Copies the logs and outputs of all processes when a test of the class has failed."""
+        if not cls._failed_tests:
+            return
+        kept = cls.failed_logs / f"{directory.name}-{cls._failed_tests[0]}"
+        shutil.copytree(directory, kept, ignore=shutil.ignore_patterns("*.sock", "*.pem"))
+        print(f"logs of {', '.join(cls._failed_tests)}: {kept}", flush=True)
+
+    def run(self, result: unittest.TestResult | None = None) -> unittest.TestResult | None:
+        """As unittest's; notes a failure, with the metrics that the nodes show at that moment."""
+        before = len(result.failures) + len(result.errors) if result else 0
+        finished = super().run(result)
+        if result and len(result.failures) + len(result.errors) > before:
+            self._failed_tests.append(self._testMethodName)
+            self._write_metrics()
+        return finished
+
+    def _write_metrics(self) -> None:
+        for node in [*self.deployment.layout.balancers,
+                     *(endpoint.agent for endpoint in self.deployment.layout.endpoints)]:
+            try:
+                text = admin.request_text(node.admin_address, "/metrics")
+            except admin.AdminError as error:
+                text = f"{error}\n"
+            file = self.deployment.directory / f"{node.name}-{self._testMethodName}.metrics"
+            file.write_text(text, encoding="utf-8")
+
     def setUp(self) -> None:
         ScenarioTest._seed += 1
         self._load = LoadRun(self.deployment, LoadSettings(
--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -17,7 +17,7 @@
         self.spec = spec
         self.layout = nodes.make_layout(spec)
         self._programs = programs
-        self._directory = directory
+        self.directory = directory  # of logs, outputs and settings
         self.used_ports_file = directory / "used_ports"  # of the load's runs, for those that follow
         self.fabric = self._make_fabric()
         self.store = self._make_store()
@@ -35,7 +35,7 @@
             self.store.wait_ready()
             if self.spec.has_http3():
                 self._write_secrets()
-            self.control("tree", "apply", str(nodes.write_tree(self.layout, self._directory)))
+            self.control("tree", "apply", str(nodes.write_tree(self.layout, self.directory)))
             for process in self.processes():
                 if process is not self.store:
                     process.start()
@@ -63,7 +63,7 @@
                    admin_address: str = "") -> ManagedProcess:
         """Starts a further program, such as the load tool, and returns it."""
         process = ManagedProcess(name, [str(self._programs / program), *arguments],
-                                 self._directory, admin_address)
+                                 self.directory, admin_address)
         self._others.append(process)
         process.start()
         return process
@@ -125,10 +125,10 @@
                 if self.backends[endpoint.name].is_running()}
 
     def _write_secrets(self) -> None:
-        nodes.write_connection_id_keys(self._directory)
+        nodes.write_connection_id_keys(self.directory)
         self.control("certificate", "self-signed", ports.LOOPBACK,
-                     str(nodes.certificate_file(self._directory)),
-                     str(nodes.key_file(self._directory)))
+                     str(nodes.certificate_file(self.directory)),
+                     str(nodes.key_file(self.directory)))
 
     def _program(self, name: str) -> str:
         return str(self._programs / name)
@@ -141,30 +141,30 @@
         command = [self._program("standin-fabric"), f"--virtual_addresses={virtual_addresses}",
                    f"--egress={layout.egress_address}", f"--balancers={balancers}",
                    f"--admin={layout.fabric_admin_address}"]
-        return ManagedProcess("fabric", command, self._directory, layout.fabric_admin_address)
+        return ManagedProcess("fabric", command, self.directory, layout.fabric_admin_address)
 
     def _make_store(self) -> ManagedProcess:
         layout = self.layout
         command = [self._program("standin-store"), f"--listen={layout.store_address}",
                    f"--admin={layout.store_admin_address}"]
-        return ManagedProcess("store", command, self._directory, layout.store_admin_address)
+        return ManagedProcess("store", command, self.directory, layout.store_admin_address)
 
     def _make_backend(self, endpoint: nodes.Endpoint) -> ManagedProcess:
         command = [self._program("standin-backend"), f"--name={endpoint.name}",
                    f"--service={endpoint.service.name}", f"--datagram={endpoint.datagram_address}",
                    f"--http={endpoint.http_address}", f"--admin={endpoint.admin_address}",
                    *self.spec.backend_flags]
-        return ManagedProcess(f"backend-{endpoint.name}", command, self._directory,
+        return ManagedProcess(f"backend-{endpoint.name}", command, self.directory,
                               endpoint.admin_address)
 
     def _make_agent(self, endpoint: nodes.Endpoint) -> ManagedProcess:
-        settings = nodes.write_agent_settings(self.layout, endpoint, self._directory)
+        settings = nodes.write_agent_settings(self.layout, endpoint, self.directory)
         command = [self._program("gaugevalve-agent"), f"--settings={settings}",
                    *self.spec.agent_flags]
-        return ManagedProcess(endpoint.agent.name, command, self._directory,
+        return ManagedProcess(endpoint.agent.name, command, self.directory,
                               endpoint.agent.admin_address)
 
     def _make_balancer(self, balancer: nodes.Node) -> ManagedProcess:
-        settings = nodes.write_balancer_settings(self.layout, balancer, self._directory)
+        settings = nodes.write_balancer_settings(self.layout, balancer, self.directory)
         command = [self._program("gaugevalve-balancer"), f"--settings={settings}"]
-        return ManagedProcess(balancer.name, command, self._directory, balancer.admin_address)
+        return ManagedProcess(balancer.name, command, self.directory, balancer.admin_address)
--- a/tools/load/src/answer_checks.cpp
+++ b/tools/load/src/answer_checks.cpp
@@ -28,15 +28,16 @@
 AnswerCheck::AnswerCheck(Done done) : done_(std::move(done)) {}
 
 void AnswerCheck::OnHead(const quic::ResponseHead& head) {
-  status_ = head.status;
+  state_.status = head.status;
   outcome_field_ = quic::FindField(head.fields, kOutcomeField);
-  endpoint_ = quic::FindField(head.fields, kEndpointField);
+  state_.endpoint = quic::FindField(head.fields, kEndpointField);
   stated_length_ = ReadNumber(quic::FindField(head.fields, "content-length"));
+  progress_(state_);
 }
 
 void AnswerCheck::OnBody(std::span<const std::uint8_t> bytes) {
-  received_ += bytes.size();
-  progress_();
+  state_.received += bytes.size();
+  progress_(state_);
   if (IsSuccess()) {
     CheckBody(bytes);
   }
@@ -44,8 +45,8 @@
 
 void AnswerCheck::OnEnd() {
   CheckedAnswer answer;
-  answer.endpoint = endpoint_;
-  answer.is_cut_as_whole = stated_length_.value_or(received_) != received_;
+  answer.endpoint = state_.endpoint;
+  answer.is_cut_as_whole = stated_length_.value_or(state_.received) != state_.received;
   if (IsSuccess()) {
     answer.outcome = CallerOutcome::kAnswered;
     answer.is_crossed = !answer.is_cut_as_whole && !IsOwnBody();
@@ -57,12 +58,14 @@
 
 void AnswerCheck::OnFailed(const quic::RequestFailure& failure) {
   CheckedAnswer answer;
-  answer.endpoint = endpoint_;
+  answer.endpoint = state_.endpoint;
   answer.outcome = failure.WasNotRun() ? CallerOutcome::kNotRun : CallerOutcome::kUnknown;
   done_(answer);
 }
 
-bool AnswerCheck::IsSuccess() const { return status_ >= kFirstSuccess && status_ <= kLastSuccess; }
+bool AnswerCheck::IsSuccess() const {
+  return state_.status >= kFirstSuccess && state_.status <= kLastSuccess;
+}
 
 ReservationCheck::ReservationCheck(std::string key, Done done)
     : AnswerCheck(std::move(done)), key_(std::move(key)) {}
--- a/tools/load/src/answer_checks.h
+++ b/tools/load/src/answer_checks.h
@@ -25,6 +25,13 @@
   std::string endpoint;          // that answered; "" when it didn't say
 };
 
+// How much of an answer has come.
+struct AnswerProgress {
+  int status = 0;              // 0 before the head
+  std::uint64_t received = 0;  // bytes of the body
+  std::string endpoint;        // that answers; "" when it didn't say
+};
+
 // Common part: the head, and the verdict on requests that got no answer of success.
 class AnswerCheck : public quic::ResponseHandler {
  public:
@@ -33,8 +40,10 @@
   // `done` is called once, when the request has ended, and must not destroy the client.
   explicit AnswerCheck(Done done);
 
-  // Makes `progress` be called whenever a part of the answer arrives.
-  void SetProgress(std::function<void()> progress) { progress_ = std::move(progress); }
+  using OnProgress = std::function<void(const AnswerProgress&)>;
+
+  // Makes `progress` be called when the head and whenever a part of the body arrives.
+  void SetProgress(OnProgress progress) { progress_ = std::move(progress); }
 
   void OnHead(const quic::ResponseHead& head) override;
   void OnBody(std::span<const std::uint8_t> bytes) override;
@@ -52,12 +61,10 @@
   bool IsSuccess() const;
 
   Done done_;
-  std::function<void()> progress_ = [] {};
-  int status_ = 0;
+  OnProgress progress_ = [](const AnswerProgress&) {};
+  AnswerProgress state_;
   std::string outcome_field_;
-  std::string endpoint_;
   std::optional<std::uint64_t> stated_length_;
-  std::uint64_t received_ = 0;
 };
 
 // A reservation's answer names the key of the request.
--- a/tools/load/src/http3_flow.cpp
+++ b/tools/load/src/http3_flow.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gaugevalve/standins/endpoint_headers.h"
+#include "gaugevalve/telemetry/event.h"
 #include "reservation_key.h"
 
 namespace gaugevalve::load {
@@ -138,12 +139,21 @@
 }
 
 void Http3Flow::Submit(const quic::RequestHead& head, std::unique_ptr<AnswerCheck> check) {
-  check->SetProgress([this] { request_progress_at_ = clock_.Now(); });
+  check->SetProgress([this](const AnswerProgress& progress) { OnProgress(progress); });
+  request_target_ = head.method + " " + head.path;
+  request_progress_ = {};
   request_sent_at_ = clock_.Now();
   request_progress_at_ = request_sent_at_;
   request_in_progress_ = client_->Client().SubmitRequest(head, {}, std::move(check)).has_value();
 }
 
+void Http3Flow::OnProgress(const AnswerProgress& progress) {
+  request_progress_ = progress;
+  if (progress.received > 0) {
+    request_progress_at_ = clock_.Now();
+  }
+}
+
 void Http3Flow::OnAnswer(RequestCounts& counts, const CheckedAnswer& answer) {
   const base::TimePoint now = clock_.Now();
   ++counts.outcomes[answer.outcome];
@@ -197,9 +207,29 @@
   }
   has_ended_ = true;
   ++report_.flows_broken[cause];
+  LogBreak(cause);
   End();
 }
 
+void Http3Flow::LogBreak(const std::string& cause) const {
+  const base::TimePoint now = clock_.Now();
+  telemetry::Event event(telemetry::Level::kWarning, "flow_broken");
+  event.Field("service", service_)
+      .Field("flow", number_)
+      .Field("cause", cause)
+      .Field("goaway", goaway_received_)
+      .Field("silent_us", (now - last_sign_of_life_).count());
+  if (request_in_progress_) {
+    event.Field("request", request_target_)
+        .Field("request_number", requests_)
+        .Field("sent_us", (now - request_sent_at_).count())
+        .Field("progress_us", (now - request_progress_at_).count())
+        .Field("status", request_progress_.status)
+        .Field("received", request_progress_.received)
+        .Field("endpoint", request_progress_.endpoint);
+  }
+}
+
 void Http3Flow::End() {
   report_.board_events += board_.Events();
   report_.board_gaps += board_.Gaps();
--- a/tools/load/src/http3_flow.h
+++ b/tools/load/src/http3_flow.h
@@ -69,12 +69,14 @@
   void SubmitReservation();
   void SubmitDrawing();
   void Submit(const quic::RequestHead& head, std::unique_ptr<AnswerCheck> check);
+  void OnProgress(const AnswerProgress& progress);
   void OnAnswer(RequestCounts& counts, const CheckedAnswer& answer);
   void OnBoardHead(const quic::ResponseHead& head);
   void OnBoardBody(std::span<const std::uint8_t> bytes);
   void OnBoardEnd();
   void Finish();
   void Break(const std::string& cause);
+  void LogBreak(const std::string& cause) const;
   void End();
   quic::RequestHead MakeHead(const std::string& method, const std::string& path) const;
 
@@ -90,6 +92,8 @@
   base::TimePoint next_request_at_;
   base::TimePoint request_sent_at_{};
   base::TimePoint request_progress_at_{};
+  std::string request_target_;       // of the last request
+  AnswerProgress request_progress_;  // of the last request
   bool request_in_progress_ = false;
   bool goaway_received_ = false;
   bool board_is_known_ = false;
--- a/tools/load/src/main.cpp
+++ b/tools/load/src/main.cpp
@@ -14,6 +14,7 @@
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/standins/command_line.h"
 #include "gaugevalve/tasks/task.h"
+#include "gaugevalve/telemetry/logging.h"
 #include "http3_run.h"
 #include "used_ports.h"
 
@@ -181,6 +182,7 @@
 // Runs until the load has ended, prints the report and returns the exit status.
 template <class LoadRun, class Settings, class Report>
 int RunLoad(const Settings& settings, Report& report) {
+  const telemetry::LoggingSession logging(telemetry::Level::kInfo);
   const tasks::LoopPointer loop = tasks::MakeLoop();
   LoadRun run(loop.get(), settings, report);
   const auto end_soon = [&run] { run.EndSoon(); };
