--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -124,6 +124,9 @@
     m_held.Remember(memory, now);
   }
 
+  /// Sets the version of the configuration that reports say the agent holds; 0 for none.
+  void SetHeldRoutes(std::uint64_t version) { m_held_routes = version; }
+
   /// Takes what the configuration says of the service's cold endpoints.
   void SetWarmUpRate(const WarmUpRate& rate) { m_warm_up.SetRate(rate); }
 
@@ -256,6 +259,7 @@
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
   std::vector<base::SocketAddress> m_balancers;  // an index is part of a mark
   std::uint64_t m_report_sequence = 0;
+  std::uint64_t m_held_routes = 0;  // version of the configuration that the agent holds
   ReportSchedule m_reports;
   OutcomeMonitor m_outcomes;
   EndpointIncarnation m_monitored;  // that they are of
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -55,6 +55,7 @@
   std::size_t agent_count = 0;  ///< of the deployment, as balancers told this agent; 0: not told
   EvacuatedZones evacuated;     ///< as far as the agent was told
   HeldAddresses held;           ///< virtual addresses of the flows that the endpoint holds
+  std::uint64_t routes_version = 0;  ///< of the configuration that the agent holds; 0 for none
   std::vector<ListedAgent> fellows;  ///< other agents that it knows, where it was asked for them
 };
 
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -348,6 +348,7 @@
   report.wants_memory = !m_gate.IsCertain();
   report.is_ejected = Outcomes().IsEjected();
   report.agent_count = m_reports.AgentCount();
+  report.routes_version = m_held_routes;
   report.evacuated = m_evacuated;
   report.held = m_held.Present(now);
   return report;
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -106,6 +106,7 @@
   message.set_wants_memory(report.wants_memory);
   message.set_is_ejected(report.is_ejected);
   message.set_agent_count(static_cast<std::uint32_t>(report.agent_count));
+  message.set_routes_version(report.routes_version);
   if (report.evacuated.version != 0) {
     Fill(report.evacuated, *message.mutable_evacuated());
   }
@@ -144,6 +145,7 @@
   report.wants_memory = message.wants_memory();
   report.is_ejected = message.is_ejected();
   report.agent_count = std::min(message.agent_count(), kMostAgents);
+  report.routes_version = message.routes_version();
   report.evacuated = ReadEvacuated(message.evacuated());
   report.held = ReadHeld(message);
   const auto queued =
