--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -149,6 +149,10 @@
   /// @return  whether it is to be asked for a report now
   bool NoteListed(const ListedAgent& agent, base::TimePoint now);
 
+  /// Returns whether the agent isn't worth naming to balancers that will know none: it isn't known,
+  /// has said that it ends, has no endpoint, or has been silent for too long.
+  bool IsGone(const base::SocketAddress& agent, base::TimePoint now);
+
   /// Returns whether there may be agents that this balancer hasn't found yet.
   bool IsLearning(base::TimePoint now);
   std::size_t FlowCount() const { return m_flows.size(); }
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -56,7 +56,7 @@
   std::vector<OutgoingGreeting> OnAgentListing(const AgentListing& listing, base::TimePoint now);
 
   /// Returns what the store is to keep of the agents.
-  AgentListing MakeAgentListing();
+  AgentListing MakeAgentListing(base::TimePoint now);
 
   /// Returns the greetings that spread a configuration which this balancer has just taken.
   /// @param is_first  whether it had none before; agents wait for their health check's path then
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -176,6 +176,11 @@
          now - agent.heard_at <= AgentDirectory::SilenceLimit(agent, m_settings.silence_limit);
 }
 
+bool BalancerCore::IsGone(const base::SocketAddress& agent, base::TimePoint now) {
+  const KnownAgent* known = m_agents.Find(agent);
+  return known == nullptr || !AgentDirectory::IsPresent(*known) || !MayHoldFlows(*known, now);
+}
+
 // Whether what is known of the agent holds, and it owes no answer.
 bool BalancerCore::IsResponsive(const KnownAgent& agent, base::TimePoint now) const {
   return m_agents.IsFresh(agent, now) && !m_suspects.IsOverdue(agent.address, now);
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gaugevalve/placement/stored_listing.h"
+
 namespace gaugevalve::placement {
 namespace {
 
@@ -29,8 +31,6 @@
 constexpr std::size_t kListingSize = 45;
 // A balancer that has just started asks this many peers for everything they know.
 constexpr unsigned kListingsAsked = 4;
-// Agents that are kept in the store for balancers that know none: 4 KB. Each of them knows others.
-constexpr std::size_t kStoredAgents = 256;
 // Agents asked at a tick for the others they know, while some that are said to be there have not
 // been named: their first answers may have been lost, or held back as too many asked.
 constexpr std::size_t kAgentsAskedAgain = 4;
@@ -119,10 +119,12 @@
   return OnFellows(listing.agents, now);
 }
 
-AgentListing BalancerGossip::MakeAgentListing() {
+AgentListing BalancerGossip::MakeAgentListing(base::TimePoint now) {
   std::vector<ListedAgent> agents = ListAgents();
+  std::erase_if(agents,
+                [&](const ListedAgent& agent) { return m_core.IsGone(agent.address, now); });
   const std::size_t count = agents.size();
-  return {Sample(std::move(agents), kStoredAgents, m_random), count};
+  return {Sample(std::move(agents), StoredListing::kMostAgents, m_random), count};
 }
 
 OutgoingGreeting BalancerGossip::WelcomeAgent(const KnownAgent& agent, base::TimePoint now) {
--- a/libs/placement/tests/agent_discovery_test.cpp
+++ b/libs/placement/tests/agent_discovery_test.cpp
@@ -175,7 +175,7 @@
     AgentReport farewell = Report(2, 0, EndpointStanding::kStopping);
     m_core->OnReport(Node(3), farewell, At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_core->Agents().PresentCount());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gossip->MakeAgentListing().agents.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_gossip->MakeAgentListing(At(0)).agents.size());
   }
 
   void AnOpeningIsNotResetForWantOfEndpointsWhileAgentsAreMissing() {
