--- a/daemons/agent/src/admitted_request.cpp
+++ b/daemons/agent/src/admitted_request.cpp
@@ -160,6 +160,7 @@
 }
 
 void AdmittedRequest::OnWritable() {
+  waits_for_caller_ = false;
   if (exchange_ != nullptr) {
     exchange_->ResumeReading();
   }
@@ -192,7 +193,9 @@
   if (is_keyed_) {
     KeepForRepeats(bytes);
   }
+  answer_bytes_ += bytes.size();
   if (!writer_.WriteBody(bytes)) {
+    waits_for_caller_ = true;
     exchange_->PauseReading();
   }
 }
--- a/daemons/agent/src/admitted_request.h
+++ b/daemons/agent/src/admitted_request.h
@@ -17,6 +17,13 @@
 
 class AdmittedRequest;
 
+// How far a request's answer is.
+struct AnswerProgress {
+  bool has_begun = false;
+  std::uint64_t bytes = 0;        // of its body
+  bool waits_for_caller = false;  // the caller takes no more for now
+};
+
 // Who decides on requests. Outlives every request.
 class RequestOwner {
  public:
@@ -76,6 +83,7 @@
   const quic::RequestHead& Head() const { return head_; }
   bool IsKeyed() const { return is_keyed_; }
   bool IsStream() const { return is_stream_; }
+  AnswerProgress Progress() const { return {has_answer_head_, answer_bytes_, waits_for_caller_}; }
   // It came from another agent.
   bool WasHandedOver() const { return refusals_ != nullptr; }
 
@@ -113,8 +121,10 @@
   bool has_answer_head_ = false;
   bool is_refused_by_endpoint_ = false;  // its answer says that it was not run
   bool is_answer_too_long_ = false;      // to be kept for repeats
-  std::string early_body_;               // until it is started
-  std::size_t unconsumed_ = 0;           // body bytes the caller has no credit for yet
+  std::uint64_t answer_bytes_ = 0;
+  bool waits_for_caller_ = false;
+  std::string early_body_;      // until it is started
+  std::size_t unconsumed_ = 0;  // body bytes the caller has no credit for yet
   std::unique_ptr<Exchange> exchange_;
   requests::StoredAnswer stored_answer_;
 };
--- a/daemons/agent/src/http3_service.cpp
+++ b/daemons/agent/src/http3_service.cpp
@@ -93,7 +93,7 @@
           "Callers asked to prove their address before a connection is opened.")),
       resets_(daemon::MakeCounter(registry, "gaugevalve_agent_stateless_resets_total",
                                   "Callers told that their connection is gone.")),
-      stalled_answers_(
+      unacknowledged_count_(
           daemon::MakeCounter(registry, "gaugevalve_agent_unacknowledged_answers_total",
                               "Answers of which callers acknowledged nothing for five seconds.")),
       connections_(MakeGauge(registry, "gaugevalve_agent_open_flows", "Flows that are open now.")),
@@ -248,10 +248,19 @@
   }
 }
 
-void Http3Service::HandleTick(base::TimePoint now) {
-  for (const quic::StreamOutput& output :
-       answer_monitor_.TakeStalled(server_.WaitingOutputs(), now)) {
-    stalled_answers_.Add();
+// Tells of answers whose callers have acknowledged nothing for a while.
+void Http3Service::LogUnacknowledged(base::TimePoint now) {
+  const std::vector<quic::StreamOutput> outputs = server_.WaitingOutputs();
+  std::vector<decltype(unacknowledged_)::Item> items;
+  for (const quic::StreamOutput& output : outputs) {
+    items.push_back({{output.remote, output.stream}, output.acknowledged});
+  }
+  const auto stalled = unacknowledged_.TakeStalled(items, now);
+  for (const quic::StreamOutput& output : outputs) {
+    if (std::ranges::find(stalled, std::pair(output.remote, output.stream)) == stalled.end()) {
+      continue;
+    }
+    unacknowledged_count_.Add();
     telemetry::Event(telemetry::Level::kWarning, "answer_unacknowledged")
         .Field("caller", output.remote)
         .Field("stream", output.stream)
@@ -268,7 +277,7 @@
 }
 
 void Http3Service::PublishCounters() {
-  stalled_answers_.Publish();
+  unacknowledged_count_.Publish();
   backend_->PublishCounters();
   dropped_.Publish();
   dropped_quic_.Publish();
--- a/daemons/agent/src/http3_service.h
+++ b/daemons/agent/src/http3_service.h
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "agent_output.h"
-#include "answer_monitor.h"
 #include "departed_agents.h"
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/connection_id/codec.h"
@@ -20,6 +19,7 @@
 #include "gaugevalve/tasks/timer.h"
 #include "gaugevalve/tasks/udp_batch.h"
 #include "http3_drop.h"
+#include "progress_monitor.h"
 #include "prometheus/gauge.h"
 #include "prometheus/registry.h"
 #include "request_backend.h"
@@ -60,7 +60,7 @@
   void HandlePeerMessage(base::NodeId sender, std::string_view payload) override {
     backend_->HandlePeerMessage(sender, payload);
   }
-  void HandleTick(base::TimePoint now) override;
+  void HandleTick(base::TimePoint now) override { LogUnacknowledged(now); }
   void StartDraining(base::TimePoint now) override;
   void FillReport(routing::AgentReport& report) const override;
   bool IsNamed() const override { return ownership_.IsNamed(); }
@@ -85,6 +85,7 @@
                     const std::optional<connection_id::Origin>& origin,
                     const wire::ProxyDatagram& datagram, base::TimePoint now);
   void Reset(const wire::ProxyDatagram& datagram, base::TimePoint now);
+  void LogUnacknowledged(base::TimePoint now);
   void FinishOwnActivity();
   void UpdateTimer();
 
@@ -109,8 +110,9 @@
   daemon::PublishedCounter refused_;
   daemon::PublishedCounter retries_;
   daemon::PublishedCounter resets_;
-  AnswerMonitor answer_monitor_;
-  daemon::PublishedCounter stalled_answers_;
+  // Streams of callers, by how many bytes of the answer they have acknowledged.
+  ProgressMonitor<std::pair<base::SocketAddress, std::int64_t>> unacknowledged_;
+  daemon::PublishedCounter unacknowledged_count_;
   prometheus::Gauge* connections_;
   prometheus::Gauge* requests_;
 };
--- a/daemons/agent/src/request_service.cpp
+++ b/daemons/agent/src/request_service.cpp
@@ -23,6 +23,13 @@
 // tries the endpoint again.
 constexpr base::Duration kEndpointDownTime = std::chrono::seconds(1);
 
+// How often answers are looked at for progress.
+constexpr base::Duration kProgressPeriod = std::chrono::seconds(1);
+
+// Where an answer that has begun waits, for the metric.
+enum class AnswerStall : std::uint8_t { kEndpoint, kPeer, kCaller };
+constexpr std::string_view kAnswerStallNames[] = {"endpoint", "peer", "caller"};
+
 // How a request ended, for the metric.
 enum class EndCount : std::uint8_t {
   kAnswered,
@@ -106,6 +113,10 @@
                            .Help("1 when a new idempotency key is known as new, 0 when it isn't.")
                            .Register(registry)
                            .Add({})),
+      stalled_(
+          registry, "gaugevalve_agent_answers_stalled_total",
+          "Answers that had begun and made no progress for five seconds, by where they waited.",
+          {std::begin(kAnswerStallNames), std::end(kAnswerStallNames)}),
       hand_over_(loop, settings.identity, *this, peer_sender_, random_, registry),
       timer_(loop, [this] { OnTimer(); }) {
   timer_.StartPeriodic(kTimerPeriod);
@@ -216,6 +227,33 @@
   const base::TimePoint now = clock_.Now();
   Perform(pipeline_.OnTimer(now));
   hand_over_.OnTimer(Load(now));
+  if (now - answers_checked_at_ >= kProgressPeriod) {
+    answers_checked_at_ = now;
+    LogStalledAnswers(now);
+  }
+}
+
+void RequestService::LogStalledAnswers(base::TimePoint now) {
+  std::vector<decltype(answers_)::Item> items;
+  for (const auto& [id, known] : known_) {
+    const AnswerProgress progress = known.request->Progress();
+    if (progress.has_begun && !known.request->IsStream()) {
+      items.push_back({id, progress.bytes});
+    }
+  }
+  for (const requests::RequestId id : answers_.TakeStalled(items, now)) {
+    const Known& known = known_.at(id);
+    const AnswerProgress progress = known.request->Progress();
+    const AnswerStall stall = progress.waits_for_caller ? AnswerStall::kCaller
+                              : known.is_away           ? AnswerStall::kPeer
+                                                        : AnswerStall::kEndpoint;
+    stalled_.Add(stall);
+    telemetry::Event(telemetry::Level::kWarning, "answer_stalled")
+        .Field("request", id)
+        .Field("path", known.request->Head().path)
+        .Field("at", kAnswerStallNames[static_cast<std::size_t>(stall)])
+        .Field("bytes", progress.bytes);
+  }
 }
 
 void RequestService::StartDraining() {
@@ -369,6 +407,7 @@
   ended_.Publish();
   refused_.Publish();
   malformed_messages_.Publish();
+  stalled_.Publish();
   hand_over_.PublishCounters();
   running_->Set(static_cast<double>(admission.RunningCount()));
   waiting_->Set(static_cast<double>(admission.WaitingCount()));
--- a/daemons/agent/src/request_service.h
+++ b/daemons/agent/src/request_service.h
@@ -18,6 +18,7 @@
 #include "gaugevalve/requests/request_pipeline.h"
 #include "gaugevalve/tasks/timer.h"
 #include "hand_over_service.h"
+#include "progress_monitor.h"
 #include "prometheus/gauge.h"
 #include "request_backend.h"
 
@@ -84,6 +85,7 @@
   void NoteEndpoint(requests::EndpointEnd end, base::TimePoint now);
   void UpdateDraining();
   void OnTimer();
+  void LogStalledAnswers(base::TimePoint now);
   void Perform(const requests::PipelineActions& actions);
   void Start(requests::RequestId id);
   void Refuse(const requests::RefusedRequest& refused);
@@ -111,6 +113,9 @@
   prometheus::Gauge* waiting_;
   prometheus::Gauge* streams_;
   prometheus::Gauge* remembers_keys_;
+  ProgressMonitor<requests::RequestId> answers_;
+  base::TimePoint answers_checked_at_{};
+  daemon::ReasonCounters stalled_;
   HandOverService hand_over_;
   tasks::Timer timer_;
 };
