--- a/daemons/agent/src/admitted_request.cpp
+++ b/daemons/agent/src/admitted_request.cpp
@@ -6,6 +6,7 @@
 
 #include "gaugevalve/base/hash.h"
 #include "gaugevalve/requests/request_headers.h"
+#include "gaugevalve/telemetry/event.h"
 
 namespace gaugevalve::agent {
 namespace {
@@ -222,6 +223,11 @@
 }
 
 void AdmittedRequest::OnExchangeFailed(const ExchangeFailure& failure) {
+  telemetry::Event(telemetry::Level::kInfo, "exchange_failed")
+      .Field("request", id_)
+      .Field("kind", ToString(failure.kind))
+      .Field("detail", failure.reason)
+      .Field("answer_begun", has_answer_head_);
   exchange_.reset();
   if (has_answer_head_) {
     is_decided_ = true;
--- a/daemons/agent/src/endpoint_connection.cpp
+++ b/daemons/agent/src/endpoint_connection.cpp
@@ -149,7 +149,7 @@
     return;
   }
   if ((what & BEV_EVENT_TIMEOUT) != 0) {
-    connection.OnPeerClosed(connection.is_connected_ ? "idle" : "the connection timed out");
+    connection.OnTimeout();
     return;
   }
   const bool is_error = (what & BEV_EVENT_ERROR) != 0;
@@ -221,6 +221,19 @@
   events->OnAnswerEnd();
 }
 
+void EndpointConnection::OnTimeout() {
+  if (!is_connected_) {
+    OnPeerClosed("the connection timed out");
+  } else if (state_ == State::kBusy) {
+    // The idle time-out had passed when an exchange took the connection, and has stopped reading.
+    if (parser_->GetState() != Http1ResponseParser::State::kPaused) {
+      bufferevent_enable(buffered_.get(), EV_READ);
+    }
+  } else {
+    OnPeerClosed("idle");
+  }
+}
+
 void EndpointConnection::OnPeerClosed(const std::string& reason) {
   if (state_ != State::kBusy) {
     Close();
--- a/daemons/agent/src/endpoint_connection.h
+++ b/daemons/agent/src/endpoint_connection.h
@@ -60,6 +60,7 @@
   void Write(std::string_view text);
   void ReadInput();
   void FinishAnswer();
+  void OnTimeout();
   void OnPeerClosed(const std::string& reason);
   void Fail(ExchangeFailure::Kind kind, const std::string& reason);
   void Close();
--- a/daemons/agent/tests/endpoint_client_test.cpp
+++ b/daemons/agent/tests/endpoint_client_test.cpp
@@ -4,7 +4,9 @@
 
 #include <optional>
 
+#include "gaugevalve/base/clock.h"
 #include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/timer.h"
 #include "scripted_endpoint.h"
 
 namespace gaugevalve::agent {
@@ -68,6 +70,7 @@
   CPPUNIT_TEST(ASlowEndpointHoldsTheRequestBack);
   CPPUNIT_TEST(MoreThanTheLimitIsNotSent);
   CPPUNIT_TEST(IdleConnectionsAreClosed);
+  CPPUNIT_TEST(ARequestThatMeetsTheIdleTimeoutIsAnswered);
   CPPUNIT_TEST_SUITE_END();
 
   tasks::LoopPointer loop_;
@@ -345,6 +348,40 @@
     RunUntil(loop_.get(), [&] { return endpoint_->IsClosed(0); });
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client_->ConnectionCount());
   }
+
+  // What callers saw: a board was refused as "outcome unknown" (request_outcome_unknown
+  // reason=endpoint-failed) by an agent whose endpoint ran on. An idle connection's time-out is
+  // told in the loop's next turn. A request that took the connection in between was cut by it,
+  // though it had been sent. Here both timers are due in one turn.
+  void ARequestThatMeetsTheIdleTimeoutIsAnswered() {
+    EndpointClientOptions options;
+    options.connect_timeout = kLongTime;
+    options.idle_timeout = std::chrono::milliseconds(20);
+    StartClient(options);
+    Recorder first;
+    Ask(first, 0);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+    WaitForAnswer(first);
+    Recorder second;
+    tasks::Timer timer(loop_.get(), [&] {
+      second.exchange = client_->Start({"GET", "https", "h", "/second", {}}, second);
+      second.exchange->FinishBody();
+    });
+    const base::SystemClock clock;
+    const base::TimePoint both_due = clock.Now() + 2 * options.idle_timeout;
+    timer.StartOnce(options.idle_timeout + std::chrono::milliseconds(1));
+    while (clock.Now() < both_due) {
+    }
+    RunUntil(loop_.get(), [&] {
+      const std::size_t last = endpoint_->Count() - 1;
+      return second.IsOver() || endpoint_->Received(last).find("/second") != std::string::npos;
+    });
+    CPPUNIT_ASSERT(!second.failure.has_value());
+    endpoint_->Send(endpoint_->Count() - 1, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+    WaitForAnswer(second);
+    CPPUNIT_ASSERT(second.is_whole);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), second.body);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointClientTest);
