--- a/daemons/agent/src/http3_service.cpp
+++ b/daemons/agent/src/http3_service.cpp
@@ -252,6 +252,7 @@
 void Http3Service::LogUnacknowledged(base::TimePoint now) {
   const std::vector<quic::StreamOutput> outputs = server_.WaitingOutputs();
   std::vector<decltype(unacknowledged_)::Item> items;
+  items.reserve(outputs.size());
   for (const quic::StreamOutput& output : outputs) {
     items.push_back({{output.remote, output.stream}, output.acknowledged});
   }
