--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -31,6 +31,7 @@
                  "Datagrams that could not be decoded, by reason.",
                  daemon::ReasonNames<wire::DecodeError>(wire::kDecodeErrorCount)),
       task_("data"),
+      loop_monitor_(task_.Loop(), "data", registry),
       module_(make_module(task_.Loop(), output_)),
       inbox_(task_.Loop(), kInboxCapacity,
              [this](const AgentMessage& message) { OnMessage(message); }),
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -11,6 +11,7 @@
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/control/node_view.h"
+#include "gaugevalve/daemon/loop_monitor.h"
 #include "gaugevalve/daemon/reason_counters.h"
 #include "gaugevalve/quic/credentials.h"
 #include "gaugevalve/routing/agent_report.h"
@@ -96,6 +97,7 @@
   daemon::PublishedCounter received_count_;
   daemon::ReasonCounters malformed_;
   tasks::Task task_;
+  daemon::LoopMonitor loop_monitor_;
   std::unique_ptr<ServiceModule> module_;
   tasks::Inbox<AgentMessage> inbox_;
   tasks::Watch readable_;
--- a/daemons/agent/src/hand_over_service.cpp
+++ b/daemons/agent/src/hand_over_service.cpp
@@ -71,6 +71,31 @@
                                                               : HandOverEnd::kOutcomeUnknown;
 }
 
+std::string_view MessageName(requests::proto::HandOverMessage::BodyCase kind) {
+  using requests::proto::HandOverMessage;
+  switch (kind) {
+    case HandOverMessage::kRequestAcknowledgement:
+      return "acknowledgement";
+    case HandOverMessage::kAnswerFrame:
+      return "answer";
+    case HandOverMessage::BODY_NOT_SET:
+      return "none";
+    default:
+      return "other";
+  }
+}
+
+void LogExecutorLoss(const requests::ExecutorLoss& loss) {
+  telemetry::Event(telemetry::Level::kWarning, "hand_over_executor_lost")
+      .Field("request", loss.request)
+      .Field("executor", loss.hand_over.executor)
+      .Field("number", loss.hand_over.number)
+      .Field("cause", ToString(loss.cause))
+      .Field("silence_ms", loss.silence / std::chrono::milliseconds(1))
+      .Field("last_message", MessageName(loss.last_message))
+      .Field("accepted", loss.is_accepted);
+}
+
 prometheus::Gauge* MakeGauge(prometheus::Registry& registry, const std::string& side) {
   return &prometheus::BuildGauge()
               .Name("gaugevalve_agent_hand_overs")
@@ -181,6 +206,9 @@
 }
 
 void HandOverService::Perform(const requests::HandOverActions& actions) {
+  for (const requests::ExecutorLoss& loss : actions.executor_losses) {
+    LogExecutorLoss(loss);
+  }
   for (const requests::OutgoingMessage& outgoing : actions.send) {
     peer_sender_(outgoing.destination, outgoing.message.SerializeAsString());
   }
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -151,11 +151,13 @@
     control_ = std::make_unique<daemon::ControlTask>(
         loop_.get(),
         daemon::ControlTaskSettings{node_, identity_.incarnation, worker_.DataAddress()}, admin_,
-        [this](const agent::ViewPointer& view) { return worker_.Send(view); },
+        *registry_, [this](const agent::ViewPointer& view) { return worker_.Send(view); },
         [this] { End(daemon::kFailure); });
     control_->SetReceiver(
         transport::MessageKind::kRequestHandOver, [this](const transport::Envelope& envelope) {
-          worker_.Send(agent::PeerMessage{envelope.sender.node, envelope.payload});
+          if (!worker_.Send(agent::PeerMessage{envelope.sender.node, envelope.payload})) {
+            control_->RecordDroppedMessages(daemon::PeerMessageDrop::kInboxFull, 1);
+          }
         });
     control_->Start();
   }
@@ -167,9 +169,20 @@
     }
   }
 
+  // Counts the messages that the outbox has refused since the last call.
+  void RecordRefusedMessages() {
+    const std::uint64_t refused = peer_outbox_.RefusedCount();
+    if (refused > recorded_refusals_) {
+      control_->RecordDroppedMessages(daemon::PeerMessageDrop::kOutboxFull,
+                                      refused - recorded_refusals_);
+      recorded_refusals_ = refused;
+    }
+  }
+
   void UpdateStatus(AgentStatus status) {
     status_ = std::move(status);
     if (control_ != nullptr) {
+      RecordRefusedMessages();
       control_->UpdateReport(status_.report);
     }
   }
@@ -227,6 +240,7 @@
   AgentStatus status_;
   tasks::Inbox<AgentStatus> statuses_;
   tasks::Inbox<OutgoingPeerMessage> peer_outbox_;  // drops messages when full; senders repeat them
+  std::uint64_t recorded_refusals_ = 0;            // of the outbox
   agent::AgentWorker worker_;
   telemetry::AdminServer admin_;
   std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
--- a/daemons/balancer/src/main.cpp
+++ b/daemons/balancer/src/main.cpp
@@ -99,7 +99,7 @@
     control_ = std::make_unique<daemon::ControlTask>(
         loop_.get(),
         daemon::ControlTaskSettings{node, daemon::MakeIncarnation(), worker_.DataAddress()}, admin_,
-        [this](const balancer::ViewPointer& view) { return worker_.PublishView(view); },
+        *registry_, [this](const balancer::ViewPointer& view) { return worker_.PublishView(view); },
         [this] { End(daemon::kFailure); });
     control_->Start();
   }
--- a/daemons/common/include/gaugevalve/daemon/control_task.h
+++ b/daemons/common/include/gaugevalve/daemon/control_task.h
@@ -11,6 +11,8 @@
 #include "gaugevalve/control/control_node.h"
 #include "gaugevalve/control/readiness.h"
 #include "gaugevalve/control/status_document.h"
+#include "gaugevalve/daemon/loop_monitor.h"
+#include "gaugevalve/daemon/peer_message_drops.h"
 #include "gaugevalve/lease/lease_task.h"
 #include "gaugevalve/settings/node_settings.h"
 #include "gaugevalve/store/store_client.h"
@@ -40,10 +42,11 @@
   using SupersededHandler = std::function<void()>;
 
   // Listens on the node's control address and adds /status, /explain and a readiness check to
-  // `admin`. `loop` and `admin` must outlive the task. Throws transport::TransportError when it
-  // can't listen.
+  // `admin`. `loop`, `admin` and `registry` must outlive the task. Throws transport::TransportError
+  // when it can't listen.
   ControlTask(event_base* loop, const ControlTaskSettings& settings, telemetry::AdminServer& admin,
-              ViewHandler view_handler, SupersededHandler superseded_handler);
+              prometheus::Registry& registry, ViewHandler view_handler,
+              SupersededHandler superseded_handler);
   ~ControlTask() override;
   ControlTask(const ControlTask&) = delete;
   ControlTask& operator=(const ControlTask&) = delete;
@@ -62,12 +65,17 @@
   void Leave(std::function<void()> done);
 
   // Sends a message of the daemon to a live member. Delivery is not guaranteed; messages to unknown
-  // nodes are dropped.
+  // nodes are dropped and counted.
   void SendToNode(base::NodeId node, transport::MessageKind kind, const std::string& payload);
 
   // Sets the receiver of a message kind that the control task doesn't handle itself.
   void SetReceiver(transport::MessageKind kind, transport::PeerTransport::Receiver receiver);
 
+  /// Records messages of the daemon that were dropped on their way to or from this task.
+  void RecordDroppedMessages(PeerMessageDrop drop, std::uint64_t count) {
+    m_drops.Record(drop, count, clock_.Now());
+  }
+
   // Returns the control address, with the port the system chose.
   base::SocketAddress ControlAddress() const;
 
@@ -88,6 +96,8 @@
   void OpenStore();
   void RunTransaction(const settings::StoreTransaction& transaction);
   void Perform(control::ControlActions& actions);
+  void Send(const base::SocketAddress& destination, transport::MessageKind kind,
+            std::string payload);
   void Log(const control::ControlActions& actions) const;
   void OfferView();
   void AddHandlers(telemetry::AdminServer& admin);
@@ -96,6 +106,8 @@
   event_base* loop_;
   settings::NodeSettings settings_;
   base::SystemClock clock_;
+  PeerMessageDrops m_drops;
+  LoopMonitor m_loop_monitor;
   ViewHandler view_handler_;
   SupersededHandler superseded_handler_;
   std::unique_ptr<transport::NngPeerTransport> transport_;
--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -74,10 +74,12 @@
 }  // namespace
 
 ControlTask::ControlTask(event_base* loop, const ControlTaskSettings& settings,
-                         telemetry::AdminServer& admin, ViewHandler view_handler,
-                         SupersededHandler superseded_handler)
+                         telemetry::AdminServer& admin, prometheus::Registry& registry,
+                         ViewHandler view_handler, SupersededHandler superseded_handler)
     : loop_(loop),
       settings_(settings.node),
+      m_drops(registry),
+      m_loop_monitor(loop, "control", registry),
       view_handler_(std::move(view_handler)),
       superseded_handler_(std::move(superseded_handler)),
       transport_(std::make_unique<transport::NngPeerTransport>(loop, clock_, IdentityOf(settings))),
@@ -128,9 +130,16 @@
 void ControlTask::SendToNode(base::NodeId node, transport::MessageKind kind,
                              const std::string& payload) {
   const membership::Member* const member = node_->Directory().Find(node);
-  if (member != nullptr) {
-    transport_->Send(member->metadata->control_address, kind, payload);
+  if (member == nullptr) {
+    m_drops.Record(PeerMessageDrop::kUnknownMember, 1, clock_.Now());
+    return;
   }
+  Send(member->metadata->control_address, kind, payload);
+}
+
+void ControlTask::Send(const base::SocketAddress& destination, transport::MessageKind kind,
+                       std::string payload) {
+  m_drops.RecordSend(transport_->Send(destination, kind, std::move(payload)), clock_.Now());
 }
 
 void ControlTask::SetReceiver(transport::MessageKind kind,
@@ -257,7 +266,7 @@
   for (control::OutgoingEnvelope& envelope : actions.envelopes) {
     // A message that the transport rejects is treated as lost; the protocols tolerate lost
     // messages.
-    transport_->Send(envelope.destination, envelope.kind, std::move(envelope.payload));
+    Send(envelope.destination, envelope.kind, std::move(envelope.payload));
   }
   Log(actions);
   if (actions.view != nullptr) {
--- a/libs/requests/include/gaugevalve/requests/hand_over_actions.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_actions.h
@@ -1,7 +1,9 @@
 // The actions of the hand-over core of an agent after one event.
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -67,11 +69,34 @@
   std::variant<RunOffered, BodyBytesReceived, BodyEnded, AnswerWritable, RunCancelled> what;
 };
 
+/// Why an origin takes the executor of a hand-over for lost.
+enum class ExecutorLossCause : std::uint8_t {
+  kSilent,          ///< no message within HandOverLimits::peer_timeout
+  kRunUnknown,      ///< the executor answered that it no longer has the run
+  kNewIncarnation,  ///< the table lists a newer incarnation of the executor
+  kInvalidAnswer,   ///< the executor aborted the answer, or its frames are out of order
+};
+
+/// Returns the name used in the log, such as "silent".
+std::string_view ToString(ExecutorLossCause cause);
+
+/// A hand-over whose executor is taken for lost. For the log.
+struct ExecutorLoss {
+  RequestId request;
+  HandOverId hand_over;
+  ExecutorLossCause cause = ExecutorLossCause::kSilent;
+  /// Kind of the executor's last message about this request; BODY_NOT_SET: there was none.
+  proto::HandOverMessage::BodyCase last_message = proto::HandOverMessage::BODY_NOT_SET;
+  base::Duration silence{0};  ///< time since the executor's last message, or since the offer
+  bool is_accepted = false;   ///< the executor had accepted the request
+};
+
 // The actions that result from one event; each list is in order.
 struct HandOverActions {
   std::vector<OutgoingMessage> send;
   std::vector<OriginEvent> origin;
   std::vector<ExecutorEvent> executor;
+  std::vector<ExecutorLoss> executor_losses;
 };
 
 }  // namespace gaugevalve::requests
--- a/libs/requests/include/gaugevalve/requests/hand_over_origin.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_origin.h
@@ -86,6 +86,7 @@
     bool has_answer_begun = false;
     bool waits_for_room = false;
     base::TimePoint last_message_at{};
+    proto::HandOverMessage::BodyCase last_message = proto::HandOverMessage::BODY_NOT_SET;
     base::TimePoint offer_at{};  // time of the next offer, until it is accepted
     base::TimePoint heartbeat_at{};
   };
@@ -102,7 +103,8 @@
                          HandOverActions& actions);
   void OnRefusal(Exchange& exchange, const Refusal& refusal, base::TimePoint now,
                  HandOverActions& actions);
-  void OnExecutorLost(Exchange& exchange, base::TimePoint now, HandOverActions& actions);
+  void OnExecutorLost(Exchange& exchange, ExecutorLossCause cause, base::TimePoint now,
+                      HandOverActions& actions);
   bool MayRepeat(const Exchange& exchange, base::TimePoint now);
   bool OfferElsewhere(Exchange& exchange, base::TimePoint now, HandOverActions& actions);
   void RefuseAsLost(RequestId id, HandOverActions& actions);
--- a/libs/requests/src/hand_over.cpp
+++ b/libs/requests/src/hand_over.cpp
@@ -5,6 +5,19 @@
 #include "gaugevalve/requests/hand_over_codec.h"
 
 namespace gaugevalve::requests {
+std::string_view ToString(ExecutorLossCause cause) {
+  switch (cause) {
+    case ExecutorLossCause::kSilent:
+      return "silent";
+    case ExecutorLossCause::kRunUnknown:
+      return "run-unknown";
+    case ExecutorLossCause::kNewIncarnation:
+      return "new-incarnation";
+    case ExecutorLossCause::kInvalidAnswer:
+      return "invalid-answer";
+  }
+  return "unknown";
+}
 
 HandOver::HandOver(base::NodeId self, base::Incarnation incarnation, const HandOverLimits& limits,
                    base::RandomSource& random)
--- a/libs/requests/src/hand_over_origin.cpp
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -73,6 +73,7 @@
   exchange.answer = FrameReceiver(limits_.mechanisms.check_sequence);
   exchange.is_accepted = false;
   exchange.last_message_at = now;
+  exchange.last_message = proto::HandOverMessage::BODY_NOT_SET;
   exchange.heartbeat_at = now + limits_.heartbeat_interval;
   by_number_[exchange.id.number] = exchange.request.id;
   loads_.OnHandOverBegun(peer->node);
@@ -160,10 +161,13 @@
     }
     return;
   }
-  exchange->last_message_at = now;
   if (message.has_gone()) {
-    OnExecutorLost(*exchange, now, actions);
-  } else if (message.has_answer_frame()) {
+    OnExecutorLost(*exchange, ExecutorLossCause::kRunUnknown, now, actions);
+    return;
+  }
+  exchange->last_message_at = now;
+  exchange->last_message = message.body_case();
+  if (message.has_answer_frame()) {
     exchange->is_accepted = true;
     OnAnswerFrame(*exchange, message.answer_frame(), now, actions);
   } else if (message.has_request_acknowledgement()) {
@@ -206,7 +210,7 @@
     End(id, actions);
   } else {
     // The answer was aborted, or its frames are not in a valid order.
-    OnExecutorLost(exchange, now, actions);
+    OnExecutorLost(exchange, ExecutorLossCause::kInvalidAnswer, now, actions);
   }
 }
 
@@ -229,9 +233,11 @@
 }
 
 // The executor is lost or does not know the outcome: the request may have run.
-void HandOverOrigin::OnExecutorLost(Exchange& exchange, base::TimePoint now,
-                                    HandOverActions& actions) {
+void HandOverOrigin::OnExecutorLost(Exchange& exchange, ExecutorLossCause cause,
+                                    base::TimePoint now, HandOverActions& actions) {
   const RequestId id = exchange.request.id;
+  actions.executor_losses.push_back({id, exchange.id, cause, exchange.last_message,
+                                     now - exchange.last_message_at, exchange.is_accepted});
   if (exchange.has_answer_begun) {
     actions.origin.push_back({id, AnswerAborted{}});
     End(id, actions);
@@ -295,7 +301,7 @@
     }
   }
   for (const RequestId id : lost) {
-    OnExecutorLost(exchanges_.at(id), now, actions);
+    OnExecutorLost(exchanges_.at(id), ExecutorLossCause::kNewIncarnation, now, actions);
   }
 }
 
@@ -326,7 +332,7 @@
            actions);
   }
   for (const RequestId id : silent) {
-    OnExecutorLost(exchanges_.at(id), now, actions);
+    OnExecutorLost(exchanges_.at(id), ExecutorLossCause::kSilent, now, actions);
   }
 }
 
