--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -82,11 +82,13 @@
 // likely holds the flow; agents of the own zone precede others of the same tier. The other agents
 // follow. Within both groups, agents of other services come late and unresponsive ones last. After
 // a lost search, agents updated since it began come first, because it may have ended at any of the
-// others, and the order within a zone changes.
+// others. It may also have ended at a responsive agent whose endpoint has just crashed. Therefore
+// every other search begins with the agents of other services, and each group is asked in the
+// opposite order the next time: no single agent precedes the holder twice in a row.
 void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const Route& route,
                                   const FlowPacket& packet, const FlowRecord& record,
                                   base::TimePoint now) const {
-  enum Rank : std::uint8_t { kUpdatedSince, kUsual, kOtherService, kSilent };
+  enum Rank : std::uint8_t { kOtherServiceFirst, kUpdatedSince, kUsual, kOtherService, kSilent };
   struct Place {
     bool is_later_tier;
     Rank rank;
@@ -97,15 +99,23 @@
   };
   const std::uint32_t own_zone = ZoneHash(m_settings.zone);
   const std::span<const base::ServiceId> services = ServicesOf(route);
+  const bool is_other_service_first = record.search_order % 2 == 1;
   std::vector<Place> places;
   places.reserve(agents.size());
   for (const RankedAgent& ranked : RankForFlow(FlowHash(packet.flow), agents)) {
     KnownAgent& agent = *ranked.agent;
     const Rank usual = agent.updated_at > record.searched_at ? kUpdatedSince : kUsual;
     const bool is_of_route = Contains(services, agent.report.service);
-    const Rank rank = !IsResponsive(agent, now) ? kSilent : is_of_route ? usual : kOtherService;
-    places.push_back({ranked.tier > 0 || !is_of_route, rank, ranked.tier, agent.zone != own_zone,
-                      base::HashPair(ranked.hash, record.search_order), &agent});
+    const Rank other_service = is_other_service_first ? kOtherServiceFirst : kOtherService;
+    const Rank responsive = is_of_route ? usual : other_service;
+    const Rank rank = IsResponsive(agent, now) ? responsive : kSilent;
+    const bool is_later_tier = is_of_route ? ranked.tier > 0 : rank != kOtherServiceFirst;
+    const std::uint32_t pass = is_of_route ? record.search_order : record.search_order / 2;
+    const bool is_reversed = pass % 2 == 1;
+    const std::uint64_t hash = base::HashPair(ranked.hash, pass / 2);
+    const bool is_other_zone = agent.zone != own_zone;
+    places.push_back({is_later_tier, rank, ranked.tier, is_other_zone != is_reversed,
+                      is_reversed ? ~hash : hash, &agent});
   }
   std::sort(places.begin(), places.end(), [](const Place& left, const Place& right) {
     const auto key = [](const Place& place) {
