--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -91,12 +91,18 @@
   void Remember(const Announcement& announcement, EndpointStanding standing, base::TimePoint now);
 
   /// Returns whether a health check is due because the endpoint is unknown or doesn't answer, and
-  /// records its start.
+  /// records its start. A leaving endpoint is checked as well if it left a searched packet
+  /// unanswered: it may have ended since.
   bool TakeProbe(base::TimePoint now);
   void NoteProbe(ProbeResult result, base::TimePoint now);
 
   /// Records that an opening packet was sent to the endpoint.
   void NoteOpening(base::TimePoint now);
+  /// Records that a packet of a search that demands an answer was sent to the endpoint. If neither
+  /// an answer nor a bounce follows, a health check is due: the endpoint may have ended, and this
+  /// agent would swallow all searches that pass it. Doesn't change the standing, since an endpoint
+  /// that holds the flow may be slow.
+  void NoteSearch(base::TimePoint now);
   /// Records that the endpoint sent a packet.
   /// @param holds_flow  whether the packet belongs to a flow that the endpoint holds. An endpoint
   ///                    that is about to end may bounce or reset packets while its port is already
@@ -130,6 +136,7 @@
   bool IsPresent(const EndpointIncarnation& incarnation) const;
   void NoteEnded(const EndpointIncarnation& incarnation);
   bool IsUnresponsive(base::TimePoint now) const;
+  bool IsSearchUnanswered(base::TimePoint now) const;
   bool IsReplacedBy(const Announcement& announcement, base::TimePoint now);
   base::Duration ConfirmationTime() const;
 
@@ -151,6 +158,7 @@
   base::TimePoint m_last_contact_at{};
   // First opening not followed by any packet from the endpoint.
   std::optional<base::TimePoint> m_unanswered_since;
+  std::optional<base::TimePoint> m_search_unanswered_since;  // see NoteSearch()
   bool m_is_absent = false;
   bool m_is_refused = false;        // refused the last health check; no announcement since
   bool m_was_unresponsive = false;  // it was unresponsive since the last contact, and answers again
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -55,6 +55,9 @@
       record.searching_balancer = balancer;
       record.route = header.has_route ? route : SearchRoute();
       record.search_round = header.search_round;
+      if (packet.data_size > 0 || packet.is_closing) {
+        m_gate.NoteSearch(now);
+      }
     }
     if (ShouldQueue(record, packet, header)) {
       return Enqueue(record, packet, header, balancer, now);
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -11,6 +11,9 @@
 // single unanswered packet is enough: in a large fleet an agent sees an opening every two seconds,
 // and each further packet would delay another client.
 constexpr base::Duration kOpeningAnswerTimeout = std::chrono::milliseconds(150);
+// An endpoint on the same host bounces packets of unknown flows within a millisecond. Shorter than
+// a client's first retransmission after 200 ms, which would be lost in the same way.
+constexpr base::Duration kSearchAnswerTimeout = std::chrono::milliseconds(100);
 // Announcements may be seconds late. After this many missed ones the endpoint counts as silent.
 constexpr int kMaxMissedAnnouncements = 6;
 // Number of ended incarnations that are remembered. Each incarnation lives for at least some
@@ -215,7 +218,7 @@
 
 bool EndpointGate::TakeProbe(base::TimePoint now) {
   const EndpointStanding standing = Standing(now);
-  const bool is_in_doubt = standing == EndpointStanding::kUnknown ||
+  const bool is_in_doubt = IsSearchUnanswered(now) || standing == EndpointStanding::kUnknown ||
                            standing == EndpointStanding::kSilent ||
                            standing == EndpointStanding::kAbsent;
   const bool is_due = !m_probed_at || now - *m_probed_at >= kProbePeriod;
@@ -223,6 +226,7 @@
     return false;
   }
   m_probed_at = now;
+  m_search_unanswered_since.reset();
   return true;
 }
 
@@ -238,6 +242,7 @@
 void EndpointGate::NoteActivity(bool holds_flow, base::TimePoint now) {
   m_was_unresponsive = m_was_unresponsive || m_is_absent || IsUnresponsive(now);
   m_unanswered_since.reset();
+  m_search_unanswered_since.reset();
   m_is_absent = m_is_absent && !holds_flow;
 }
 
@@ -247,6 +252,16 @@
   }
 }
 
+void EndpointGate::NoteSearch(base::TimePoint now) {
+  if (!m_search_unanswered_since) {
+    m_search_unanswered_since = now;
+  }
+}
+
+bool EndpointGate::IsSearchUnanswered(base::TimePoint now) const {
+  return m_search_unanswered_since && now - *m_search_unanswered_since > kSearchAnswerTimeout;
+}
+
 bool EndpointGate::IsUnresponsive(base::TimePoint now) const {
   return m_unanswered_since && now - *m_unanswered_since > kOpeningAnswerTimeout;
 }
--- a/libs/placement/tests/endpoint_gate_test.cpp
+++ b/libs/placement/tests/endpoint_gate_test.cpp
@@ -34,6 +34,10 @@
   CPPUNIT_TEST(MissedAnnouncementsMakeItSilent);
   CPPUNIT_TEST(UnansweredOpeningsMakeItSilent);
   CPPUNIT_TEST(OneUnansweredOpeningMakesItSilent);
+  CPPUNIT_TEST(AnEndpointThatLeavesASearchUnansweredIsProbed);
+  CPPUNIT_TEST(ALeavingEndpointThatLeavesASearchUnansweredIsProbed);
+  CPPUNIT_TEST(AnEndpointThatAnswersASearchIsNotProbed);
+  CPPUNIT_TEST(ASlowEndpointIsProbedRarelyForSearches);
   CPPUNIT_TEST(ARefusedProbeMakesItAbsentUntilItIsHeard);
   CPPUNIT_TEST(AHealthyProbeAdmitsForALimitedTime);
   CPPUNIT_TEST(ProbesAreSpacedAndOnlyInDoubt);
@@ -155,6 +159,52 @@
     Expect(EndpointStanding::kAdmitting, 1160);
   }
 
+  // Guards against searches that are swallowed by an agent beside an endpoint that has crashed.
+  void AnEndpointThatLeavesASearchUnansweredIsProbed() {
+    m_gate.Announce(Ready("a", 1), At(0));
+    m_gate.Announce(Ready("a", 2), At(0));
+    m_gate.NoteSearch(At(1000));
+    CPPUNIT_ASSERT(!m_gate.TakeProbe(At(1100)));
+    CPPUNIT_ASSERT(m_gate.TakeProbe(At(1101)));
+    Expect(EndpointStanding::kAdmitting, 1101);  // it may be slow
+    m_gate.NoteProbe(ProbeResult::kRefused, At(1102));
+    Expect(EndpointStanding::kAbsent, 1102);
+  }
+
+  void ALeavingEndpointThatLeavesASearchUnansweredIsProbed() {
+    m_gate.Announce(Draining("a", 1), At(0));
+    CPPUNIT_ASSERT(!m_gate.TakeProbe(At(1000)));
+    m_gate.NoteSearch(At(1000));
+    CPPUNIT_ASSERT(m_gate.TakeProbe(At(1101)));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(1102));
+    Expect(EndpointStanding::kAbsent, 1102);
+  }
+
+  void AnEndpointThatAnswersASearchIsNotProbed() {
+    m_gate.Announce(Ready("a", 1), At(0));
+    m_gate.Announce(Ready("a", 2), At(0));
+    m_gate.NoteSearch(At(1000));
+    m_gate.NoteActivity(false, At(1010));
+    CPPUNIT_ASSERT(!m_gate.TakeProbe(At(1200)));
+  }
+
+  // A slow endpoint that passes the health check keeps its standing and is probed at most once a
+  // second.
+  void ASlowEndpointIsProbedRarelyForSearches() {
+    m_gate.Announce(Ready("a", 1), At(0));
+    m_gate.Announce(Ready("a", 2), At(0));
+    int probes = 0;
+    for (int time = 1000; time < 3000; time += 20) {
+      m_gate.NoteSearch(At(time));
+      if (m_gate.TakeProbe(At(time))) {
+        ++probes;
+        m_gate.NoteProbe(ProbeResult::kHealthy, At(time));
+      }
+      Expect(EndpointStanding::kAdmitting, time);
+    }
+    CPPUNIT_ASSERT_EQUAL(2, probes);
+  }
+
   void ARefusedProbeMakesItAbsentUntilItIsHeard() {
     m_gate.NoteProbe(ProbeResult::kRefused, At(0));
     Expect(EndpointStanding::kAbsent, 5000);
