--- a/daemons/agent/src/admitted_request.h
+++ b/daemons/agent/src/admitted_request.h
@@ -20,8 +20,9 @@
 // Progress of a request's answer.
 struct AnswerProgress {
   bool has_begun = false;
-  std::uint64_t bytes = 0;        // of the answer's body so far
-  bool waits_for_caller = false;  // the caller's flow control blocks the answer
+  std::uint64_t bytes = 0;  // of the answer's body so far
+  // The caller's flow control blocks the answer, or the caller has not sent its whole body.
+  bool waits_for_caller = false;
 };
 
 // Decides what happens to requests. Must outlive every request.
@@ -86,7 +87,14 @@
   const quic::RequestHead& Head() const { return head_; }
   bool IsKeyed() const { return is_keyed_; }
   bool IsStream() const { return is_stream_; }
-  AnswerProgress Progress() const { return {has_answer_head_, answer_bytes_, waits_for_caller_}; }
+  // Ends an answer that has begun and will not be completed: its caller gets a reset.
+  void CutAnswer(const std::string& reason) {
+    OnExchangeFailed({ExchangeFailure::Kind::kCutAnswer, reason});
+  }
+
+  AnswerProgress Progress() const {
+    return {has_answer_head_, answer_bytes_, waits_for_caller_ || !is_body_complete_};
+  }
   // Returns whether another agent handed the request over.
   bool WasHandedOver() const { return refusals_ != nullptr; }
 
--- a/daemons/agent/src/progress_monitor.h
+++ b/daemons/agent/src/progress_monitor.h
@@ -45,6 +45,13 @@
     return stalled;
   }
 
+  // Returns for how long the item has made no progress; 0 if the last call of TakeStalled() did not
+  // name it.
+  base::Duration IdleTime(const Key& key, base::TimePoint now) const {
+    const auto found = progress_.find(key);
+    return found == progress_.end() ? base::Duration(0) : now - found->second.since;
+  }
+
  private:
   struct Progress {
     std::uint64_t count = 0;
--- a/daemons/agent/src/request_service.cpp
+++ b/daemons/agent/src/request_service.cpp
@@ -230,11 +230,11 @@
   hand_over_.OnTimer(Load(now));
   if (now - answer_progress_checked_at_ >= kProgressPeriod) {
     answer_progress_checked_at_ = now;
-    LogStalledAnswers(now);
+    CheckAnswerProgress(now);
   }
 }
 
-void RequestService::LogStalledAnswers(base::TimePoint now) {
+void RequestService::CheckAnswerProgress(base::TimePoint now) {
   std::vector<decltype(answer_progress_)::Item> items;
   for (const auto& [id, tracked_request] : tracked_) {
     const AnswerProgress progress = tracked_request.request->Progress();
@@ -243,17 +243,38 @@
     }
   }
   for (const requests::RequestId id : answer_progress_.TakeStalled(items, now)) {
-    const TrackedRequest& tracked_request = tracked_.at(id);
-    const AnswerProgress progress = tracked_request.request->Progress();
-    const AnswerStall stall = progress.waits_for_caller ? AnswerStall::kCaller
-                              : tracked_request.is_away ? AnswerStall::kPeer
-                                                        : AnswerStall::kEndpoint;
-    stalled_.Add(stall);
-    telemetry::Event(telemetry::Level::kWarning, "answer_stalled")
-        .Field("request", id)
-        .Field("path", tracked_request.request->Head().path)
-        .Field("at", kAnswerStallNames[static_cast<std::size_t>(stall)])
-        .Field("bytes", progress.bytes);
+    LogStalledAnswer(id);
+  }
+  EndStalledAnswers(now);
+}
+
+void RequestService::LogStalledAnswer(requests::RequestId id) {
+  const TrackedRequest& tracked_request = tracked_.at(id);
+  const AnswerProgress progress = tracked_request.request->Progress();
+  const AnswerStall stall = progress.waits_for_caller ? AnswerStall::kCaller
+                            : tracked_request.is_away ? AnswerStall::kPeer
+                                                      : AnswerStall::kEndpoint;
+  stalled_.Add(stall);
+  telemetry::Event(telemetry::Level::kWarning, "answer_stalled")
+      .Field("request", id)
+      .Field("path", tracked_request.request->Head().path)
+      .Field("at", kAnswerStallNames[static_cast<std::size_t>(stall)])
+      .Field("bytes", progress.bytes);
+}
+
+// The deadline ends a request whose answer has not begun. An answer that has begun is cut when it
+// makes no progress for as long, so that its caller learns that the rest will not come. An answer
+// that waits for its caller is left to the transport's time-outs.
+void RequestService::EndStalledAnswers(base::TimePoint now) {
+  std::vector<requests::RequestId> stalled;
+  for (const auto& [id, tracked_request] : tracked_) {
+    const bool waits_for_caller = tracked_request.request->Progress().waits_for_caller;
+    if (!waits_for_caller && answer_progress_.IdleTime(id, now) >= default_timeout_) {
+      stalled.push_back(id);
+    }
+  }
+  for (const requests::RequestId id : stalled) {
+    tracked_.at(id).request->CutAnswer("the answer made no progress within the deadline");
   }
 }
 
--- a/daemons/agent/src/request_service.h
+++ b/daemons/agent/src/request_service.h
@@ -86,7 +86,9 @@
   void UpdateEndpointState(requests::EndpointResult end, base::TimePoint now);
   void UpdateDraining();
   void OnTimer();
-  void LogStalledAnswers(base::TimePoint now);
+  void CheckAnswerProgress(base::TimePoint now);
+  void LogStalledAnswer(requests::RequestId id);
+  void EndStalledAnswers(base::TimePoint now);
   void Perform(const requests::PipelineActions& actions);
   void Start(requests::RequestId id);
   void Refuse(const requests::RefusedRequest& refused);
--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -196,6 +196,9 @@
   CPPUNIT_TEST(LargeBodiesPassBothWays);
   CPPUNIT_TEST(MisroutedPacketsReachTheAgentOfTheirConnection);
   CPPUNIT_TEST(ATruncatedAnswerIsResetAndAnUnsentRequestRefused);
+  CPPUNIT_TEST(AnAnswerThatStopsAtItsEndpointIsReset);
+  CPPUNIT_TEST(AnAnswerThatStopsAtAnotherEndpointIsReset);
+  CPPUNIT_TEST(AnEventStreamMayBeQuiet);
   CPPUNIT_TEST(AKeyedRequestRunsOnceAndARepeatGetsItsAnswer);
   CPPUNIT_TEST(AMalformedDeadlineIsRefusedWithAMessage);
   CPPUNIT_TEST(AnEventStreamSurvivesADrainAndAChangeOfAddress);
@@ -245,6 +248,19 @@
     return service;
   }
 
+  // Returns settings with a deadline of a second and this state of the first agent's endpoint.
+  static std::shared_ptr<const settings::ServiceSettings> WithDeadline(
+      settings::AdministrativeState first_state) {
+    auto service =
+        std::make_shared<settings::ServiceSettings>(*DrainFirst(settings::HandOverSwitch::kOn));
+    service->endpoints.front().state = first_state;
+    for (settings::EndpointSettings& endpoint : service->endpoints) {
+      endpoint.request_deadline = std::chrono::seconds(1);
+      endpoint.connections = 8;
+    }
+    return service;
+  }
+
   // Sends all agents and the balancer a view in which the first agent owns every bucket. Without
   // settings the agents use their defaults.
   void PublishView(std::shared_ptr<const settings::ServiceSettings> service_settings = nullptr) {
@@ -395,6 +411,42 @@
     CPPUNIT_ASSERT(answer->is_complete);
   }
 
+  // Real processes, every endpoint drained in a row: a caller waited for the rest of an answer
+  // until its own time-out of 60 s.
+  void AnAnswerThatStopsAtItsEndpointIsReset() {
+    PublishView(WithDeadline(settings::AdministrativeState::kServing));
+    const auto answer = Ask("GET");
+    WaitForRequest(1);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT_EQUAL(std::string("half"), answer->body);
+    CPPUNIT_ASSERT(answer->failure->kind == quic::RequestFailure::Kind::kReset);
+    CPPUNIT_ASSERT(!answer->failure->WasNotRun());
+    RunUntil(loop_.get(), [&] { return endpoint_->IsClosed(0); });
+  }
+
+  void AnAnswerThatStopsAtAnotherEndpointIsReset() {
+    PublishView(WithDeadline(settings::AdministrativeState::kDraining));
+    const auto answer = RequestUntilHandedOver("GET", "", {}, 1, "\r\n\r\n");
+    other_endpoint_->Send(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->failure->kind == quic::RequestFailure::Kind::kReset);
+    RunUntil(loop_.get(), [&] { return other_endpoint_->IsClosed(0); });
+  }
+
+  void AnEventStreamMayBeQuiet() {
+    PublishView(WithDeadline(settings::AdministrativeState::kServing));
+    const auto stream = Ask("GET", "", {{"accept", "text/event-stream"}});
+    WaitForRequest(1);
+    endpoint_->Send(0, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n1\n\r\n");
+    RunUntil(loop_.get(), [&] { return stream->body == "1\n"; });
+    const auto answer = Ask("GET");  // is ended after the stream has been quiet for longer
+    WaitForRequest(2);
+    endpoint_->Send(1, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(!stream->IsOver());
+  }
+
   void ATruncatedAnswerIsResetAndAnUnsentRequestRefused() {
     const auto truncated_answer = Ask("GET");
     WaitForRequest(1);
--- a/daemons/agent/tests/progress_monitor_test.cpp
+++ b/daemons/agent/tests/progress_monitor_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(ProgressRestartsTheStallTime);
   CPPUNIT_TEST(RemovedItemsAreForgotten);
   CPPUNIT_TEST(ItemsAreTrackedSeparately);
+  CPPUNIT_TEST(TheIdleTimeBeginsWithTheLastProgress);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +45,14 @@
     CPPUNIT_ASSERT(stalled == std::vector{4});
   }
 
+  void TheIdleTimeBeginsWithTheLastProgress() {
+    monitor_.TakeStalled({{4, 10}}, At(0));
+    monitor_.TakeStalled({{4, 11}}, At(3));
+    monitor_.TakeStalled({{4, 11}}, At(9));
+    CPPUNIT_ASSERT(monitor_.IdleTime(4, At(9)) == std::chrono::seconds(6));
+    CPPUNIT_ASSERT(monitor_.IdleTime(5, At(9)) == std::chrono::seconds(0));
+  }
+
  private:
   ProgressMonitor<int> monitor_;
 };
