--- a/libs/requests/include/gaugevalve/requests/hand_over.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 #include "gaugevalve/base/random_source.h"
 #include "gaugevalve/requests/hand_over_executor.h"
@@ -44,7 +45,8 @@
                             base::TimePoint now);
 
   // Retransmits messages, ends overdue hand-overs and announces `load` when due. Call every few
-  // tens of milliseconds.
+  // tens of milliseconds. A gap of more than half a second between two calls is taken for a pause
+  // of this process: other agents were not silent meanwhile, their messages wait to be handled.
   HandOverActions OnTimer(const LocalLoad& load, base::TimePoint now);
 
   HandOverOrigin& Origin() { return origin_; }
@@ -53,6 +55,7 @@
 
  private:
   void Announce(const LocalLoad& load, HandOverActions& actions);
+  void DetectPause(base::TimePoint now);
 
   base::NodeId self_;
   base::Incarnation incarnation_;
@@ -62,6 +65,7 @@
   HandOverExecutor executor_;
   std::shared_ptr<const routing::BucketTable> table_;
   base::TimePoint announce_at_{};
+  std::optional<base::TimePoint> timer_called_at_;
   std::size_t next_announced_ = 0;  // index into the table's agents
   bool announced_takes_requests_ = false;
 };
--- a/libs/requests/include/gaugevalve/requests/hand_over_executor.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_executor.h
@@ -55,6 +55,9 @@
 
   void OnTimer(base::TimePoint now, HandOverActions& actions);
 
+  /// This process stood still for `pause`: origins were not silent meanwhile.
+  void SkipPause(base::Duration pause, base::TimePoint now);
+
   std::size_t Size() const { return runs_.size(); }
 
  private:
--- a/libs/requests/include/gaugevalve/requests/hand_over_origin.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_origin.h
@@ -70,6 +70,9 @@
 
   void OnTimer(base::TimePoint now, HandOverActions& actions);
 
+  /// This process stood still for `pause`: peers were not silent meanwhile.
+  void SkipPause(base::Duration pause, base::TimePoint now);
+
   std::size_t Size() const { return exchanges_.size(); }
   bool Contains(RequestId id) const { return exchanges_.contains(id); }
 
--- a/libs/requests/src/hand_over.cpp
+++ b/libs/requests/src/hand_over.cpp
@@ -5,6 +5,13 @@
 #include "gaugevalve/requests/hand_over_codec.h"
 
 namespace gaugevalve::requests {
+namespace {
+
+// Many times the interval at which OnTimer() is called.
+constexpr base::Duration kMaxTimerGap{500'000};
+
+}  // namespace
+
 std::string_view ToString(ExecutorLossCause cause) {
   switch (cause) {
     case ExecutorLossCause::kSilent:
@@ -71,6 +78,7 @@
 
 HandOverActions HandOver::OnTimer(const LocalLoad& load, base::TimePoint now) {
   HandOverActions actions;
+  DetectPause(now);
   origin_.OnTimer(now, actions);
   executor_.OnTimer(now, actions);
   const bool has_changed = load.takes_requests != announced_takes_requests_;
@@ -82,6 +90,15 @@
   return actions;
 }
 
+void HandOver::DetectPause(base::TimePoint now) {
+  const base::Duration gap = timer_called_at_ ? now - *timer_called_at_ : base::Duration(0);
+  timer_called_at_ = now;
+  if (gap > kMaxTimerGap) {
+    origin_.SkipPause(gap, now);
+    executor_.SkipPause(gap, now);
+  }
+}
+
 void HandOver::Announce(const LocalLoad& load, HandOverActions& actions) {
   const std::vector<routing::AgentEntry>& agents = table_->agents;
   const std::size_t count = std::min(agents.size(), limits_.announced_peers + 1);
--- a/libs/requests/src/hand_over_executor.cpp
+++ b/libs/requests/src/hand_over_executor.cpp
@@ -1,5 +1,6 @@
 #include "gaugevalve/requests/hand_over_executor.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gaugevalve/requests/hand_over_codec.h"
@@ -277,6 +278,12 @@
   deduplicator_.NoteIncarnation(node, incarnation);
 }
 
+void HandOverExecutor::SkipPause(base::Duration pause, base::TimePoint now) {
+  for (auto& [id, run] : runs_) {
+    run.last_message_at = std::min(run.last_message_at + pause, now);
+  }
+}
+
 void HandOverExecutor::OnTimer(base::TimePoint now, HandOverActions& actions) {
   std::vector<HandOverId> over;
   for (auto& [id, run] : runs_) {
--- a/libs/requests/src/hand_over_origin.cpp
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -305,6 +305,12 @@
   }
 }
 
+void HandOverOrigin::SkipPause(base::Duration pause, base::TimePoint now) {
+  for (auto& [id, exchange] : exchanges_) {
+    exchange.last_message_at = std::min(exchange.last_message_at + pause, now);
+  }
+}
+
 void HandOverOrigin::OnTimer(base::TimePoint now, HandOverActions& actions) {
   std::vector<RequestId> overdue;
   std::vector<RequestId> silent;
--- a/libs/requests/tests/hand_over_test.cpp
+++ b/libs/requests/tests/hand_over_test.cpp
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(ARefusalLeavesTheRequestNotRun);
   CPPUNIT_TEST(ANewIncarnationOfThePeerLeavesTheOutcomeUnknown);
   CPPUNIT_TEST(ASilentPeerLeavesTheOutcomeUnknown);
+  CPPUNIT_TEST(AnAgentThatStoodStillTakesNoPeerForSilent);
+  CPPUNIT_TEST(APeerThatStaysSilentAfterAPauseIsLost);
   CPPUNIT_TEST(ALateRepeatOfAnEndedOfferRunsNothing);
   CPPUNIT_TEST(AnOfferCancelledBeforeItArrivedRunsNothing);
   CPPUNIT_TEST(TheBetterOfTwoPeersIsChosen);
@@ -162,6 +164,34 @@
     CPPUNIT_ASSERT_EQUAL(RequestOutcome::kOutcomeUnknown, RefusalAtOrigin().outcome);
   }
 
+  // Guards against answers "outcome unknown" from an agent whose loop stood still for longer than
+  // the peer time-out while the peer's messages waited.
+  void AnAgentThatStoodStillTakesNoPeerForSilent() {
+    CPPUNIT_ASSERT(Offer());
+    Perform(kOrigin, origin_->OnTimer({}, now_));
+    Perform(kExecutor, executor_->OnTimer({}, now_));
+    now_ += HandOverLimits().peer_timeout + seconds(1);
+    const HandOverActions woken = origin_->OnTimer({}, now_);
+    CPPUNIT_ASSERT(woken.origin.empty());
+    CPPUNIT_ASSERT(executor_->OnTimer({}, now_).executor.empty());
+  }
+
+  void APeerThatStaysSilentAfterAPauseIsLost() {
+    CPPUNIT_ASSERT(Offer());
+    Perform(kOrigin, origin_->OnTimer({}, now_));
+    now_ += seconds(5);
+    origin_->OnTimer({}, now_);
+    const base::TimePoint lost_at = now_ + HandOverLimits().peer_timeout;
+    HandOverActions actions;
+    while (now_ < lost_at) {
+      CPPUNIT_ASSERT(actions.origin.empty());
+      now_ += milliseconds(20);
+      actions = origin_->OnTimer({}, now_);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.executor_losses.size());
+    CPPUNIT_ASSERT(actions.executor_losses[0].cause == ExecutorLossCause::kSilent);
+  }
+
   void ALateRepeatOfAnEndedOfferRunsNothing() {
     CPPUNIT_ASSERT(Offer());
     HandOverActions actions;
--- a/proofs/real_processes/http3_scenario.py
+++ b/proofs/real_processes/http3_scenario.py
@@ -3,7 +3,7 @@
 import collections
 from typing import Any
 
-from local import polling
+from local import admin, nodes, polling
 from scenario import Row, ScenarioTest
 
 _SEED_SHIFT = 32  # flow numbers have the load tool's seed in their upper half
@@ -80,6 +80,24 @@
             runs[ledger["service"], "drawings"] += ledger["http"]["drawings"]
         return runs
 
+    def drain_and_see_hand_over(self, endpoint: nodes.Endpoint, path: str) -> bool:
+        """Drains an endpoint that has callers; tells whether one of them was answered elsewhere."""
+        polling.wait_until(lambda: self._open_flows(endpoint) >= 4, "the endpoint has callers")
+        before = self.hand_overs_answered(endpoint)
+        self.deployment.control("drain", path)
+        polling.wait_until(lambda: self.hand_overs_answered(endpoint) > before
+                           or self._open_flows(endpoint) == 0,
+                           "a drained endpoint's request is answered elsewhere, or none came")
+        return self.hand_overs_answered(endpoint) > before
+
+    def _open_flows(self, endpoint: nodes.Endpoint) -> int:
+        return admin.read_metric(endpoint.agent.admin_address, "gaugevalve_agent_open_flows")
+
+    def hand_overs_answered(self, endpoint: nodes.Endpoint) -> int:
+        """Returns how many requests the endpoint's agent handed over that were answered elsewhere."""
+        return admin.read_metric(endpoint.agent.admin_address,
+                                 'gaugevalve_agent_hand_overs_ended_total{reason="answered"}')
+
     def boards_seen_by(self, endpoint: str) -> int:
         """Returns how many boards were opened at an endpoint since it was started."""
         return self.deployment.ledgers()[endpoint]["http"]["boards"]
--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -12,6 +12,7 @@
 import pathlib
 import signal
 import sys
+import time
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -24,6 +25,10 @@
 from scenario import ScenarioTest, format_rows  # noqa: E402
 
 
+# Length of a fault, not a wait: HandOverLimits::peer_timeout is 3 s.
+_MACHINE_PAUSE_SECONDS = 3.3
+
+
 class BalancerFaults(ScenarioTest):
     """Balancers come and go, planned and unplanned; flows don't notice."""
 
@@ -220,29 +225,12 @@
         endpoint = self.deployment.layout.endpoints[0]
         path = f"{endpoint.service.name}/{endpoint.name}"
         # Its callers may all have ended before the drain reaches the agent: then once more.
-        while not self._drain_and_see_hand_over(endpoint, path):
+        while not self.drain_and_see_hand_over(endpoint, path):
             self.deployment.control("undrain", path)
         self.addCleanup(self.wait_settled)
         self.addCleanup(self.deployment.control, "undrain", path)
         self.assert_nothing_broke()
 
-    def _drain_and_see_hand_over(self, endpoint: nodes.Endpoint, path: str) -> bool:
-        """Drains an endpoint that has callers; tells whether one of them was answered elsewhere."""
-        polling.wait_until(lambda: self._open_flows(endpoint) >= 4, "the endpoint has callers")
-        before = self._hand_overs_answered(endpoint)
-        self.deployment.control("drain", path)
-        polling.wait_until(lambda: self._hand_overs_answered(endpoint) > before
-                           or self._open_flows(endpoint) == 0,
-                           "a drained endpoint's request is answered elsewhere, or none came")
-        return self._hand_overs_answered(endpoint) > before
-
-    def _open_flows(self, endpoint: nodes.Endpoint) -> int:
-        return admin.read_metric(endpoint.agent.admin_address, "gaugevalve_agent_open_flows")
-
-    def _hand_overs_answered(self, endpoint: nodes.Endpoint) -> int:
-        return admin.read_metric(endpoint.agent.admin_address,
-                                 'gaugevalve_agent_hand_overs_ended_total{reason="answered"}')
-
 
 class RollingReplacement(Http3ScenarioTest):
     """Everything is drained and replaced, one after the other: no board ends, no request is cut."""
@@ -296,6 +284,33 @@
         self.assert_nothing_broke()
         self.assert_no_request_cut()
 
+    def test_http3_machine_paused_while_an_endpoint_drains(self) -> None:
+        """Guards against requests that end as "outcome unknown" because the agent that handed them over
+        was woken before the agents that run them (executor-lost, incident 0015)."""
+        endpoint = self.deployment.layout.endpoints_of("drawings")[0]
+        path = f"{endpoint.service.name}/{endpoint.name}"
+        for _ in range(3):
+            while not self.drain_and_see_hand_over(endpoint, path):
+                self.deployment.control("undrain", path)
+            self._pause_all()
+            self.deployment.control("undrain", path)
+            boards = self.boards_seen_by(endpoint.name)
+            polling.wait_until(lambda boards=boards: self.boards_seen_by(endpoint.name) > boards,
+                               f"new boards come to {endpoint.name} again")
+        self.assert_nothing_broke()
+        self.assert_no_request_cut()
+
+    def _pause_all(self) -> None:
+        """Stops all processes, the load's among them, for longer than agents wait for each other."""
+        processes = [*self.deployment.processes(), self._load]
+        try:
+            for process in processes:
+                process.send_signal(signal.SIGSTOP)
+            time.sleep(_MACHINE_PAUSE_SECONDS)
+        finally:
+            for process in processes:
+                process.send_signal(signal.SIGCONT)
+
     def test_http3_agents_replaced(self) -> None:
         """Callers' connections are short here: the agents wait for them, and then end."""
         firsts = [self.deployment.layout.endpoints_of(service.name)[0].name
--- a/scripts/local/load.py
+++ b/scripts/local/load.py
@@ -50,6 +50,10 @@
              f"--drawing_share={settings.drawing_share}", f"--output={settings.output}",
              f"--used_ports={deployment.used_ports_file}"])
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the load's process."""
+        self._process.send_signal(number)
+
     def is_running(self) -> bool:
         """Tells whether the run goes on."""
         return self._process.is_running()
