--- a/libs/placement/tests/lost_search_test.cpp
+++ b/libs/placement/tests/lost_search_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(AFlowOfAFormerServiceIsFoundBehindACrashedEndpointOfThePresentOne);
   CPPUNIT_TEST(AFlowOfAFormerServiceIsFoundThoughAnEndpointOfEachServiceCrashed);
   CPPUNIT_TEST(AFlowOfThePresentServiceIsFoundBehindACrashedEndpoint);
+  CPPUNIT_TEST(AFlowOfAFormerServiceIsFoundBeforeSilentAgentsAreAsked);
   CPPUNIT_TEST(ALivingFlowIsNotReset);
   CPPUNIT_TEST_SUITE_END();
 
@@ -67,6 +68,14 @@
     ExpectFoundBy(2, 200);
   }
 
+  // Soak, seed 840466069: all balancers were killed three times in three seconds while an agent was
+  // paused. Each new balancer had time for one search, which ended at the paused agent.
+  void AFlowOfAFormerServiceIsFoundBeforeSilentAgentsAreAsked() {
+    m_core->NoteListed({Node(5), orders_service}, At(m_now_ms));
+    m_dead = {Node(5)};
+    ExpectFoundBy(1, 0);
+  }
+
   void ALivingFlowIsNotReset() {
     m_dead = {Node(1), Node(3), Node(11)};
     for (std::uint16_t port = 1; port <= kFlows; ++port) {
