--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -1,6 +1,7 @@
 // gaugevalve-agent: runs beside one endpoint, owns the endpoint's flows and relays them.
 
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <csignal>
@@ -16,6 +17,7 @@
 #include "gaugevalve/daemon/drop_log.h"
 #include "gaugevalve/daemon/exit_code.h"
 #include "gaugevalve/daemon/incarnation.h"
+#include "gaugevalve/daemon/log_loss_counter.h"
 #include "gaugevalve/daemon/shutdown_signals.h"
 #include "gaugevalve/daemon/static_view.h"
 #include "gaugevalve/tasks/inbox.h"
@@ -75,6 +77,7 @@
         admin_(loop_.get(), node_.admin_address, registry_),
         malformed_log_(*registry_, "gaugevalve_agent_datagrams_malformed_total"),
         drop_log_(*registry_, "gaugevalve_agent_datagrams_dropped_total"),
+        log_losses_(*registry_),
         drop_timer_(loop_.get(), [this] { WriteDropLogs(); }),
         drain_timer_(loop_.get(), [this] { PollDrain(); }),
         signals_(
@@ -190,6 +193,7 @@
   void WriteDropLogs() {
     malformed_log_.Write();
     drop_log_.Write();
+    log_losses_.Update();
   }
 
   void StartDrain() {
@@ -246,6 +250,7 @@
   std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
   daemon::DropLog malformed_log_;
   daemon::DropLog drop_log_;
+  daemon::LogLossCounter log_losses_;
   tasks::Timer drop_timer_;
   tasks::Timer drain_timer_;
   daemon::ShutdownSignals signals_;
@@ -264,7 +269,7 @@
     return daemon::kSuccess;
   }
   RaiseDescriptorLimit();
-  const telemetry::LoggingSession logging(command_line.log_level);
+  const telemetry::LoggingSession logging(command_line.log_level, STDERR_FILENO);
   daemon::EndProcess(Agent(command_line).Run());
 }
 
--- a/daemons/balancer/src/main.cpp
+++ b/daemons/balancer/src/main.cpp
@@ -1,6 +1,8 @@
 // gaugevalve-balancer: receives the datagrams that the fabric distributes over the balancers,
 // chooses the agent of each and forwards it.
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
 #include <memory>
@@ -15,6 +17,7 @@
 #include "gaugevalve/daemon/drop_log.h"
 #include "gaugevalve/daemon/exit_code.h"
 #include "gaugevalve/daemon/incarnation.h"
+#include "gaugevalve/daemon/log_loss_counter.h"
 #include "gaugevalve/daemon/shutdown_signals.h"
 #include "gaugevalve/daemon/static_view.h"
 #include "gaugevalve/forwarding/codec_router.h"
@@ -68,6 +71,7 @@
         admin_(loop_.get(), command_line.settings.admin_address, registry_),
         malformed_log_(*registry_, "gaugevalve_balancer_datagrams_malformed_total"),
         drop_log_(*registry_, "gaugevalve_balancer_datagrams_dropped_total"),
+        log_losses_(*registry_),
         drop_timer_(loop_.get(), [this] { WriteDropLogs(); }),
         drain_timer_(loop_.get(), [this] { PollDrain(); }),
         signals_(
@@ -107,6 +111,7 @@
   void WriteDropLogs() {
     malformed_log_.Write();
     drop_log_.Write();
+    log_losses_.Update();
   }
 
   void StartDrain() {
@@ -152,6 +157,7 @@
   std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
   daemon::DropLog malformed_log_;
   daemon::DropLog drop_log_;
+  daemon::LogLossCounter log_losses_;
   tasks::Timer drop_timer_;
   tasks::Timer drain_timer_;
   daemon::ShutdownSignals signals_;
@@ -165,7 +171,7 @@
   if (command_line.check_only) {
     return daemon::kSuccess;
   }
-  const telemetry::LoggingSession logging(command_line.log_level);
+  const telemetry::LoggingSession logging(command_line.log_level, STDERR_FILENO);
   daemon::EndProcess(Balancer(command_line).Run());
 }
 
--- a/daemons/common/include/gaugevalve/daemon/command_line.h
+++ b/daemons/common/include/gaugevalve/daemon/command_line.h
@@ -29,7 +29,7 @@
 // Ends the process with this exit code immediately, without running destructors. nng_close() of a
 // listening socket races with peers that connect at that moment and may block forever (one in
 // 24,000 closings by transports that dial each other). The kernel closes all sockets. Messages to
-// other nodes must have been sent before the call. Log lines are written synchronously.
+// other nodes must have been sent before the call. Log lines are written, or lost, as they occur.
 [[noreturn]] void EndProcess(int exit_code);
 
 }  // namespace gaugevalve::daemon
