--- a/libs/tasks/include/gaugevalve/tasks/inbox.h
+++ b/libs/tasks/include/gaugevalve/tasks/inbox.h
@@ -14,6 +14,9 @@
 
 // The receiving end belongs to the loop's thread; TrySend() is for any thread. The inbox must be
 // destroyed after its loop has ended or from the loop's thread, and after its last sender.
+//
+// The handler gets a limited number of messages per iteration of the loop: senders that are faster
+// than the handler must not keep the loop's timers and sockets waiting.
 template <class Message>
 class Inbox {
  public:
@@ -23,7 +26,7 @@
   Inbox(event_base* loop, std::size_t capacity, Handler handler)
       : mailbox_(capacity),
         handler_(std::move(handler)),
-        watch_(Watch::Readable(loop, mailbox_.Wake().Descriptor(), [this] { ReceiveAll(); })) {}
+        watch_(Watch::Readable(loop, mailbox_.Wake().Descriptor(), [this] { ReceiveSome(); })) {}
 
   Inbox(const Inbox&) = delete;
   Inbox& operator=(const Inbox&) = delete;
@@ -35,11 +38,18 @@
   std::uint64_t RefusedCount() const { return mailbox_.RefusedCount(); }
 
  private:
-  void ReceiveAll() {
+  static constexpr int kMessagesPerWakeUp = 64;
+
+  void ReceiveSome() {
     mailbox_.Wake().Acknowledge();
-    while (std::optional<Message> message = mailbox_.TryReceive()) {
+    for (int count = 0; count < kMessagesPerWakeUp; ++count) {
+      std::optional<Message> message = mailbox_.TryReceive();
+      if (!message) {
+        return;
+      }
       handler_(std::move(*message));
     }
+    mailbox_.Wake().Signal();  // the rest follows after the loop's other events
   }
 
   Mailbox<Message> mailbox_;
--- a/libs/tasks/tests/task_test.cpp
+++ b/libs/tasks/tests/task_test.cpp
@@ -14,6 +14,7 @@
 class TaskTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TaskTest);
   CPPUNIT_TEST(MessagesAreHandledInTheTasksThread);
+  CPPUNIT_TEST(AnInboxThatIsNeverEmptyLetsTimersRun);
   CPPUNIT_TEST(TimerCallsUntilCancelled);
   CPPUNIT_TEST(StopBeforeStartEndsTheLoopAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -43,6 +44,30 @@
     CPPUNIT_ASSERT(handler_thread != std::this_thread::get_id());
   }
 
+  // Guards against agents that fall silent because other agents send faster than they handle
+  // (executor-lost): heartbeats are sent by a timer.
+  void AnInboxThatIsNeverEmptyLetsTimersRun() {
+    constexpr int kEnough = 1'000'000;
+    const LoopPointer loop = MakeLoop();
+    int last = 0;
+    bool has_run = false;
+    Inbox<int>* self = nullptr;
+    Inbox<int> inbox(loop.get(), 16, [&](int message) {
+      last = message;
+      if (!has_run && message < kEnough) {
+        CPPUNIT_ASSERT(self->TrySend(message + 1));
+      }
+    });
+    self = &inbox;
+    Timer timer(loop.get(), [&] { has_run = true; });
+    timer.StartOnce(base::Duration(0));
+    CPPUNIT_ASSERT(inbox.TrySend(1));
+    while (!has_run) {
+      event_base_loop(loop.get(), EVLOOP_ONCE);
+    }
+    CPPUNIT_ASSERT(last < kEnough);
+  }
+
   void TimerCallsUntilCancelled() {
     const LoopPointer loop = MakeLoop();
     int calls = 0;
