--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -411,8 +411,8 @@
     CPPUNIT_ASSERT(answer->is_complete);
   }
 
-  // Real processes, every endpoint drained in a row: a caller waited for the rest of an answer
-  // until its own time-out of 60 s.
+  // Guards against callers that wait without end for the rest of an answer whose endpoint keeps the
+  // connection open and sends nothing (incident 0014).
   void AnAnswerThatStopsAtItsEndpointIsReset() {
     PublishView(WithDeadline(settings::AdministrativeState::kServing));
     const auto answer = Ask("GET");
--- a/daemons/common/src/loop_monitor.cpp
+++ b/daemons/common/src/loop_monitor.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr base::Duration kPeriod = std::chrono::milliseconds(100);
+// Many times the delay of a loop on a busy machine, and a sixth of the time after which agents take
+// each other for silent.
 constexpr base::Duration kLeastStall = std::chrono::milliseconds(500);
 
 }  // namespace
--- a/proofs/real_processes/real_processes_test.py
+++ b/proofs/real_processes/real_processes_test.py
@@ -285,8 +285,8 @@
         self.assert_no_request_cut()
 
     def test_http3_machine_paused_while_an_endpoint_drains(self) -> None:
-        """Guards against requests that end as "outcome unknown" because the agent that handed them over
-        was woken before the agents that run them (executor-lost, incident 0015)."""
+        """Guards against requests that end as "outcome unknown" because an agent counts its own pause as
+        silence of the agents that run them (executor-lost, incident 0015)."""
         endpoint = self.deployment.layout.endpoints_of("drawings")[0]
         path = f"{endpoint.service.name}/{endpoint.name}"
         for _ in range(3):
