--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -240,7 +240,7 @@
   void NoteOutcome(const FlowRecord& record, const FlowPacket& packet, base::TimePoint now);
   bool IsIdle(const FlowRecord& record, base::TimePoint now) const;
   template <std::predicate<const FlowRecord&> Condition>
-  std::size_t EndFlows(Condition is_over, base::TimePoint now);
+  std::size_t EndFlows(Condition is_over, ResetBasis basis, base::TimePoint now);
   static base::TimePoint StartTime(const EndpointIncarnation& incarnation, std::uint64_t unix_ms,
                                    base::TimePoint last_contact, base::TimePoint now);
   void NoteHeldAddresses(base::TimePoint now);
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -21,6 +21,7 @@
 #include "gaugevalve/placement/flow_packet.h"
 #include "gaugevalve/placement/flow_snapshot.h"
 #include "gaugevalve/placement/forward_header.h"
+#include "gaugevalve/placement/reset_evidence.h"
 #include "gaugevalve/placement/route_table.h"
 
 namespace gaugevalve::placement {
@@ -78,6 +79,10 @@
   std::uint32_t reset_sequence = 0;  ///< for kReset: a sequence number that the client accepts
   /// For kForward of a search: the agents that forward the packet to each other, in order.
   std::vector<base::SocketAddress> route{};
+  /// For kReset of an open flow: why it counts as ended.
+  std::optional<ResetEvidence> evidence{};
+  /// For kReset after a search: the agents that it has covered.
+  std::optional<SearchCoverage> coverage{};
 };
 
 /// Decision core. An opening packet goes to the least loaded endpoint of its route's service; if
@@ -226,14 +231,23 @@
   void NoteData(const FlowPacket& packet, FlowRecord& record, base::TimePoint now);
   void QueueFlowsOfLostAgents(base::TimePoint now);
   void AddUnseenSavedFlows(std::vector<SavedFlow>& flows);
-  void QueueFlowsOfDeadIncarnations(const base::SocketAddress& address);
-  bool DiedWithEndpoint(const FlowKey& flow, const base::SocketAddress& agent);
+  void QueueFlowsOfDeadIncarnations(const base::SocketAddress& address, base::TimePoint now);
+  bool DiedWithEndpoint(const FlowKey& flow, const base::SocketAddress& agent, base::TimePoint now);
   bool FindSavedHolder(const FlowKey& flow, FlowRecord& record, base::TimePoint now);
   bool IsDead(const FlowKey& flow, const FlowRecord& record, base::TimePoint now);
   bool IsResponsive(const KnownAgent& agent, base::TimePoint now) const;
   static bool IsOpeningLost(const KnownAgent& agent, const FlowRecord& record, base::TimePoint now);
   bool AdmitsNewFlows(const KnownAgent& agent) const;
-  bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const;
+  std::optional<Omission> OmissionOf(const KnownAgent& agent, base::TimePoint now) const;
+  bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
+    return !OmissionOf(agent, now);
+  }
+  static bool MayHoldFlowsOf(const base::SocketAddress& address, const KnownAgent& agent);
+  ResetEvidence MakeEvidence(ResetBasis basis, const base::SocketAddress& holder,
+                             base::TimePoint now);
+  ResetEvidence EvidenceOfLostAgent(const KnownAgent& agent, base::TimePoint now);
+  SearchCoverage CoverageOfSearch(const Route& route, const FlowRecord& record,
+                                  base::TimePoint now);
   static void NoteRefusal(FlowRecord& record, const base::SocketAddress& agent,
                           const ForwardHeader& header);
   static void MarkOpen(FlowRecord& record);
--- a/libs/placement/include/gaugevalve/placement/dead_flow_queue.h
+++ b/libs/placement/include/gaugevalve/placement/dead_flow_queue.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gaugevalve/placement/flow_packet.h"
+#include "gaugevalve/placement/reset_evidence.h"
 
 namespace gaugevalve::placement {
 
@@ -16,8 +17,12 @@
   FlowKey flow;
   /// Last acknowledgement number from the client, which accepts a reset near that number.
   std::uint32_t acknowledged = 0;
+  /// Why the flow counts as ended, for logs; not compared.
+  ResetEvidence evidence{};
 
-  friend bool operator==(const DeadFlow&, const DeadFlow&) = default;
+  friend bool operator==(const DeadFlow& left, const DeadFlow& right) {
+    return left.flow == right.flow && left.acknowledged == right.acknowledged;
+  }
 };
 
 /// Rate-limits the resets of dead flows. A client may keep an idle flow open long after its
--- a/libs/placement/src/agent_endpoint_incarnation.cpp
+++ b/libs/placement/src/agent_endpoint_incarnation.cpp
@@ -9,14 +9,17 @@
 // Removes the open flows for which `is_over` returns true and adds them to m_dead. Flows whose
 // client's acknowledgement number is unknown are kept, because no reset can be sent for them.
 template <std::predicate<const AgentCore::FlowRecord&> Condition>
-std::size_t AgentCore::EndFlows(Condition is_over, base::TimePoint now) {
+std::size_t AgentCore::EndFlows(Condition is_over, ResetBasis basis, base::TimePoint now) {
+  ResetEvidence evidence;
+  evidence.basis = basis;
+  evidence.holder_age = now - m_gate.LastContactAt();
   std::size_t count = 0;
   absl::erase_if(m_flows, [&](auto& entry) {
     FlowRecord& record = entry.second;
     const bool is_open =
         record.is_held && !record.is_not_held && !record.client_closed && !record.endpoint_closed;
     const bool is_dead = is_open && record.has_acknowledged && is_over(record) &&
-                         m_dead.Add({entry.first, record.acknowledged});
+                         m_dead.Add({entry.first, record.acknowledged, evidence});
     if (is_dead) {
       m_queue.Remove(entry.first);
       SetState(record, FlowState::kIdle, now);
@@ -30,7 +33,8 @@
 std::size_t AgentCore::NoteEndpointGone(base::TimePoint now) {
   // A flow with recent packets may be an opening meant for the endpoint's successor.
   return EndFlows(
-      [now](const FlowRecord& record) { return now - record.last_packet > kOpeningTimeout; }, now);
+      [now](const FlowRecord& record) { return now - record.last_packet > kOpeningTimeout; },
+      ResetBasis::kHolderAbsent, now);
 }
 
 AnnouncementResult AgentCore::OnAnnouncement(const Announcement& announcement,
@@ -46,7 +50,8 @@
     const base::TimePoint started =
         std::max(last_contact, StartTime(present, unix_ms, last_contact, now));
     result.dead_flows =
-        EndFlows([started](const FlowRecord& record) { return record.held_at < started; }, now);
+        EndFlows([started](const FlowRecord& record) { return record.held_at < started; },
+                 ResetBasis::kEndpointReplaced, now);
   }
   return result;
 }
--- a/libs/placement/src/balancer_core.cpp
+++ b/libs/placement/src/balancer_core.cpp
@@ -169,13 +169,6 @@
          !m_evacuated.Has(agent.report.zone);
 }
 
-bool BalancerCore::MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
-  const bool is_unreachable = m_suspects.IsGivenUp(agent.address) ||
-                              (agent.is_only_listed && m_discovery.IsGivenUp(agent.address));
-  return agent.report.standing != EndpointStanding::kAbsent && !is_unreachable &&
-         now - agent.updated_at <= AgentDirectory::SilenceLimit(agent, m_settings.silence_limit);
-}
-
 bool BalancerCore::IsGone(const base::SocketAddress& agent, base::TimePoint now) {
   const KnownAgent* known = m_agents.Find(agent);
   return known == nullptr || !AgentDirectory::IsPresent(*known) || !MayHoldFlows(*known, now);
@@ -244,8 +237,10 @@
     return;
   }
   absl::erase_if(m_flows, [&](const auto& entry) {
-    return IsDead(entry.first, entry.second, now) &&
-           m_dead.Add({entry.first, entry.second.acknowledged});
+    const auto& [flow, record] = entry;
+    return IsDead(flow, record, now) &&
+           m_dead.Add(
+               {flow, record.acknowledged, EvidenceOfLostAgent(*m_agents.Find(record.agent), now)});
   });
 }
 
@@ -279,7 +274,7 @@
   m_suspects.NoteActivity(address);
   m_discovery.NoteAgentCount(report.agent_count);
   const ReportOutcome outcome = m_agents.Take(address, report, now);
-  QueueFlowsOfDeadIncarnations(address);
+  QueueFlowsOfDeadIncarnations(address, now);
   return outcome;
 }
 
--- a/libs/placement/src/balancer_decision.h
+++ b/libs/placement/src/balancer_decision.h
@@ -35,4 +35,15 @@
   return {BalancerVerdict::kReset, reason, {}, {}, packet.acknowledged};
 }
 
+/// Returns the decision on a packet of an open flow that no endpoint holds any more. A client's
+/// own reset needs no answer.
+inline BalancerDecision ResetEnded(const FlowPacket& packet, const ResetEvidence& evidence) {
+  if (packet.is_reset) {
+    return Drop(BalancerReason::kReset);
+  }
+  BalancerDecision decision = Reset(BalancerReason::kHeldByNone, packet);
+  decision.evidence = evidence;
+  return decision;
+}
+
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/balancer_recovery.cpp
+++ b/libs/placement/src/balancer_recovery.cpp
@@ -60,17 +60,22 @@
 void BalancerCore::TakeSnapshot(std::span<const SavedFlow> flows, base::TimePoint now) {
   m_recovery.Take(flows, now);
   for (const KnownAgent* agent : m_agents.All()) {
-    QueueFlowsOfDeadIncarnations(agent->address);
+    QueueFlowsOfDeadIncarnations(agent->address, now);
   }
 }
 
 // Queues resets for the saved flows that died with a former incarnation of the agent's endpoint.
-void BalancerCore::QueueFlowsOfDeadIncarnations(const base::SocketAddress& address) {
+void BalancerCore::QueueFlowsOfDeadIncarnations(const base::SocketAddress& address,
+                                                base::TimePoint now) {
   const KnownAgent* agent = m_agents.Find(address);
   if (m_recovery.Size() == 0 || agent == nullptr || agent->is_only_listed) {
     return;
   }
-  for (const DeadFlow& dead : m_recovery.TakeDead(address, agent->report)) {
+  const ResetBasis basis = agent->report.standing == EndpointStanding::kAbsent
+                               ? ResetBasis::kHolderAbsent
+                               : ResetBasis::kEndpointReplaced;
+  for (DeadFlow& dead : m_recovery.TakeDead(address, agent->report)) {
+    dead.evidence = MakeEvidence(basis, address, now);
     const auto found = m_flows.find(dead.flow);
     const bool is_elsewhere = found != m_flows.end() && found->second.agent != address;
     if (!is_elsewhere && m_dead.Add(dead)) {
@@ -81,13 +86,14 @@
 
 // Notes that the agent's endpoint returned the flow. Returns whether the flow is known to have died
 // with the endpoint's former incarnation; it is then removed from the saved flows.
-bool BalancerCore::DiedWithEndpoint(const FlowKey& flow, const base::SocketAddress& agent) {
+bool BalancerCore::DiedWithEndpoint(const FlowKey& flow, const base::SocketAddress& agent,
+                                    base::TimePoint now) {
   const SavedFlow* saved = m_recovery.Find(flow);
   if (saved == nullptr || saved->agent != agent) {
     return false;
   }
   m_recovery.NoteReturn(flow, agent);
-  QueueFlowsOfDeadIncarnations(agent);
+  QueueFlowsOfDeadIncarnations(agent, now);
   return m_recovery.Find(flow) == nullptr;
 }
 
--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -32,7 +32,7 @@
 
 // Returns whether the agent's endpoint may hold flows of an address whose route no longer has the
 // endpoint's service.
-bool MayHoldFlowsOf(const base::SocketAddress& address, const KnownAgent& agent) {
+bool BalancerCore::MayHoldFlowsOf(const base::SocketAddress& address, const KnownAgent& agent) {
   const HeldAddresses& held = agent.report.held;
   return agent.is_only_listed || held.may_be_more || held.Has(address);
 }
@@ -165,12 +165,15 @@
                                             FlowRecord& record, base::TimePoint now) {
   const bool is_conclusive =
       !record.refused.empty() && !IsLearning(now) && !HasTooManyPossibleHolders(route, now);
-  m_flows.erase(packet.flow);  // the flow's next packet starts a new search
+  BalancerDecision decision = Drop(BalancerReason::kNotSure);
   if (packet.is_reset) {
-    return Drop(BalancerReason::kReset);
+    decision = Drop(BalancerReason::kReset);
+  } else if (is_conclusive) {
+    decision = ResetEnded(packet, MakeEvidence(ResetBasis::kReturnedByAll, record.agent, now));
+    decision.coverage = CoverageOfSearch(route, record, now);
   }
-  return is_conclusive ? Reset(BalancerReason::kHeldByNone, packet)
-                       : Drop(BalancerReason::kNotSure);
+  m_flows.erase(packet.flow);  // the flow's next packet starts a new search
+  return decision;
 }
 
 BalancerDecision BalancerCore::OnReturnedPacket(const FlowPacket& packet,
@@ -216,14 +219,12 @@
     }
     return Place(packet, *route, record, attempt, now);
   }
-  if (DiedWithEndpoint(packet.flow, agent)) {
-    return packet.is_reset ? Drop(BalancerReason::kReset)
-                           : Reset(BalancerReason::kHeldByNone, packet);
+  if (DiedWithEndpoint(packet.flow, agent, now)) {
+    return ResetEnded(packet, MakeEvidence(ResetBasis::kEndpointReplaced, agent, now));
   }
   if (record.is_confirmed && header.reason == ReturnReason::kNotHeld) {
     m_flows.erase(packet.flow);  // its endpoint has lost it
-    return packet.is_reset ? Drop(BalancerReason::kReset)
-                           : Reset(BalancerReason::kHeldByNone, packet);
+    return ResetEnded(packet, MakeEvidence(ResetBasis::kReturnedByHolder, agent, now));
   }
   record.is_confirmed = false;
   return Search(packet, *route, record, attempt, now);
