--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -169,8 +169,7 @@
 
   bool IsEvacuated() const { return m_evacuated.Has(m_settings.zone); }
 
-  /// Makes the agent refuse new flows because its process is about to end. If the endpoint has
-  /// announced that it is leaving, it has already ended at this point.
+  /// Makes the agent refuse new flows because its process is about to end.
   void Stop() { m_is_stopping = true; }
 
   /// Returns a report on the agent and its endpoint.
--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -111,9 +111,13 @@
 
   EndpointStanding Standing(base::TimePoint now) const;
 
-  /// Returns whether the endpoint has announced that it is leaving, or refused the last health
-  /// check and has not announced itself since.
-  bool HasEnded() const { return (m_is_known && m_is_leaving) || m_is_refused; }
+  /// Returns whether the endpoint has announced that it drains or ends. It still holds its flows
+  /// until its process has exited.
+  bool IsLeaving() const { return m_is_known && m_is_leaving; }
+
+  /// Returns whether nothing listened at the endpoint's address at the last health check that had a
+  /// result, and the endpoint has neither announced itself nor served a flow since.
+  bool HasEnded() const { return m_is_refused; }
 
   /// Returns whether the endpoint is or may be cold: it is unknown, it was unresponsive since it
   /// last sent anything, or another incarnation may have replaced it.
@@ -160,7 +164,7 @@
   std::optional<base::TimePoint> m_unanswered_since;
   std::optional<base::TimePoint> m_search_unanswered_since;  // see NoteSearch()
   bool m_is_absent = false;
-  bool m_is_refused = false;        // refused the last health check; no announcement since
+  bool m_is_refused = false;        // see HasEnded()
   bool m_was_unresponsive = false;  // it was unresponsive since the last contact, and answers again
   // Last passed health check, used until the endpoint itself sends anything.
   std::optional<base::TimePoint> m_healthy_at;
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -332,7 +332,7 @@
   if (!m_is_stopping) {
     return standing;
   }
-  // If the endpoint has ended, its agent ends for good and no flow is held here.
+  // An endpoint that has only said that it leaves holds its flows while the agent restarts.
   return m_gate.HasEnded() ? EndpointStanding::kAbsent : EndpointStanding::kStopping;
 }
 
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -244,6 +244,7 @@
   m_unanswered_since.reset();
   m_search_unanswered_since.reset();
   m_is_absent = m_is_absent && !holds_flow;
+  m_is_refused = m_is_refused && !holds_flow;
 }
 
 void EndpointGate::NoteOpening(base::TimePoint now) {
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -212,6 +212,10 @@
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kStopping);
     ExpectReturn(ReturnReason::kNotAdmitting, Forward(Opening(Flow(1))));
     m_core.Gate().Deregister({"a"}, m_now);
+    CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kStopping);
+    m_core.Gate().NoteProbe(ProbeResult::kUnhealthy, m_now);
+    CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kStopping);
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kAbsent);
   }
 
