--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -24,7 +24,11 @@
     agent.memory.reset();
   }
   if (is_known && !report.wants_memory) {
+    // That the agent stops says nothing about its endpoint.
+    const bool keeps_standing = report.standing == EndpointStanding::kStopping && agent.memory;
+    const EndpointStanding standing = keeps_standing ? agent.memory->standing : report.standing;
     agent.memory = report;
+    agent.memory->standing = standing;
     agent.memory->fellows.clear();
     agent.memory_at = now;
   }
--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(LateReportsAreRefused);
   CPPUNIT_TEST(LivesAreNotOrdered);
   CPPUNIT_TEST(TheStateOfAnEndpointSurvivesItsAgentsRestart);
+  CPPUNIT_TEST(ALeaveIsRememberedThoughItsAgentStops);
   CPPUNIT_TEST(AListedAgentIsNotFresh);
   CPPUNIT_TEST(AnAgentThatReportsLessOftenStaysFreshForLonger);
   CPPUNIT_TEST(ANoticeUpdatesTheLoadOfAKnownAgent);
@@ -84,6 +85,20 @@
     CPPUNIT_ASSERT(!m_agents.Find(Node(1))->memory.has_value());
   }
 
+  // Incident 0018: after a planned restart agents took openings for endpoints that had deregistered.
+  void ALeaveIsRememberedThoughItsAgentStops() {
+    m_agents.Take(Node(1), Report(50, 0, EndpointStanding::kLeaving), At(0));
+    AgentReport stopping = Report(51, 0, EndpointStanding::kStopping);
+    stopping.held.addresses = {testing::virtual_address};
+    m_agents.Take(Node(1), stopping, At(100));
+    const KnownAgent* agent = m_agents.Find(Node(1));
+    CPPUNIT_ASSERT(agent->report.standing == EndpointStanding::kStopping);
+    CPPUNIT_ASSERT(agent->memory->standing == EndpointStanding::kLeaving);
+    CPPUNIT_ASSERT(agent->memory->held == stopping.held);
+    m_agents.Take(Node(1), Report(52, 0, EndpointStanding::kAbsent), At(200));
+    CPPUNIT_ASSERT(agent->memory->standing == EndpointStanding::kAbsent);
+  }
+
   void AListedAgentIsNotFresh() {
     m_agents.NoteListed({Node(1), testing::orders_service}, At(0));
     CPPUNIT_ASSERT(!m_agents.IsFresh(*m_agents.Find(Node(1)), At(0)));
