--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -175,6 +175,13 @@
   /// Returns a report on the agent and its endpoint.
   AgentReport MakeReport(base::TimePoint now);
 
+  /// Returns whether all balancers are to be sent a report now, because the endpoint is about to
+  /// hold a flow of an address that the reports did not list. Until they know, balancers that have
+  /// another configuration leave this agent out of searches for the flow. True at most once per
+  /// kHeldReportInterval. Call after each batch of packets and after each Tick().
+  bool TakeHeldChange(base::TimePoint now);
+  static constexpr base::Duration kHeldReportInterval = std::chrono::seconds(1);
+
   /// Schedule of reports to balancers; MakeReport() includes its period.
   ReportSchedule& Reports() { return m_reports; }
 
@@ -271,6 +278,8 @@
   std::optional<base::TimePoint> m_evacuation_ended_at;
   WarmUpLimiter m_warm_up;
   HeldAddressTracker m_held;
+  bool m_has_held_change = false;
+  std::optional<base::TimePoint> m_held_reported_at;  // see TakeHeldChange()
   absl::flat_hash_map<FlowKey, FlowRecord> m_flows;
   // The upper bits of a mark are an index into this list.
   std::vector<base::SocketAddress> m_balancers;
--- a/libs/placement/include/gaugevalve/placement/held_addresses.h
+++ b/libs/placement/include/gaugevalve/placement/held_addresses.h
@@ -2,6 +2,8 @@
 /// Virtual addresses of the flows that an agent's endpoint holds.
 #pragma once
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstddef>
 #include <span>
 #include <vector>
@@ -39,10 +41,19 @@
   HeldAddressTracker(base::Duration flow_lifetime, bool knows_all)
       : m_flow_lifetime(flow_lifetime), m_knows_all(knows_all) {}
 
+  /// Time for which an address stays listed after its last flow, so that an address whose flows are
+  /// short is not new with each of them.
+  static constexpr base::Duration kRetention = std::chrono::seconds(10);
+
   /// Sets the addresses of all flows that the agent knows, in any order. The first call marks the
   /// agent's start.
   void Take(std::span<const base::SocketAddress> present, base::TimePoint now);
 
+  /// Adds the address of a flow that the endpoint is about to hold.
+  /// @return  whether balancers must be told now: their newest report says that the endpoint holds
+  ///          no flow of this address
+  bool Add(const base::SocketAddress& address, base::TimePoint now);
+
   /// Restores the addresses in the last report of the agent's previous incarnation. That
   /// incarnation may have seen more addresses after this report, so the result may still be
   /// incomplete.
@@ -52,13 +63,15 @@
 
  private:
   bool IsWithinFlowLifetime(base::TimePoint now) const;
+  void ListSeen();
 
   base::Duration m_flow_lifetime;
   bool m_knows_all;
   bool m_has_started = false;
   base::TimePoint m_started_at{};
-  std::vector<base::SocketAddress> m_present;     // sorted, without duplicates
-  std::vector<base::SocketAddress> m_remembered;  // sorted, without duplicates
+  absl::flat_hash_map<base::SocketAddress, base::TimePoint> m_seen;  // when it last had a flow
+  std::vector<base::SocketAddress> m_present;                        // sorted, without duplicates
+  std::vector<base::SocketAddress> m_remembered;                     // sorted, without duplicates
 };
 
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -106,6 +106,7 @@
     record.last_packet = now;
     SetState(record, FlowState::kOpening, now);
     m_warm_up.Note(now);
+    m_has_held_change = m_held.Add(packet.flow.destination, now) || m_has_held_change;
   }
   m_gate.NoteOpening(now);
   AgentDecision decision;
@@ -362,6 +363,16 @@
   return report;
 }
 
+bool AgentCore::TakeHeldChange(base::TimePoint now) {
+  const bool is_too_soon = m_held_reported_at && now - *m_held_reported_at < kHeldReportInterval;
+  if (!m_has_held_change || is_too_soon) {
+    return false;
+  }
+  m_has_held_change = false;
+  m_held_reported_at = now;
+  return true;
+}
+
 bool AgentCore::IsIdle(const FlowRecord& record, base::TimePoint now) const {
   const bool is_closed = record.client_closed && record.endpoint_closed;
   return now - record.last_packet > (is_closed ? kClosedLimit : kIdleLimit);
--- a/libs/placement/src/held_addresses.cpp
+++ b/libs/placement/src/held_addresses.cpp
@@ -28,12 +28,36 @@
     m_has_started = true;
     m_started_at = now;
   }
-  m_present = SortedUnique(present);
+  for (const base::SocketAddress& address : present) {
+    m_seen[address] = now;
+  }
+  absl::erase_if(m_seen, [now](const auto& entry) { return now - entry.second > kRetention; });
+  ListSeen();
   if (!IsWithinFlowLifetime(now)) {
     m_remembered.clear();
   }
 }
 
+bool HeldAddressTracker::Add(const base::SocketAddress& address, base::TimePoint now) {
+  const auto found = m_seen.find(address);
+  if (found != m_seen.end()) {
+    found->second = now;
+    return false;
+  }
+  const HeldAddresses before = Present(now);
+  m_seen[address] = now;
+  ListSeen();
+  return !before.may_be_more && !before.Has(address);
+}
+
+void HeldAddressTracker::ListSeen() {
+  m_present.clear();
+  for (const auto& [address, seen_at] : m_seen) {
+    m_present.push_back(address);
+  }
+  std::sort(m_present.begin(), m_present.end());
+}
+
 void HeldAddressTracker::Remember(const HeldAddresses& memory, base::TimePoint now) {
   if (IsWithinFlowLifetime(now)) {
     m_remembered = SortedUnique(memory.addresses);
--- a/libs/placement/tests/open_flow_test.cpp
+++ b/libs/placement/tests/open_flow_test.cpp
@@ -2,6 +2,7 @@
 // in simulated time.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <memory>
@@ -19,6 +20,7 @@
 using std::chrono::milliseconds;
 using testing::At;
 using testing::Data;
+using testing::drawings_service;
 using testing::Flow;
 using testing::Node;
 using testing::Opening;
@@ -27,6 +29,7 @@
 
 constexpr std::uint32_t kHolder = 1;  // number of the agent whose endpoint holds the flow
 constexpr std::array kAgents{1U, 2U, 3U};
+constexpr std::uint32_t kOther = 4;  // number of an agent of another service
 constexpr std::size_t kBalancers = 2;
 constexpr milliseconds kReportPeriod{250};
 
@@ -40,6 +43,8 @@
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfAnEndpointThatServesItDespiteARefusalRestarts);
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfAnAdmittingEndpointRestarts);
   CPPUNIT_TEST(AFlowIsResetAtOnceWhenTheEndpointOfAStoppedAgentHasEnded);
+  CPPUNIT_TEST(AFlowOpenedBetweenTwoReportsIsFoundByABalancerWithoutThatConfiguration);
+  CPPUNIT_TEST(AnAddressWithShortFlowsIsReportedAtOnceOnlyTheFirstTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -110,6 +115,43 @@
     CPPUNIT_ASSERT_EQUAL(kBalancers, m_resets);
   }
 
+  // A route moves to the service of another agent and back within a round of reports. The second
+  // balancer never has the configuration in between.
+  void AFlowOpenedBetweenTwoReportsIsFoundByABalancerWithoutThatConfiguration() {
+    StartAgent(kOther, drawings_service, true);
+    Announce(kOther, false);
+    Announce(kOther, false);
+    m_now += milliseconds(300);
+    ForwardHeader header;
+    header.service = drawings_service;
+    Agent(kOther).OnForwarded(Opening(Flow(2)), header, {}, BalancerAddress(0), m_now);
+    if (Agent(kOther).TakeHeldChange(m_now)) {
+      Report(kOther);
+    }
+    m_now += milliseconds(700);
+    const std::vector asked = AskedFor(*m_balancers[1], Flow(2), m_now);
+    CPPUNIT_ASSERT(std::find(asked.begin(), asked.end(), Node(kOther)) != asked.end());
+  }
+
+  void AnAddressWithShortFlowsIsReportedAtOnceOnlyTheFirstTime() {
+    StartAgent(kOther, drawings_service, true);
+    Announce(kOther, false);
+    Announce(kOther, false);
+    ForwardHeader header;
+    header.service = drawings_service;
+    int reports = 0;
+    for (std::uint16_t port = 10; port < 30; ++port) {
+      Agent(kOther).OnForwarded(Opening(Flow(port)), header, {}, BalancerAddress(0), m_now);
+      reports += Agent(kOther).TakeHeldChange(m_now) ? 1 : 0;
+      FlowPacket reset = Data(Flow(port), 5000);
+      reset.is_reset = true;
+      Agent(kOther).OnEndpointPacket(reset, 0, m_now);
+      m_now += milliseconds(1000);
+      Agent(kOther).Tick(m_now);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, reports);
+  }
+
  private:
   AgentCore& Agent(std::uint32_t number) { return *m_agents.at(number); }
 
@@ -117,10 +159,12 @@
     return Node(100 + static_cast<std::uint32_t>(index));
   }
 
-  void StartAgent(std::uint32_t number) {
+  void StartAgent(std::uint32_t number, base::ServiceId service = orders_service,
+                  bool starts_with_endpoint = false) {
     AgentCoreSettings settings;
     settings.incarnation = base::Incarnation(++m_incarnation);
-    settings.service = orders_service;
+    settings.service = service;
+    settings.starts_with_endpoint = starts_with_endpoint;
     settings.zone = "east";
     m_agents[number] = std::make_unique<AgentCore>(settings);
   }
@@ -156,6 +200,23 @@
     }
   }
 
+  // Returns the agents that the balancer asks for the flow when all of them return its packet.
+  static std::vector<base::SocketAddress> AskedFor(BalancerCore& balancer, const FlowKey& flow,
+                                                   base::TimePoint now) {
+    std::vector<base::SocketAddress> asked;
+    const FlowPacket packet = Data(flow, 101);
+    BalancerDecision decision = balancer.OnClientPacket(packet, now);
+    while (decision.verdict == BalancerVerdict::kForward) {
+      asked.push_back(decision.agent);
+      asked.insert(asked.end(), decision.route.begin(), decision.route.end());
+      ForwardHeader header = decision.header;
+      header.kind = MessageKind::kReturned;
+      header.reason = ReturnReason::kNotHeld;
+      decision = balancer.OnReturnedPacket(packet, header, asked.back(), now);
+    }
+    return asked;
+  }
+
   // The first balancer has a record of the flow, the other has none.
   void OpenFlow() {
     BalancerCore& balancer = *m_balancers.front();
