--- a/libs/placement/src/balancer_evidence.cpp
+++ b/libs/placement/src/balancer_evidence.cpp
@@ -33,9 +33,11 @@
   if (agent.report.standing == EndpointStanding::kAbsent) {
     return Omission::kAbsent;
   }
+  // An agent that has said that it stops answers nothing until it is back; its endpoint lives.
+  const bool is_restarting = agent.report.standing == EndpointStanding::kStopping;
   const bool is_unreachable = m_suspects.IsGivenUp(agent.address) ||
                               (agent.is_only_listed && m_discovery.IsGivenUp(agent.address));
-  if (is_unreachable) {
+  if (is_unreachable && !is_restarting) {
     return Omission::kUnreachable;
   }
   const bool is_silent =
--- a/libs/placement/src/balancer_search.cpp
+++ b/libs/placement/src/balancer_search.cpp
@@ -81,11 +81,11 @@
 // Orders agents for a search. The flow's preferred agents come first, because one of them most
 // likely holds the flow, and with them agents of other services that report flows of the address;
 // agents of the own zone precede others of the same tier. The other agents follow. Within both
-// groups, agents of other services come late and unresponsive ones last. After a lost search,
-// agents updated since it began come first, because it may have ended at any of the others. It may
-// also have ended at a responsive agent whose endpoint has just crashed. Therefore every other
-// search begins with the agents of other services, and each group is asked in the opposite order
-// the next time: no single agent precedes the holder twice in a row.
+// groups, agents of other services come late, and unresponsive and stopping ones last. After a lost
+// search, agents updated since it began come first, because it may have ended at any of the others.
+// It may also have ended at a responsive agent whose endpoint has just crashed. Therefore every
+// other search begins with the agents of other services, and each group is asked in the opposite
+// order the next time: no single agent precedes the holder twice in a row.
 void BalancerCore::OrderForSearch(std::vector<KnownAgent*>& agents, const Route& route,
                                   const FlowPacket& packet, const FlowRecord& record,
                                   base::TimePoint now) const {
@@ -109,7 +109,8 @@
     const bool is_of_route = Contains(services, agent.report.service);
     const Rank other_service = is_other_service_first ? kOtherServiceFirst : kOtherService;
     const Rank responsive = is_of_route ? usual : other_service;
-    const Rank rank = IsResponsive(agent, now) ? responsive : kSilent;
+    const bool is_restarting = agent.report.standing == EndpointStanding::kStopping;
+    const Rank rank = IsResponsive(agent, now) && !is_restarting ? responsive : kSilent;
     const bool has_address = !agent.is_only_listed && agent.report.held.Has(route.address);
     const bool is_preferred = is_of_route ? ranked.tier == 0 : has_address && rank != kSilent;
     const bool is_later_tier = !is_preferred && rank != kOtherServiceFirst;
--- a/libs/placement/tests/agent_queries_test.cpp
+++ b/libs/placement/tests/agent_queries_test.cpp
@@ -156,6 +156,12 @@
       AnswerQueries();
     }
     Hear(1);
+    CPPUNIT_ASSERT(Send(closing).verdict != BalancerVerdict::kReset);  // it may be restarting
+    for (int time = 2'500; time <= 4'000; time += 50) {
+      Pass(50);
+      AnswerQueries();
+    }
+    Hear(1);
     CPPUNIT_ASSERT(Send(closing).verdict == BalancerVerdict::kReset);
   }
 
--- a/libs/placement/tests/open_flow_test.cpp
+++ b/libs/placement/tests/open_flow_test.cpp
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfADeregisteredEndpointThatLivesRestarts);
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfAnEndpointThatServesItDespiteARefusalRestarts);
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfAnAdmittingEndpointRestarts);
+  CPPUNIT_TEST(AFlowIsKeptWhileItsAgentRestartsForLongerThanQueriesAreRepeated);
+  CPPUNIT_TEST(ASearchAsksAStoppingAgentLast);
   CPPUNIT_TEST(AFlowIsResetAtOnceWhenTheEndpointOfAStoppedAgentHasEnded);
   CPPUNIT_TEST(AFlowOpenedBetweenTwoReportsIsFoundByABalancerWithoutThatConfiguration);
   CPPUNIT_TEST(AnAddressWithShortFlowsIsReportedAtOnceOnlyTheFirstTime);
@@ -103,6 +105,32 @@
     ExpectKept();
   }
 
+  void AFlowIsKeptWhileItsAgentRestartsForLongerThanQueriesAreRepeated() {
+    Agent(kHolder).Stop();
+    Report(kHolder);
+    m_is_down = true;
+    for (int time = 0; time < 3500; time += 250) {
+      SendThroughAll();
+      Run(milliseconds(250));
+      for (const auto& balancer : m_balancers) {
+        balancer->TakeSuspects(m_now);  // queries that nobody answers
+      }
+    }
+    StartAgent(kHolder);
+    m_is_down = false;
+    Report(kHolder);
+    ExpectKept();
+  }
+
+  // Its packets are lost until it is back, and others may hold the flow.
+  void ASearchAsksAStoppingAgentLast() {
+    Agent(kHolder).Stop();
+    Report(kHolder);
+    for (std::uint16_t port = 100; port < 120; ++port) {
+      CPPUNIT_ASSERT_EQUAL(Node(kHolder), AskedFor(*m_balancers[1], Flow(port), m_now).back());
+    }
+  }
+
   // Guards against resets that are late because doubt is kept up against evidence.
   void AFlowIsResetAtOnceWhenTheEndpointOfAStoppedAgentHasEnded() {
     Announce(kHolder, true);
