--- a/libs/placement/include/gaugevalve/placement/endpoint_gate.h
+++ b/libs/placement/include/gaugevalve/placement/endpoint_gate.h
@@ -94,7 +94,10 @@
   /// records its start. A leaving endpoint is checked as well if it left a searched packet
   /// unanswered: it may have ended since.
   bool TakeProbe(base::TimePoint now);
-  void NoteProbe(ProbeResult result, base::TimePoint now);
+  /// Records the result of a health check.
+  /// @param began_at  when it began. A refusal says nothing about an endpoint that has announced
+  ///                  itself or served a flow since.
+  void NoteProbe(ProbeResult result, base::TimePoint began_at, base::TimePoint now);
 
   /// Records that an opening packet was sent to the endpoint.
   void NoteOpening(base::TimePoint now);
@@ -160,6 +163,7 @@
   base::TimePoint m_successor_at{};
   base::TimePoint m_first_announced_at{};  // first announcement of the current incarnation
   base::TimePoint m_last_contact_at{};
+  std::optional<base::TimePoint> m_lived_at;  // last announcement or packet of a flow that it holds
   // First opening not followed by any packet from the endpoint.
   std::optional<base::TimePoint> m_unanswered_since;
   std::optional<base::TimePoint> m_search_unanswered_since;  // see NoteSearch()
--- a/libs/placement/src/endpoint_gate.cpp
+++ b/libs/placement/src/endpoint_gate.cpp
@@ -168,6 +168,7 @@
   m_is_first_hand = true;
   m_is_leaving = announcement.is_draining;
   m_last_contact_at = now;
+  m_lived_at = now;
   m_unanswered_since.reset();
   m_is_absent = false;
   m_is_refused = false;
@@ -230,7 +231,10 @@
   return true;
 }
 
-void EndpointGate::NoteProbe(ProbeResult result, base::TimePoint now) {
+void EndpointGate::NoteProbe(ProbeResult result, base::TimePoint began_at, base::TimePoint now) {
+  if (result == ProbeResult::kRefused && m_lived_at && *m_lived_at > began_at) {
+    return;
+  }
   m_is_absent = result == ProbeResult::kRefused;
   m_is_refused = m_is_absent || (m_is_refused && result == ProbeResult::kNoAnswer);
   if (result == ProbeResult::kHealthy) {
@@ -245,6 +249,9 @@
   m_search_unanswered_since.reset();
   m_is_absent = m_is_absent && !holds_flow;
   m_is_refused = m_is_refused && !holds_flow;
+  if (holds_flow) {
+    m_lived_at = now;
+  }
 }
 
 void EndpointGate::NoteOpening(base::TimePoint now) {
--- a/libs/placement/tests/agent_core_test.cpp
+++ b/libs/placement/tests/agent_core_test.cpp
@@ -169,7 +169,7 @@
 
   void AnAbsentEndpointsAgentPassesASearchOn() {
     StartSearch({Node(21)});
-    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now, m_now);
     const AgentDecision decision = Forward(Data(Flow(1), 101));
     CPPUNIT_ASSERT(decision.verdict == AgentVerdict::kForwardToNextAgent);
     CPPUNIT_ASSERT_EQUAL(Node(21), decision.next);
@@ -213,16 +213,16 @@
     ExpectReturn(ReturnReason::kNotAdmitting, Forward(Opening(Flow(1))));
     m_core.Gate().Deregister({"a"}, m_now);
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kStopping);
-    m_core.Gate().NoteProbe(ProbeResult::kUnhealthy, m_now);
+    m_core.Gate().NoteProbe(ProbeResult::kUnhealthy, m_now, m_now);
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kStopping);
-    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now, m_now);
     CPPUNIT_ASSERT(m_core.Standing(m_now) == EndpointStanding::kAbsent);
   }
 
   // Regression test (docs/design/0018): balancers waited for such an agent as for one that
   // restarts.
   void AnAgentThatStopsBesideAnAbsentEndpointHoldsNothing() {
-    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now, m_now);
     // An endpoint that is about to end bounces new packets and resets flows that it has closed.
     FlowPacket reset = Answer(Flow(1), 0);
     reset.is_reset = true;
@@ -236,7 +236,7 @@
   }
 
   void AnAbsentEndpointHoldsNothing() {
-    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    m_core.Gate().NoteProbe(ProbeResult::kRefused, m_now, m_now);
     ExpectReturn(ReturnReason::kNotHeld, Forward(Data(Flow(1), 101)));
     ExpectReturn(ReturnReason::kNotHeld, Forward(Opening(Flow(1))));
   }
--- a/libs/placement/tests/endpoint_gate_test.cpp
+++ b/libs/placement/tests/endpoint_gate_test.cpp
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(AnEndpointThatAnswersASearchIsNotProbed);
   CPPUNIT_TEST(ASlowEndpointIsProbedRarelyForSearches);
   CPPUNIT_TEST(ARefusedProbeMakesItAbsentUntilItIsHeard);
+  CPPUNIT_TEST(ARefusalOfAProbeThatBeganBeforeAnAnnouncementIsIgnored);
+  CPPUNIT_TEST(ARefusalOfAProbeThatBeganBeforeAFlowWasServedIsIgnored);
   CPPUNIT_TEST(AHealthyProbeAdmitsForALimitedTime);
   CPPUNIT_TEST(ProbesAreSpacedAndOnlyInDoubt);
   CPPUNIT_TEST(WarmUpRunsOut);
@@ -155,7 +157,7 @@
     Expect(EndpointStanding::kAdmitting, 1150);
     Expect(EndpointStanding::kSilent, 1151);
     CPPUNIT_ASSERT(m_gate.TakeProbe(At(1151)));  // a passed health check ends the silence as well
-    m_gate.NoteProbe(ProbeResult::kHealthy, At(1160));
+    m_gate.NoteProbe(ProbeResult::kHealthy, At(1160), At(1160));
     Expect(EndpointStanding::kAdmitting, 1160);
   }
 
@@ -167,7 +169,7 @@
     CPPUNIT_ASSERT(!m_gate.TakeProbe(At(1100)));
     CPPUNIT_ASSERT(m_gate.TakeProbe(At(1101)));
     Expect(EndpointStanding::kAdmitting, 1101);  // it may be slow
-    m_gate.NoteProbe(ProbeResult::kRefused, At(1102));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(1102), At(1102));
     Expect(EndpointStanding::kAbsent, 1102);
   }
 
@@ -176,7 +178,7 @@
     CPPUNIT_ASSERT(!m_gate.TakeProbe(At(1000)));
     m_gate.NoteSearch(At(1000));
     CPPUNIT_ASSERT(m_gate.TakeProbe(At(1101)));
-    m_gate.NoteProbe(ProbeResult::kRefused, At(1102));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(1102), At(1102));
     Expect(EndpointStanding::kAbsent, 1102);
   }
 
@@ -198,7 +200,7 @@
       m_gate.NoteSearch(At(time));
       if (m_gate.TakeProbe(At(time))) {
         ++probes;
-        m_gate.NoteProbe(ProbeResult::kHealthy, At(time));
+        m_gate.NoteProbe(ProbeResult::kHealthy, At(time), At(time));
       }
       Expect(EndpointStanding::kAdmitting, time);
     }
@@ -206,17 +208,36 @@
   }
 
   void ARefusedProbeMakesItAbsentUntilItIsHeard() {
-    m_gate.NoteProbe(ProbeResult::kRefused, At(0));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(0), At(0));
     Expect(EndpointStanding::kAbsent, 5000);
     m_gate.Announce(Ready("a", 1), At(5000));
     Expect(EndpointStanding::kAdmitting, 5000);
   }
 
+  // Incident 0018: its idle flows would be reset. The endpoint started while the probe ran.
+  void ARefusalOfAProbeThatBeganBeforeAnAnnouncementIsIgnored() {
+    m_gate.Announce(Ready("a", 1), At(10));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(5), At(20));
+    Expect(EndpointStanding::kAdmitting, 20);
+    CPPUNIT_ASSERT(!m_gate.HasEnded());
+    m_gate.NoteProbe(ProbeResult::kRefused, At(15), At(30));
+    Expect(EndpointStanding::kAbsent, 30);
+  }
+
+  void ARefusalOfAProbeThatBeganBeforeAFlowWasServedIsIgnored() {
+    m_gate.Announce(Draining("a", 1), At(0));
+    m_gate.NoteActivity(true, At(10));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(5), At(20));
+    Expect(EndpointStanding::kLeaving, 20);
+    m_gate.NoteProbe(ProbeResult::kRefused, At(15), At(30));
+    Expect(EndpointStanding::kAbsent, 30);
+  }
+
   void AHealthyProbeAdmitsForALimitedTime() {
-    m_gate.NoteProbe(ProbeResult::kHealthy, At(0));
+    m_gate.NoteProbe(ProbeResult::kHealthy, At(0), At(0));
     Expect(EndpointStanding::kAdmitting, 2000);
     Expect(EndpointStanding::kUnknown, 2001);
-    m_gate.NoteProbe(ProbeResult::kUnhealthy, At(2001));
+    m_gate.NoteProbe(ProbeResult::kUnhealthy, At(2001), At(2001));
     Expect(EndpointStanding::kUnknown, 2001);
   }
 
@@ -315,7 +336,7 @@
 
   void ASuccessorTakesOverAtOnceWhereThePresentOneDoesNotAnswer() {
     HearTwice("a", 0);
-    m_gate.NoteProbe(ProbeResult::kRefused, At(1100));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(1100), At(1100));
     m_gate.Announce(Ready("b", 1), At(1500));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), m_gate.Newest().incarnation.id);
     Expect(EndpointStanding::kAdmitting, 1500);
@@ -341,7 +362,7 @@
     CPPUNIT_ASSERT(m_gate.MayBeCold(At(1100)));
     m_gate.Announce(Ready("a", 3), At(2000));
     CPPUNIT_ASSERT(!m_gate.MayBeCold(At(2000)));
-    m_gate.NoteProbe(ProbeResult::kRefused, At(2100));
+    m_gate.NoteProbe(ProbeResult::kRefused, At(2100), At(2100));
     m_gate.NoteActivity(true, At(2200));  // the packet may come from another process
     CPPUNIT_ASSERT(m_gate.MayBeCold(At(2200)));
     m_gate.Announce({{"a"}, false, 4, milliseconds(500), 4}, At(3000));
--- a/libs/placement/tests/open_flow_test.cpp
+++ b/libs/placement/tests/open_flow_test.cpp
@@ -80,7 +80,7 @@
 
   void AFlowIsKeptWhileTheAgentOfAnEndpointThatAnsweredAHealthCheckRestarts() {
     Announce(kHolder, true);
-    Agent(kHolder).Gate().NoteProbe(ProbeResult::kUnhealthy, m_now);
+    Agent(kHolder).Gate().NoteProbe(ProbeResult::kUnhealthy, m_now, m_now);
     RestartHolder();
     ExpectKept();
   }
@@ -94,7 +94,7 @@
   // An endpoint may close its port for health checks before it has answered its last requests.
   void AFlowIsKeptWhileTheAgentOfAnEndpointThatServesItDespiteARefusalRestarts() {
     Announce(kHolder, true);
-    Agent(kHolder).Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    Agent(kHolder).Gate().NoteProbe(ProbeResult::kRefused, m_now, m_now);
     Answer();
     RestartHolder();
     ExpectKept();
@@ -136,7 +136,7 @@
     Announce(kHolder, true);
     Agent(kHolder).Gate().Deregister({"i-1"}, m_now);
     Agent(kHolder).Stop();
-    Agent(kHolder).Gate().NoteProbe(ProbeResult::kRefused, m_now);
+    Agent(kHolder).Gate().NoteProbe(ProbeResult::kRefused, m_now, m_now);
     Report(kHolder);
     m_is_down = true;
     SendThroughAll();
