--- a/libs/placement/include/gaugevalve/placement/agent_directory.h
+++ b/libs/placement/include/gaugevalve/placement/agent_directory.h
@@ -65,7 +65,8 @@
   bool TakeLoad(const base::SocketAddress& address, const LoadNotice& notice, base::TimePoint now);
 
   /// Adds an agent that another node has listed. It isn't fresh until it reports, but it may hold
-  /// flows. Agents already known are not changed.
+  /// flows. Agents already known are not changed, except that one without a report is marked as
+  /// stopping if the listing says so.
   void NoteListed(const ListedAgent& listed, base::TimePoint now);
 
   /// Records that an opening packet was sent to the agent, so that an answer is expected soon.
--- a/libs/placement/include/gaugevalve/placement/agent_report.h
+++ b/libs/placement/include/gaugevalve/placement/agent_report.h
@@ -35,6 +35,8 @@
   base::SocketAddress address;
   base::ServiceId service;
   std::uint32_t zone = 0;  ///< ZoneHash() of its zone; 0 if unknown
+  /// It has announced that it stops. It may be restarting while its endpoint holds flows.
+  bool is_stopping = false;
 };
 
 /// Returns a hash that identifies a zone in messages. It is the same on all nodes.
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -165,6 +165,11 @@
   /// it is unknown, is stopping, has no endpoint, or has been silent for too long.
   bool IsGone(const base::SocketAddress& agent, base::TimePoint now);
 
+  /// Returns whether the agent counts as a possible holder of flows.
+  bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
+    return !OmissionOf(agent, now);
+  }
+
   /// Returns whether there may be agents that this balancer has not found yet.
   bool IsLearning(base::TimePoint now);
   std::size_t FlowCount() const { return m_flows.size(); }
@@ -239,9 +244,6 @@
   static bool IsOpeningLost(const KnownAgent& agent, const FlowRecord& record, base::TimePoint now);
   bool AdmitsNewFlows(const KnownAgent& agent) const;
   std::optional<Omission> OmissionOf(const KnownAgent& agent, base::TimePoint now) const;
-  bool MayHoldFlows(const KnownAgent& agent, base::TimePoint now) const {
-    return !OmissionOf(agent, now);
-  }
   static bool MayHoldFlowsOf(const base::SocketAddress& address, const KnownAgent& agent);
   ResetEvidence MakeEvidence(ResetBasis basis, const base::SocketAddress& holder,
                              base::TimePoint now);
--- a/libs/placement/include/gaugevalve/placement/balancer_gossip.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_gossip.h
@@ -107,6 +107,7 @@
   void SendFullListing(const base::SocketAddress& receiver, base::TimePoint now,
                        std::vector<OutgoingGreeting>& greetings);
   std::vector<ListedAgent> ListAgents() const;
+  std::vector<ListedAgent> ListAgentsAndStopping(base::TimePoint now) const;
   void GossipStoreContact(base::TimePoint now, std::vector<OutgoingGreeting>& greetings);
   void AskListed(std::span<const ListedAgent> agents, base::TimePoint now,
                  std::vector<OutgoingGreeting>& greetings);
--- a/libs/placement/src/agent_directory.cpp
+++ b/libs/placement/src/agent_directory.cpp
@@ -99,13 +99,24 @@
 }
 
 void AgentDirectory::NoteListed(const ListedAgent& listed, base::TimePoint now) {
-  if (m_agents.size() >= m_limit || m_agents.contains(listed.address)) {
+  const auto found = m_agents.find(listed.address);
+  if (found != m_agents.end()) {
+    KnownAgent& known = found->second;
+    if (known.is_only_listed && listed.is_stopping) {
+      known.report.standing = EndpointStanding::kStopping;
+    }
+    return;
+  }
+  if (m_agents.size() >= m_limit) {
     return;
   }
   KnownAgent& agent = m_agents[listed.address];
   agent.address = listed.address;
   agent.zone = listed.zone;
   agent.report.service = listed.service;
+  if (listed.is_stopping) {
+    agent.report.standing = EndpointStanding::kStopping;
+  }
   agent.updated_at = now;
   agent.is_only_listed = true;
 }
--- a/libs/placement/src/balancer_gossip.cpp
+++ b/libs/placement/src/balancer_gossip.cpp
@@ -264,7 +264,7 @@
 BalancerGreeting BalancerGossip::GreetingWithSamples(bool wants_answer, base::TimePoint now) {
   BalancerGreeting greeting = GreetingWithoutLists(wants_answer, now);
   greeting.balancers = Sample(m_balancers.Alive(now), kSampleSize, m_random);
-  greeting.agents = Sample(ListAgents(), kSampleSize, m_random);
+  greeting.agents = Sample(ListAgentsAndStopping(now), kSampleSize, m_random);
   return greeting;
 }
 
@@ -288,7 +288,7 @@
 void BalancerGossip::SendFullListing(const base::SocketAddress& receiver, base::TimePoint now,
                                      std::vector<OutgoingGreeting>& greetings) {
   const std::vector<BalancerAge> balancers = m_balancers.Alive(now);
-  const std::vector<ListedAgent> agents = ListAgents();
+  const std::vector<ListedAgent> agents = ListAgentsAndStopping(now);
   const std::size_t most = std::max(balancers.size(), agents.size());
   if (!m_listings.Take(now, most / kListingPartSize + 1)) {
     // Over the rate limit, the receiver gets a sample: it can ask the balancers in it.
@@ -319,4 +319,17 @@
   return listed;
 }
 
+// Returns also the agents that have announced that they stop: a balancer that starts while they
+// restart would otherwise take their silence for a loss.
+std::vector<ListedAgent> BalancerGossip::ListAgentsAndStopping(base::TimePoint now) const {
+  std::vector<ListedAgent> listed = ListAgents();
+  for (const KnownAgent* agent : m_core.Agents().All()) {
+    const bool is_stopping = agent->report.standing == EndpointStanding::kStopping;
+    if (is_stopping && m_core.MayHoldFlows(*agent, now)) {
+      listed.push_back({agent->address, agent->report.service, agent->zone, true});
+    }
+  }
+  return listed;
+}
+
 }  // namespace gaugevalve::placement
--- a/libs/placement/src/balancer_placement.cpp
+++ b/libs/placement/src/balancer_placement.cpp
@@ -136,7 +136,8 @@
     if (Contains(without, agent->address) || now < agent->passed_over_until) {
       continue;
     }
-    if (agent->is_only_listed) {
+    const bool is_stopping = agent->report.standing == EndpointStanding::kStopping;
+    if (agent->is_only_listed && !is_stopping) {
       named.push_back(agent);
     } else if (AdmitsNewFlows(*agent) && !agent->report.is_ejected) {
       (IsResponsive(*agent, now) ? fresh : stale).push_back(agent);
--- a/libs/placement/src/node_message.cpp
+++ b/libs/placement/src/node_message.cpp
@@ -39,11 +39,12 @@
   node.set_address(ToNumber(agent.address));
   node.set_service(agent.service.value());
   node.set_zone(agent.zone);
+  node.set_is_stopping(agent.is_stopping);
 }
 
 ListedAgent ReadListed(const proto::KnownNode& node, std::uint16_t port) {
   return {base::SocketAddress::Ipv4(node.address(), port), base::ServiceId(node.service()),
-          node.zone()};
+          node.zone(), node.is_stopping()};
 }
 
 void Fill(const EvacuatedZones& evacuated, proto::EvacuatedZones& message) {
--- a/libs/placement/src/peer_agent_list.cpp
+++ b/libs/placement/src/peer_agent_list.cpp
@@ -32,10 +32,10 @@
         [](const Entry& left, const Entry& right) { return left.last_naming < right.last_naming; });
   }
   if (place == m_entries.end()) {
-    m_entries.push_back({agent, m_naming_count});
-  } else {
-    *place = {agent, m_naming_count};
+    place = m_entries.emplace(m_entries.end());
   }
+  *place = {agent, m_naming_count};
+  place->agent.is_stopping = false;  // entries are kept for longer than restarts take
 }
 
 std::vector<ListedAgent> PeerAgentList::List() const {
--- a/libs/placement/tests/open_flow_test.cpp
+++ b/libs/placement/tests/open_flow_test.cpp
@@ -12,6 +12,7 @@
 #include "gaugevalve/base/random_source.h"
 #include "gaugevalve/placement/agent_core.h"
 #include "gaugevalve/placement/balancer_core.h"
+#include "gaugevalve/placement/balancer_gossip.h"
 #include "placement_fixture.h"
 
 namespace gaugevalve::placement {
@@ -43,6 +44,7 @@
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfAnEndpointThatServesItDespiteARefusalRestarts);
   CPPUNIT_TEST(AFlowIsKeptWhileTheAgentOfAnAdmittingEndpointRestarts);
   CPPUNIT_TEST(AFlowIsKeptWhileItsAgentRestartsForLongerThanQueriesAreRepeated);
+  CPPUNIT_TEST(AFlowIsKeptByABalancerThatStartsWhileItsAgentRestarts);
   CPPUNIT_TEST(ASearchAsksAStoppingAgentLast);
   CPPUNIT_TEST(AFlowIsResetAtOnceWhenTheEndpointOfAStoppedAgentHasEnded);
   CPPUNIT_TEST(AFlowOpenedBetweenTwoReportsIsFoundByABalancerWithoutThatConfiguration);
@@ -122,6 +124,24 @@
     ExpectKept();
   }
 
+  void AFlowIsKeptByABalancerThatStartsWhileItsAgentRestarts() {
+    Agent(kHolder).Stop();
+    Report(kHolder);
+    m_is_down = true;
+    m_balancers[1] = std::make_unique<BalancerCore>(BalancerSettings{}, m_random, m_now);
+    CPPUNIT_ASSERT(m_balancers[1]->SetRoutes(Routes(1)));
+    ListAgentsTo(*m_balancers[1]);
+    for (int time = 0; time < 3500; time += 250) {
+      SendThroughAll();
+      Run(milliseconds(250));
+      m_balancers[1]->Discovery().TakeDueQueries(m_now);  // nobody answers
+    }
+    StartAgent(kHolder);
+    m_is_down = false;
+    Report(kHolder);
+    ExpectKept();
+  }
+
   // Its packets are lost until it is back, and others may hold the flow.
   void ASearchAsksAStoppingAgentLast() {
     Agent(kHolder).Stop();
@@ -210,6 +230,24 @@
     }
   }
 
+  // The first balancer answers the greeting of one that has just started.
+  void ListAgentsTo(BalancerCore& receiver) {
+    base::RandomSource random{2};
+    BalancerGossip gossip(BalancerAddress(0), base::Incarnation(50), *m_balancers.front(), random,
+                          m_now, StoreReaderSettings{});
+    BalancerGossip receiving(BalancerAddress(1), base::Incarnation(51), receiver, random, m_now,
+                             StoreReaderSettings{});
+    BalancerGreeting greeting;
+    greeting.incarnation = base::Incarnation(51);
+    greeting.wants_answer = true;
+    greeting.is_learning = true;
+    bool is_new = false;
+    for (const OutgoingGreeting& answer :
+         gossip.OnGreeting(greeting, BalancerAddress(1), m_now, is_new)) {
+      receiving.OnGreeting(answer.greeting, BalancerAddress(0), m_now, is_new);
+    }
+  }
+
   // Lets time pass; the agents report, and the balancers' resets of idle flows are counted.
   void Run(milliseconds length) {
     const base::TimePoint end = m_now + length;
