--- a/libs/placement/tests/node_knowledge_test.cpp
+++ b/libs/placement/tests/node_knowledge_test.cpp
@@ -85,7 +85,8 @@
     CPPUNIT_ASSERT(!m_agents.Find(Node(1))->memory.has_value());
   }
 
-  // Incident 0018: after a planned restart agents took openings for endpoints that had deregistered.
+  // Incident 0018: after a planned restart agents took openings for endpoints that had
+  // deregistered.
   void ALeaveIsRememberedThoughItsAgentStops() {
     m_agents.Take(Node(1), Report(50, 0, EndpointStanding::kLeaving), At(0));
     AgentReport stopping = Report(51, 0, EndpointStanding::kStopping);
