--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -212,7 +212,9 @@
     FlowState state = FlowState::kIdle;
     base::TimePoint since{};  // when the state was entered
     base::TimePoint last_packet{};
-    base::TimePoint held_at{};     // when the endpoint last sent a packet of the flow
+    base::TimePoint held_at{};  // when the endpoint last sent a packet of the flow
+    // Sequence number of the opening that was delivered; empty if the flow was opened before.
+    std::optional<std::uint32_t> opening_sequence;
     std::uint32_t client_end = 0;  // end of the client's data seen so far, as a sequence number
     bool has_client_end = false;
     std::uint32_t acknowledged = 0;  // last acknowledgement number from the client
@@ -233,6 +235,8 @@
 
   AgentDecision OnForwardedOpening(const FlowPacket& packet, const ForwardHeader& header,
                                    const base::SocketAddress& balancer, base::TimePoint now);
+  std::optional<ReturnReason> RefusalOfOpenings(base::TimePoint now) const;
+  bool MayHoldFlowOfOpening(const FlowPacket& packet, base::TimePoint now) const;
   AgentDecision OnBounced(const FlowPacket& packet, std::uint32_t mark, base::TimePoint now);
   AgentDecision ReturnOrPassOn(const ForwardHeader& header, const SearchRoute& route,
                                const base::SocketAddress& balancer, ReturnReason reason) const;
--- a/libs/placement/include/gaugevalve/placement/balancer_core.h
+++ b/libs/placement/include/gaugevalve/placement/balancer_core.h
@@ -242,6 +242,7 @@
   bool IsDead(const FlowKey& flow, const FlowRecord& record, base::TimePoint now);
   bool IsResponsive(const KnownAgent& agent, base::TimePoint now) const;
   static bool IsOpeningLost(const KnownAgent& agent, const FlowRecord& record, base::TimePoint now);
+  bool MayHaveTaken(const KnownAgent& agent, base::TimePoint now) const;
   bool AdmitsNewFlows(const KnownAgent& agent) const;
   std::optional<Omission> OmissionOf(const KnownAgent& agent, base::TimePoint now) const;
   static bool MayHoldFlowsOf(const base::SocketAddress& address, const KnownAgent& agent);
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -74,11 +74,9 @@
                                             const base::SocketAddress& balancer,
                                             base::TimePoint now) {
   m_reports.NoteUse(balancer);
-  if (Standing(now) != EndpointStanding::kAdmitting) {
-    return Return(header, balancer, ReturnReason::kNotAdmitting);
-  }
-  if (IsEvacuated()) {
-    return Return(header, balancer, ReturnReason::kEvacuated);
+  if (const auto refusal = RefusalOfOpenings(now)) {
+    // The balancer would reset the flow or place it on a second endpoint.
+    return MayHoldFlowOfOpening(packet, now) ? AgentDecision{} : Return(header, balancer, *refusal);
   }
   const auto found = m_flows.find(packet.flow);
   const bool is_known = found != m_flows.end() && !found->second.is_not_held;
@@ -100,14 +98,14 @@
     return Return(header, balancer, ReturnReason::kNotAdmitting);
   }
   FlowRecord& record = m_flows[packet.flow];
-  record.last_packet = now;
   if (!is_known) {
     record = {};
-    record.last_packet = now;
     SetState(record, FlowState::kOpening, now);
     m_warm_up.Note(now);
     m_has_held_change = m_held.Add(packet.flow.destination, now) || m_has_held_change;
   }
+  record.last_packet = now;
+  record.opening_sequence = packet.sequence;
   m_gate.NoteOpening(now);
   AgentDecision decision;
   decision.verdict = AgentVerdict::kDeliver;
@@ -115,6 +113,30 @@
   return decision;
 }
 
+// Returns why openings are not delivered, or nothing if they may be.
+std::optional<ReturnReason> AgentCore::RefusalOfOpenings(base::TimePoint now) const {
+  if (Standing(now) != EndpointStanding::kAdmitting) {
+    return ReturnReason::kNotAdmitting;
+  }
+  return IsEvacuated() ? std::optional(ReturnReason::kEvacuated) : std::nullopt;
+}
+
+// Returns whether the opening is a copy of one that was delivered, and the endpoint has accepted
+// that one or may still accept it.
+bool AgentCore::MayHoldFlowOfOpening(const FlowPacket& packet, base::TimePoint now) const {
+  const auto found = m_flows.find(packet.flow);
+  if (found == m_flows.end() || found->second.is_not_held ||
+      found->second.opening_sequence != packet.sequence) {
+    return false;
+  }
+  const EndpointStanding standing = Standing(now);
+  // An endpoint that is silent and has not answered this opening is taken for lost, so that the
+  // copy opens the flow at another one. After an evacuation there may be no other one.
+  const bool is_lost =
+      standing == EndpointStanding::kSilent && !found->second.is_held && !IsEvacuated();
+  return standing != EndpointStanding::kAbsent && !is_lost;
+}
+
 AgentDecision AgentCore::OnEndpointPacket(const FlowPacket& packet, std::uint32_t mark,
                                           base::TimePoint now) {
   m_gate.NoteActivity(!packet.is_bounced && !packet.is_reset, now);
--- a/libs/placement/src/balancer_placement.cpp
+++ b/libs/placement/src/balancer_placement.cpp
@@ -81,8 +81,7 @@
   const KnownAgent* agent = m_agents.Find(record.agent);
   const bool is_copy = agent != nullptr && agent->report.service == record.service;
   const bool is_lost = is_copy && IsOpeningLost(*agent, record, now);
-  const bool is_alive = is_copy && !is_lost && IsResponsive(*agent, now) && AdmitsNewFlows(*agent);
-  if (is_copy && (record.is_open || is_alive)) {
+  if (is_copy && (record.is_open || (!is_lost && MayHaveTaken(*agent, now)))) {
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
   if (is_lost) {
@@ -91,6 +90,13 @@
   return Place(packet, *route, record, 0, now);
 }
 
+// Returns whether the agent can tell what became of the opening that it got. It returns a copy if
+// it did not deliver that opening, also when its endpoint has stopped admitting flows since.
+bool BalancerCore::MayHaveTaken(const KnownAgent& agent, base::TimePoint now) const {
+  const bool is_restarting = agent.report.standing == EndpointStanding::kStopping;
+  return MayHoldFlows(agent, now) && (is_restarting || IsResponsive(agent, now));
+}
+
 // Returns whether the agent that got the opening seems to be lost: the client retransmits because
 // it got no answer, and the agent has been silent since the opening. If the endpoint has accepted
 // the opening nevertheless, the client continues with the endpoint that answers first, which a
