--- a/cmake/GaugevalveTargets.cmake
+++ b/cmake/GaugevalveTargets.cmake
@@ -102,6 +102,16 @@
   endif()
 endfunction()
 
+# gaugevalve_test_early_hangup(<program>): tests that a SIGHUP that comes while shared objects are
+# initialised does not end the program. The sanitizers' runtime must be the first shared object.
+function(gaugevalve_test_early_hangup program)
+  if(BUILD_TESTING AND NOT GAUGEVALVE_SANITIZE)
+    add_test(NAME ${program}_early_hangup COMMAND ${program} --version)
+    set_tests_properties(${program}_early_hangup PROPERTIES
+                         ENVIRONMENT "LD_PRELOAD=$<TARGET_FILE:gaugevalve_raise_hangup>")
+  endif()
+endfunction()
+
 # gaugevalve_proof(<name> [SOURCES ...] [DEPENDS ...] [ARGUMENTS ...])
 # A program of RapidCheck properties and their mutants; gaugevalve::proof brings main(). ARGUMENTS
 # are its flags in CI.
--- a/daemons/common/include/gaugevalve/daemon/command_line.h
+++ b/daemons/common/include/gaugevalve/daemon/command_line.h
@@ -23,7 +23,8 @@
 CommandLine ParseCommandLine(int argc, char** argv, settings::NodeRole role,
                              const std::string& purpose);
 
-// Runs `body` and converts exceptions into an exit code and a message on standard error.
+// Runs `body` and converts exceptions into an exit code and a message on standard error. SIGHUP is
+// ignored until `body` watches for it; a program that reads no file again ignores it for good.
 int RunMain(int (*body)(int argc, char** argv), int argc, char** argv);
 
 // Ends the process with this exit code immediately, without running destructors. nng_close() of a
--- a/daemons/common/src/command_line.cpp
+++ b/daemons/common/src/command_line.cpp
@@ -20,6 +20,7 @@
 #include "absl/time/time.h"
 #include "gaugevalve/base/finding.h"
 #include "gaugevalve/daemon/exit_code.h"
+#include "gaugevalve/tasks/hangup.h"
 #include "gaugevalve/telemetry/logging.h"
 
 ABSL_FLAG(std::string, settings, "", "Settings file of this node, YAML. Required.");
@@ -117,6 +118,7 @@
 }
 
 int RunMain(int (*body)(int argc, char** argv), int argc, char** argv) {
+  tasks::IgnoreHangup();
   try {
     return body(argc, argv);
   } catch (const base::FindingsError& error) {
