--- a/daemons/agent/src/hand_over_service.cpp
+++ b/daemons/agent/src/hand_over_service.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "gaugevalve/requests/hand_over_codec.h"
 #include "gaugevalve/requests/request_headers.h"
 #include "gaugevalve/telemetry/event.h"
 #include "handed_over_exchange.h"
@@ -210,7 +211,9 @@
     LogExecutorLoss(loss);
   }
   for (const requests::OutgoingMessage& outgoing : actions.send) {
-    peer_sender_(outgoing.destination, outgoing.message.SerializeAsString());
+    const bool is_frame = requests::IsFrame(outgoing.message.hand_over());
+    peer_sender_(outgoing.destination, outgoing.message.SerializeAsString(),
+                 is_frame ? transport::TrafficClass::kBulk : transport::TrafficClass::kControl);
   }
   events_.insert(events_.end(), actions.origin.begin(), actions.origin.end());
   events_.insert(events_.end(), actions.executor.begin(), actions.executor.end());
--- a/daemons/agent/src/hand_over_service.h
+++ b/daemons/agent/src/hand_over_service.h
@@ -18,6 +18,7 @@
 #include "gaugevalve/flow/bucket_ownership.h"
 #include "gaugevalve/requests/hand_over.h"
 #include "gaugevalve/tasks/timer.h"
+#include "gaugevalve/transport/peer_transport.h"
 #include "prometheus/gauge.h"
 #include "prometheus/registry.h"
 
@@ -26,7 +27,8 @@
 class RunForPeer;
 
 // Sends a message to another agent. Delivery is not guaranteed.
-using PeerSender = std::function<void(base::NodeId destination, std::string payload)>;
+using PeerSender = std::function<void(base::NodeId destination, std::string payload,
+                                      transport::TrafficClass traffic)>;
 
 // Owns the requests of both directions. Must outlive the HandOverService.
 class HandOverOwner : public RequestOwner {
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -107,6 +107,7 @@
   struct OutgoingPeerMessage {
     base::NodeId destination;
     std::string payload;
+    transport::TrafficClass traffic = transport::TrafficClass::kControl;
   };
 
   std::unique_ptr<agent::ServiceModule> MakeModule(event_base* loop, agent::AgentOutput& output) {
@@ -126,8 +127,8 @@
     requests.endpoint = *node_.agent->http_address;
     auto backend = std::make_unique<agent::RequestService>(
         loop, requests,
-        [this](base::NodeId destination, std::string payload) {
-          peer_outbox_.TrySend({destination, std::move(payload)});
+        [this](base::NodeId destination, std::string payload, transport::TrafficClass traffic) {
+          peer_outbox_.TrySend({destination, std::move(payload), traffic});
         },
         *registry_);
     return std::make_unique<agent::Http3Service>(
@@ -168,7 +169,7 @@
   void SendToPeer(const OutgoingPeerMessage& message) {
     if (control_ != nullptr) {
       control_->SendToNode(message.destination, transport::MessageKind::kRequestHandOver,
-                           message.payload);
+                           message.payload, message.traffic);
     }
   }
 
--- a/daemons/agent/src/request_service.cpp
+++ b/daemons/agent/src/request_service.cpp
@@ -333,7 +333,8 @@
 
 void RequestService::Perform(const requests::PipelineActions& actions) {
   for (const requests::OutgoingMessage& outgoing : actions.send) {
-    peer_sender_(outgoing.destination, outgoing.message.SerializeAsString());
+    peer_sender_(outgoing.destination, outgoing.message.SerializeAsString(),
+                 transport::TrafficClass::kControl);
   }
   for (const requests::RequestId id : actions.abandon) {
     if (const auto found = tracked_.find(id); found != tracked_.end()) {
--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -146,7 +146,8 @@
     settings.at_most_once = WithoutStartUpTime();
     return std::make_unique<RequestService>(
         loop, settings,
-        [this](base::NodeId destination, const std::string& payload) {
+        [this](base::NodeId destination, const std::string& payload,
+               transport::TrafficClass /*traffic*/) {
           peers_.Send(identity_.node, destination, payload);
         },
         registry_);
--- a/daemons/common/include/gaugevalve/daemon/control_task.h
+++ b/daemons/common/include/gaugevalve/daemon/control_task.h
@@ -66,7 +66,8 @@
 
   // Sends a message of the daemon to a live member. Delivery is not guaranteed; messages to unknown
   // nodes are dropped and counted.
-  void SendToNode(base::NodeId node, transport::MessageKind kind, const std::string& payload);
+  void SendToNode(base::NodeId node, transport::MessageKind kind, const std::string& payload,
+                  transport::TrafficClass traffic);
 
   // Sets the receiver of a message kind that the control task doesn't handle itself.
   void SetReceiver(transport::MessageKind kind, transport::PeerTransport::Receiver receiver);
@@ -97,7 +98,8 @@
   void RunTransaction(const settings::StoreTransaction& transaction);
   void Perform(control::ControlActions& actions);
   void Send(const base::SocketAddress& destination, transport::MessageKind kind,
-            std::string payload);
+            std::string payload,
+            transport::TrafficClass traffic = transport::TrafficClass::kControl);
   void Log(const control::ControlActions& actions) const;
   void OfferView();
   void AddHandlers(telemetry::AdminServer& admin);
--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -128,18 +128,19 @@
 }
 
 void ControlTask::SendToNode(base::NodeId node, transport::MessageKind kind,
-                             const std::string& payload) {
+                             const std::string& payload, transport::TrafficClass traffic) {
   const membership::Member* const member = node_->Directory().Find(node);
   if (member == nullptr) {
     m_drops.Record(PeerMessageDrop::kUnknownMember, 1, clock_.Now());
     return;
   }
-  Send(member->metadata->control_address, kind, payload);
+  Send(member->metadata->control_address, kind, payload, traffic);
 }
 
 void ControlTask::Send(const base::SocketAddress& destination, transport::MessageKind kind,
-                       std::string payload) {
-  m_drops.RecordSend(transport_->Send(destination, kind, std::move(payload)), clock_.Now());
+                       std::string payload, transport::TrafficClass traffic) {
+  m_drops.RecordSend(transport_->Send(destination, kind, std::move(payload), traffic),
+                     clock_.Now());
 }
 
 void ControlTask::SetReceiver(transport::MessageKind kind,
--- a/libs/simulation/include/gaugevalve/simulation/simulated_transport.h
+++ b/libs/simulation/include/gaugevalve/simulation/simulated_transport.h
@@ -28,8 +28,9 @@
   // Decodes an incoming message and calls its receiver.
   void OnMessage(const Message& message);
 
-  transport::SendResult Send(const base::SocketAddress& destination, transport::MessageKind kind,
-                             std::string payload) override;
+  transport::SendResult Send(
+      const base::SocketAddress& destination, transport::MessageKind kind, std::string payload,
+      transport::TrafficClass traffic = transport::TrafficClass::kControl) override;
   void SetReceiver(transport::MessageKind kind, Receiver receiver) override;
   void SetIncarnation(base::Incarnation incarnation) override;
   const transport::SenderIdentity& Identity() const override { return identity_; }
--- a/libs/simulation/src/simulated_transport.cpp
+++ b/libs/simulation/src/simulated_transport.cpp
@@ -37,7 +37,8 @@
 }
 
 transport::SendResult SimulatedTransport::Send(const base::SocketAddress& destination,
-                                               transport::MessageKind kind, std::string payload) {
+                                               transport::MessageKind kind, std::string payload,
+                                               transport::TrafficClass /*traffic*/) {
   transport::KindCounters& counters = counters_.Of(kind);
   std::string bytes = transport::EncodeEnvelope({identity_, kind, std::move(payload)});
   if (bytes.size() > kMaximumMessageBytes) {
--- a/libs/transport/include/gaugevalve/transport/nng_peer_transport.h
+++ b/libs/transport/include/gaugevalve/transport/nng_peer_transport.h
@@ -33,7 +33,7 @@
   std::size_t maximum_connections = 64;
   // A connection unused for this long is closed.
   base::Duration idle_timeout = std::chrono::seconds(60);
-  // Messages that wait for one destination; further ones are dropped and counted.
+  // Messages of one class that wait for one destination; further ones are dropped and counted.
   int send_queue_messages = 32;
   // Longest message, both ways. A peer that sends a longer one is disconnected.
   std::size_t maximum_message_bytes = std::size_t{1024} * 1024;
@@ -41,7 +41,8 @@
   std::optional<ByteBudget> budget = std::nullopt;
 };
 
-// One listening pull socket, and one dialling push socket for each recent destination. nng runs its
+// One listening pull socket, and one dialling push socket for each recent destination and traffic
+// class, so that control messages wait for bulk neither in a queue nor in TCP. nng runs its
 // own threads for the input and output; receivers are called in the libevent loop only.
 class NngPeerTransport final : public PeerTransport {
  public:
@@ -54,14 +55,14 @@
   NngPeerTransport(const NngPeerTransport&) = delete;
   NngPeerTransport& operator=(const NngPeerTransport&) = delete;
 
-  SendResult Send(const base::SocketAddress& destination, MessageKind kind,
-                  std::string payload) override;
+  SendResult Send(const base::SocketAddress& destination, MessageKind kind, std::string payload,
+                  TrafficClass traffic = TrafficClass::kControl) override;
   void SetReceiver(MessageKind kind, Receiver receiver) override;
   void SetIncarnation(base::Incarnation incarnation) override;
   const SenderIdentity& Identity() const override;
   const TransportCounters& Counters() const override;
 
-  // Returns the number of destinations with a socket now.
+  // Returns the number of dialling sockets now.
   std::size_t ConnectionCount() const;
 
  private:
--- a/libs/transport/include/gaugevalve/transport/peer_transport.h
+++ b/libs/transport/include/gaugevalve/transport/peer_transport.h
@@ -22,6 +22,12 @@
   kFailed,      // no socket could be had
 };
 
+// Which queue to the destination a message uses.
+enum class TrafficClass : std::uint8_t {
+  kControl,  // small messages; they never wait behind bulk
+  kBulk,     // parts of bodies, kilobytes each, of which many may be under way
+};
+
 // Counts of one message kind. Bytes are what the program hands to or gets from TCP: the envelope
 // and nng's 8 bytes of length. See EstimatedNetworkBytes() for headers.
 struct KindCounters {
@@ -63,9 +69,10 @@
 
   virtual ~PeerTransport() = default;
 
-  // Sends a message without waiting. The transport adds the sender's identity.
+  // Sends a message without waiting. The transport adds the sender's identity. Messages of
+  // different classes may overtake each other.
   virtual SendResult Send(const base::SocketAddress& destination, MessageKind kind,
-                          std::string payload) = 0;
+                          std::string payload, TrafficClass traffic = TrafficClass::kControl) = 0;
 
   // Sets who gets messages of `kind`; an empty one takes the receiver away.
   virtual void SetReceiver(MessageKind kind, Receiver receiver) = 0;
--- a/libs/transport/src/nng_peer_transport.cpp
+++ b/libs/transport/src/nng_peer_transport.cpp
@@ -37,9 +37,22 @@
   }
 }
 
-// A destination's socket. The list of these is ordered by use, the most recent first.
-struct Connection {
+// A destination and the class of the messages that are sent there.
+struct Route {
   base::SocketAddress destination;
+  TrafficClass traffic = TrafficClass::kControl;
+
+  friend bool operator==(const Route&, const Route&) = default;
+
+  template <class HashState>
+  friend HashState AbslHashValue(HashState state, const Route& route) {
+    return HashState::combine(std::move(state), route.destination, route.traffic);
+  }
+};
+
+// The socket of a route. The list of these is ordered by use, the most recent first.
+struct Connection {
+  Route route;
   NngSocket socket;
   base::TimePoint used_at;
 };
@@ -58,9 +71,9 @@
     StartEvents();
   }
 
-  SendResult Send(const base::SocketAddress& destination, MessageKind kind, std::string payload) {
+  SendResult Send(const Route& route, MessageKind kind, std::string payload) {
     const std::string bytes = EncodeEnvelope({identity_, kind, std::move(payload)});
-    const SendResult result = SendBytes(destination, bytes);
+    const SendResult result = SendBytes(route, bytes);
     CountSend(counters_.Of(kind), result, bytes.size());
     return result;
   }
@@ -106,14 +119,14 @@
     event_add(sweep_.get(), &kIdleSweepInterval);
   }
 
-  SendResult SendBytes(const base::SocketAddress& destination, const std::string& bytes) {
+  SendResult SendBytes(const Route& route, const std::string& bytes) {
     if (bytes.size() > options_.maximum_message_bytes) {
       return SendResult::kTooLarge;
     }
     if (budget_ && !budget_->TryTake(bytes.size() + kFramingBytes, clock_.Now())) {
       return SendResult::kOverBudget;
     }
-    const Connection* connection = Connect(destination);
+    const Connection* connection = Connect(route);
     if (connection == nullptr) {
       return SendResult::kFailed;
     }
@@ -138,23 +151,23 @@
     return result == NNG_EAGAIN ? SendResult::kQueueFull : SendResult::kFailed;
   }
 
-  // Returns the connection to the destination, made now if there is none; null when it can't be.
-  const Connection* Connect(const base::SocketAddress& destination) {
-    const auto found = by_destination_.find(destination);
-    if (found != by_destination_.end()) {
+  // Returns the route's connection, made now if there is none; null when it can't be.
+  const Connection* Connect(const Route& route) {
+    const auto found = by_route_.find(route);
+    if (found != by_route_.end()) {
       connections_.splice(connections_.begin(), connections_, found->second);
       connections_.front().used_at = clock_.Now();
       return &connections_.front();
     }
-    std::optional<NngSocket> socket = Dial(destination);
+    std::optional<NngSocket> socket = Dial(route.destination);
     if (!socket) {
       return nullptr;
     }
     while (connections_.size() >= options_.maximum_connections) {
       CloseLeastRecentlyUsed();
     }
-    connections_.push_front({destination, std::move(*socket), clock_.Now()});
-    by_destination_[destination] = connections_.begin();
+    connections_.push_front({route, std::move(*socket), clock_.Now()});
+    by_route_[route] = connections_.begin();
     ++counters_.connections_opened;
     return &connections_.front();
   }
@@ -177,7 +190,7 @@
   }
 
   void CloseLeastRecentlyUsed() {
-    by_destination_.erase(connections_.back().destination);
+    by_route_.erase(connections_.back().route);
     connections_.pop_back();
     ++counters_.connections_closed;
   }
@@ -247,7 +260,7 @@
   std::array<Receiver, kMessageKindSlots> receivers_;
   NngSocket listening_;
   ConnectionList connections_;
-  absl::flat_hash_map<base::SocketAddress, ConnectionList::iterator> by_destination_;
+  absl::flat_hash_map<Route, ConnectionList::iterator> by_route_;
   EventPointer readable_;  // after the sockets: their events go first
   EventPointer sweep_;
 };
@@ -259,8 +272,8 @@
 NngPeerTransport::~NngPeerTransport() = default;
 
 SendResult NngPeerTransport::Send(const base::SocketAddress& destination, MessageKind kind,
-                                  std::string payload) {
-  return implementation_->Send(destination, kind, std::move(payload));
+                                  std::string payload, TrafficClass traffic) {
+  return implementation_->Send({destination, traffic}, kind, std::move(payload));
 }
 
 void NngPeerTransport::SetReceiver(MessageKind kind, Receiver receiver) {
--- a/libs/transport/tests/nng_peer_transport_test.cpp
+++ b/libs/transport/tests/nng_peer_transport_test.cpp
@@ -3,8 +3,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace gaugevalve::transport {
@@ -22,6 +24,8 @@
   CPPUNIT_TEST_SUITE(NngPeerTransportTest);
   CPPUNIT_TEST(AnswerGoesToTheSendersAddress);
   CPPUNIT_TEST(FullQueueDropsAndCounts);
+  CPPUNIT_TEST(ControlMessagesAreQueuedThoughTheBulkQueueIsFull);
+  CPPUNIT_TEST(BothClassesArrive);
   CPPUNIT_TEST(LeastRecentlyUsedConnectionIsClosed);
   CPPUNIT_TEST(BudgetAndSizeAreEnforced);
   CPPUNIT_TEST(TakenAddressIsAnError);
@@ -66,6 +70,37 @@
     CPPUNIT_ASSERT_EQUAL(kSends, counters.sent_messages + counters.dropped_queue_full);
   }
 
+  // Guards against heartbeats that are dropped because parts of answers fill the queue.
+  void ControlMessagesAreQueuedThoughTheBulkQueueIsFull() {
+    constexpr int kQueue = 4;
+    NngPeerTransport client(base_.get(), clock_, MakeIdentity(1), {.send_queue_messages = kQueue});
+    const base::SocketAddress nobody = UnusedAddress();
+    const auto send = [&](TrafficClass traffic) {
+      return client.Send(nobody, MessageKind::kRequestHandOver, "part", traffic);
+    };
+    SendResult result = SendResult::kQueued;
+    for (int count = 0; count <= kQueue; ++count) {
+      result = send(TrafficClass::kBulk);
+    }
+    CPPUNIT_ASSERT(result == SendResult::kQueueFull);
+    CPPUNIT_ASSERT(send(TrafficClass::kControl) == SendResult::kQueued);
+  }
+
+  void BothClassesArrive() {
+    NngPeerTransport client(base_.get(), clock_, MakeIdentity(1));
+    NngPeerTransport server(base_.get(), clock_, MakeIdentity(2));
+    std::vector<std::string> received;
+    server.SetReceiver(MessageKind::kRequestHandOver,
+                       [&](const Envelope& envelope) { received.push_back(envelope.payload); });
+    const base::SocketAddress address = server.Identity().control_address;
+    client.Send(address, MessageKind::kRequestHandOver, "a", TrafficClass::kBulk);
+    client.Send(address, MessageKind::kRequestHandOver, "b", TrafficClass::kControl);
+    RunUntil([&] { return received.size() == 2; });
+    std::sort(received.begin(), received.end());
+    CPPUNIT_ASSERT((received == std::vector<std::string>{"a", "b"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, client.ConnectionCount());
+  }
+
   void LeastRecentlyUsedConnectionIsClosed() {
     NngPeerTransport client(base_.get(), clock_, MakeIdentity(1), {.maximum_connections = 2});
     for (const char* address : {"127.0.0.1:9", "127.0.0.2:9", "127.0.0.3:9", "127.0.0.3:9"}) {
