--- a/libs/placement/include/gaugevalve/placement/agent_core.h
+++ b/libs/placement/include/gaugevalve/placement/agent_core.h
@@ -215,6 +215,7 @@
     base::TimePoint held_at{};  // when the endpoint last sent a packet of the flow
     // Sequence number of the opening that was delivered; empty if the flow was opened before.
     std::optional<std::uint32_t> opening_sequence;
+    bool has_answered_opening = false;  // the endpoint has sent a packet since that opening
     std::uint32_t client_end = 0;  // end of the client's data seen so far, as a sequence number
     bool has_client_end = false;
     std::uint32_t acknowledged = 0;  // last acknowledgement number from the client
--- a/libs/placement/src/agent_core.cpp
+++ b/libs/placement/src/agent_core.cpp
@@ -105,7 +105,10 @@
     m_has_held_change = m_held.Add(packet.flow.destination, now) || m_has_held_change;
   }
   record.last_packet = now;
-  record.opening_sequence = packet.sequence;
+  if (record.opening_sequence != packet.sequence) {
+    record.opening_sequence = packet.sequence;
+    record.has_answered_opening = false;
+  }
   m_gate.NoteOpening(now);
   AgentDecision decision;
   decision.verdict = AgentVerdict::kDeliver;
@@ -132,8 +135,8 @@
   const EndpointStanding standing = Standing(now);
   // An endpoint that is silent and has not answered this opening is taken for lost, so that the
   // copy opens the flow at another one. After an evacuation there may be no other one.
-  const bool is_lost =
-      standing == EndpointStanding::kSilent && !found->second.is_held && !IsEvacuated();
+  const bool is_lost = standing == EndpointStanding::kSilent &&
+                       !found->second.has_answered_opening && !IsEvacuated();
   return standing != EndpointStanding::kAbsent && !is_lost;
 }
 
@@ -296,6 +299,7 @@
   record.held_at = now;
   record.is_not_held = false;
   record.is_held = true;
+  record.has_answered_opening = true;
   record.endpoint_closed = record.endpoint_closed || packet.is_closing || packet.is_reset;
   const bool is_answer = packet.data_size > 0 || packet.is_closing;
   if (record.state != FlowState::kWaiting || !is_answer) {
--- a/libs/placement/src/balancer_placement.cpp
+++ b/libs/placement/src/balancer_placement.cpp
@@ -82,6 +82,9 @@
   const bool is_copy = agent != nullptr && agent->report.service == record.service;
   const bool is_lost = is_copy && IsOpeningLost(*agent, record, now);
   if (is_copy && (record.is_open || (!is_lost && MayHaveTaken(*agent, now)))) {
+    if (!AdmitsNewFlows(*agent)) {
+      record.must_accept_attempts = 0;  // if it returns the copy, another endpoint is chosen
+    }
     return ForwardTo(record, BalancerReason::kRemembered, 0);
   }
   if (is_lost) {
--- a/libs/placement/tests/opening_copy_test.cpp
+++ b/libs/placement/tests/opening_copy_test.cpp
@@ -42,7 +42,9 @@
   CPPUNIT_TEST(ACopyIsDeliveredToAnEjectedEndpointThatHasTheFirst);
   CPPUNIT_TEST(ACopyIsNotPlacedElsewhereOnceASilentEndpointHasAnswered);
   CPPUNIT_TEST(AnOpeningThatNeverArrivedIsPlacedElsewhere);
+  CPPUNIT_TEST(AnOpeningThatHadToBeAcceptedAndNeverArrivedIsPlacedElsewhere);
   CPPUNIT_TEST(AnotherOpeningFromTheSamePortIsPlacedElsewhere);
+  CPPUNIT_TEST(ACopyOfAnUnansweredOpeningFromAnEarlierPortIsReturned);
   CPPUNIT_TEST(ACopyIsPlacedElsewhereOnceTheEndpointHasEnded);
   CPPUNIT_TEST(ACopyIsPlacedElsewhereOnceTheEndpointHasBouncedTheFirst);
   CPPUNIT_TEST_SUITE_END();
@@ -106,6 +108,35 @@
     CPPUNIT_ASSERT(Send(Opening(Flow(1), kOtherSequence)) == Outcome::kDeliveredElsewhere);
   }
 
+  // All endpoints were full, so the opening was sent with must_accept.
+  void AnOpeningThatHadToBeAcceptedAndNeverArrivedIsPlacedElsewhere() {
+    StartFirst();
+    const BalancerDecision first = m_balancer->OnClientPacket(Opening(Flow(1)), m_now);
+    ForwardHeader header = first.header;
+    header.kind = MessageKind::kReturned;
+    header.reason = ReturnReason::kBusy;
+    const BalancerDecision again =
+        m_balancer->OnReturnedPacket(Opening(Flow(1)), header, first.agent, m_now);
+    CPPUNIT_ASSERT(again.header.must_accept);  // lost behind the balancer
+    StartOther();
+    Drain();
+    CPPUNIT_ASSERT(SendCopy() == Outcome::kDeliveredElsewhere);
+  }
+
+  // The endpoint has answered an earlier flow of the port and is silent since.
+  void ACopyOfAnUnansweredOpeningFromAnEarlierPortIsReturned() {
+    Start(FirstCopy::kAnswered);
+    constexpr std::uint32_t kOtherSequence = 777;
+    const FlowPacket opening = Opening(Flow(1), kOtherSequence);
+    ForwardHeader header;
+    header.service = orders_service;
+    CPPUNIT_ASSERT(First().OnForwarded(opening, header, {}, Node(100), m_now).verdict ==
+                   AgentVerdict::kDeliver);
+    m_now += kRetransmitDelay;
+    CPPUNIT_ASSERT(First().OnForwarded(opening, header, {}, Node(100), m_now).verdict ==
+                   AgentVerdict::kReturn);
+  }
+
   void ACopyIsPlacedElsewhereOnceTheEndpointHasEnded() {
     Start(FirstCopy::kUnanswered);
     StartOther();
--- a/libs/requests/include/gaugevalve/requests/frame_scheduler.h
+++ b/libs/requests/include/gaugevalve/requests/frame_scheduler.h
@@ -52,7 +52,7 @@
     std::size_t hand_overs = 0;
     std::size_t in_flight = 0;
     std::deque<HandOverId> ready;
-    absl::flat_hash_set<HandOverId> queued;  // the hand-overs in `ready` that have not ended
+    absl::flat_hash_set<HandOverId> queued;  // the hand-overs in `ready`
     RetransmissionTimer timer;
   };
 
--- a/libs/requests/include/gaugevalve/requests/hand_over_limits.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_limits.h
@@ -41,8 +41,8 @@
   std::size_t max_offers = 2;                 // peers that are offered one request
   std::uint32_t min_free_slots_for_shorter_wait = 2;  // free slots a peer needs for kShorterWait
   base::Duration max_local_wait{1'000'000};           // estimated wait above which a peer is sought
-  // Frames in flight to one peer, of all hand-overs in the same direction. For both directions
-  // together below the length of the transport's queue to one destination.
+  // Frames in flight to one peer, of all hand-overs in the same direction. The transport's queue to
+  // one destination has room for both directions; only repeated frames can fill it.
   std::size_t frames_per_peer = 12;
   // Bounds of the interval before a retransmission, which follows the round-trip time and doubles
   // with each retransmission in a row.
@@ -51,6 +51,9 @@
   // Between acknowledgements that only repeat the credit of a hand-over. Releases before this one
   // take a peer for lost after peer_timeout without a message about the hand-over.
   base::Duration heartbeat_interval{1'000'000};
+  // Such acknowledgements per call of OnTimer() and direction, so that those of many hand-overs do
+  // not fill the transport's queue at once.
+  std::size_t heartbeats_per_tick = 16;
   base::Duration peer_timeout{3'000'000};   // silence after which another agent counts as lost
   base::Duration load_interval{1'000'000};  // between announcements of this agent's load
   base::Duration max_load_age{5'000'000};   // older announcements of a peer are ignored
--- a/libs/requests/src/frame_scheduler.cpp
+++ b/libs/requests/src/frame_scheduler.cpp
@@ -16,7 +16,9 @@
   if (found == m_peers.end()) {
     return;
   }
-  found->second.queued.erase(id);
+  if (found->second.queued.erase(id) > 0) {
+    std::erase(found->second.ready, id);
+  }
   found->second.in_flight -= std::min(in_flight, found->second.in_flight);
   --found->second.hand_overs;
   if (found->second.hand_overs == 0) {
@@ -39,14 +41,13 @@
   Peer& entry = found->second;
   const bool has_room =
       entry.in_flight < m_limits.frames_per_peer || !m_limits.mechanisms.bound_frames;
-  while (has_room && !entry.ready.empty()) {
-    const HandOverId id = entry.ready.front();
-    entry.ready.pop_front();
-    if (entry.queued.erase(id) > 0) {
-      return id;
-    }
+  if (!has_room || entry.ready.empty()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  const HandOverId id = entry.ready.front();
+  entry.ready.pop_front();
+  entry.queued.erase(id);
+  return id;
 }
 
 void FrameScheduler::OnSent(base::NodeId peer) {
--- a/libs/requests/src/hand_over_executor.cpp
+++ b/libs/requests/src/hand_over_executor.cpp
@@ -318,6 +318,7 @@
 
 void HandOverExecutor::OnTimer(base::TimePoint now, HandOverActions& actions) {
   std::vector<HandOverId> over;
+  std::size_t heartbeats_left = limits_.heartbeats_per_tick;
   for (auto& [id, run] : runs_) {
     const AgentIncarnation origin{id.origin, id.origin_incarnation};
     if (liveness_.IsLost(origin, run.last_message_at, now)) {
@@ -335,7 +336,8 @@
       scheduler_.OnReleased(id.origin, run.answer.RestartAfterLoss(timer, now));
     }
     QueueAnswer(id, run);
-    if (now >= run.heartbeat_at && run.is_accepted) {
+    if (now >= run.heartbeat_at && run.is_accepted && heartbeats_left > 0) {
+      --heartbeats_left;
       run.heartbeat_at = now + limits_.heartbeat_interval;
       SendAcknowledgement(id, run, actions);
     }
--- a/libs/requests/src/hand_over_origin.cpp
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -197,6 +197,7 @@
   }
   if (message.has_gone()) {
     OnExecutorLost(*exchange, ExecutorLossCause::kRunUnknown, now, actions);
+    SendBodies(sender, now, actions);
     return;
   }
   HandleMessage(*exchange, message, now, actions);
@@ -365,6 +366,7 @@
 void HandOverOrigin::OnTimer(base::TimePoint now, HandOverActions& actions) {
   std::vector<RequestId> overdue;
   std::vector<RequestId> silent;
+  std::size_t heartbeats_left = limits_.heartbeats_per_tick;
   for (auto& [id, exchange] : exchanges_) {
     if (!exchange.has_answer_begun && now >= exchange.request.deadline) {
       overdue.push_back(id);
@@ -382,7 +384,8 @@
       scheduler_.OnReleased(exchange.id.executor, exchange.body.RestartAfterLoss(timer, now));
     }
     QueueBody(exchange);
-    if (now >= exchange.heartbeat_at) {
+    if (now >= exchange.heartbeat_at && heartbeats_left > 0) {
+      --heartbeats_left;
       SendAcknowledgement(exchange, now, actions);
     }
   }
--- a/libs/transport/include/gaugevalve/transport/nng_peer_transport.h
+++ b/libs/transport/include/gaugevalve/transport/nng_peer_transport.h
@@ -29,7 +29,7 @@
 
 // How an NngPeerTransport behaves. The defaults fit the control traffic of a node.
 struct NngTransportOptions {
-  // Connections kept; the least recently used is closed to make room for another.
+  // Connections kept, of both classes; the least recently used is closed to make room for another.
   std::size_t maximum_connections = 64;
   // A connection unused for this long is closed.
   base::Duration idle_timeout = std::chrono::seconds(60);
