--- a/libs/quic/tests/http3_test.cpp
+++ b/libs/quic/tests/http3_test.cpp
@@ -1,6 +1,8 @@
 // Server and client against each other over a simulated network.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <iostream>
 #include <set>
 
 #include "gaugevalve/connection_id/invariant_header.h"
@@ -133,6 +135,8 @@
   CPPUNIT_TEST(AnAnswerThatWaitsForALostHeaderTableEntryArrives);
   CPPUNIT_TEST(EveryAnswerArrivesThoughDatagramsAreLostDoubledAndReordered);
   CPPUNIT_TEST(AnEndThatWaitsForRoomArrives);
+  CPPUNIT_TEST(SeveralEndsThatWaitForRoomArrive);
+  CPPUNIT_TEST(EndsWrittenOnWritableArrive);
   CPPUNIT_TEST(ASlowCallerHoldsTheAnswerBack);
   CPPUNIT_TEST(ASlowApplicationHoldsTheRequestBack);
   CPPUNIT_TEST(AnEventStreamArrivesAsWrittenAndOutlivesTheIdleTimeout);
@@ -296,6 +300,57 @@
     CPPUNIT_ASSERT_EQUAL(0, lost);
   }
 
+  // As above, with several answers at once: acknowledgements of many streams come in one packet,
+  // and streams are reset and opened between.
+  void SeveralEndsThatWaitForRoomArrive() {
+    constexpr int kConnections = 40;
+    constexpr int kRounds = 10;
+    int lost = 0;
+    int waited = 0;
+    for (int connection = 0; connection < kConnections; ++connection) {
+      World world(FaultsOf(connection));
+      Caller caller(world, 1000);
+      CPPUNIT_ASSERT(caller.Connect());
+      base::RandomSource random(kSeed + static_cast<std::uint64_t>(connection));
+      for (int round = 0; round < kRounds; ++round) {
+        lost += CountLostEnds(world, caller, random, waited);
+      }
+    }
+    std::cout << "ends that waited " << waited << ", lost " << lost << '\n';
+    CPPUNIT_ASSERT(waited > 0);
+    CPPUNIT_ASSERT_EQUAL(0, lost);
+  }
+
+  // The end is written while acknowledgements are being handled, with few bytes still under way.
+  void EndsWrittenOnWritableArrive() {
+    constexpr int kConnections = 40;
+    constexpr int kRounds = 10;
+    constexpr std::size_t kAnswers = 6;
+    constexpr std::size_t kLongestBody = 40'000;
+    Http3ServerOptions options;
+    options.send_high_water = 4'000;
+    int lost = 0;
+    for (int connection = 0; connection < kConnections; ++connection) {
+      World world(FaultsOf(connection), options);
+      Caller caller(world, 1000);
+      CPPUNIT_ASSERT(caller.Connect());
+      base::RandomSource random(kSeed + static_cast<std::uint64_t>(connection));
+      for (int round = 0; round < kRounds; ++round) {
+        std::vector<std::shared_ptr<Answer>> answers;
+        for (std::size_t index = 0; index < kAnswers; ++index) {
+          const std::size_t size = options.send_high_water + random.NextBelow(kLongestBody);
+          answers.push_back(caller.Ask("GET", "/late-end/" + std::to_string(size)));
+          world.Network().RunFor(base::Duration(random.NextBelow(kLongestPause)));
+        }
+        for (const auto& answer : answers) {
+          lost += world.Network().RunUntil([&] { return answer->IsOver(); }) ? 0 : 1;
+        }
+      }
+    }
+    std::cout << "ends lost " << lost << '\n';
+    CPPUNIT_ASSERT_EQUAL(0, lost);
+  }
+
   void ASlowCallerHoldsTheAnswerBack() {
     constexpr std::size_t kWindow = 100'000;
     World world;
@@ -625,6 +680,75 @@
   }
 
  private:
+  static constexpr std::uint64_t kLongestPause = 5'000;  // microseconds
+
+  static NetworkFaults FaultsOf(int connection) {
+    return {.loss = 0.04 * (connection % 4), .reorder = connection % 3 == 0 ? 0.2 : 0.0};
+  }
+
+  // Asks for several answers, whose ends are written alone and at random moments, beside one that
+  // takes the room and one that is given up. Counts in `waited` the ends that found no room.
+  // @return  how many ends never arrived
+  static int CountLostEnds(World& world, Caller& caller, base::RandomSource& random, int& waited) {
+    constexpr std::size_t kAnswers = 6;
+    constexpr std::size_t kLongestBody = 20'000;
+    constexpr std::size_t kLongestRest = 6'000;
+    MemoryNetwork& network = world.Network();
+    const std::size_t served = world.Application().size();
+    std::vector<std::shared_ptr<Answer>> answers;
+    std::vector<RequestId> requests;
+    std::set<std::size_t> open;
+    for (std::size_t index = 0; index < kAnswers; ++index) {
+      answers.push_back(caller.Ask("GET", "/by-hand/" + std::to_string(index)));
+      requests.push_back(caller.LastRequest());
+      open.insert(index);
+    }
+    CPPUNIT_ASSERT(
+        network.RunUntil([&] { return world.Application().size() == served + kAnswers; }));
+    // Requests may come in another order than they were sent.
+    std::vector<ResponseWriter*> writers(kAnswers);
+    for (std::size_t index = 0; index < kAnswers; ++index) {
+      const ServedRequest& request = world.Application().At(served + index);
+      writers.at(static_cast<std::size_t>(request.head.path.back() - '0')) = request.writer;
+    }
+    const auto other = caller.Ask("GET", "/object/200000");
+    network.RunFor(base::Duration(random.NextBelow(kLongestPause)));
+    for (ResponseWriter* writer : writers) {
+      writer->SendHead({200, {}});
+      writer->WriteBody(BytesOf(Pattern(1 + random.NextBelow(kLongestBody), 1)));
+    }
+    caller.Ask("GET", "/object/100000");
+    const RequestId given_up = caller.LastRequest();
+    const std::size_t reset_after = random.NextBelow(kAnswers);
+    while (!open.empty()) {
+      const std::size_t rest = random.NextBelow(kLongestRest);
+      const auto is_near_its_end = [&](std::size_t index) {
+        return WaitingBytes(world, requests[index]) <= rest;
+      };
+      network.RunUntil([&] { return std::any_of(open.begin(), open.end(), is_near_its_end); });
+      for (std::size_t index = 0; index < kAnswers; ++index) {
+        if (open.contains(index) && is_near_its_end(index)) {
+          writers[index]->Finish();
+          open.erase(index);
+          world.Server().Flush(network.Now());
+          waited += IsEndWaiting(world, requests[index]) ? 1 : 0;
+        }
+      }
+      if (kAnswers - open.size() > reset_after) {
+        caller.Client().Cancel(given_up, Http3Error::kRequestCancelled);
+      }
+    }
+    int lost = 0;
+    for (std::size_t index = 0; index < kAnswers; ++index) {
+      if (!network.RunUntil([&] { return answers[index]->IsOver(); })) {
+        ++lost;
+        caller.Client().Cancel(requests[index], Http3Error::kRequestCancelled);
+      }
+    }
+    CPPUNIT_ASSERT(network.RunUntil([&] { return other->IsOver(); }));
+    return lost;
+  }
+
   // Asks for an answer whose end is written when most of its body is acknowledged, while another
   // answer takes the room. Counts in `waited` the ends that found none.
   // @return  whether the end arrived
--- a/libs/quic/tests/test_application.cpp
+++ b/libs/quic/tests/test_application.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t kWriteSize = 10'000;
+constexpr std::string_view kObject = "/object/";
+constexpr std::string_view kLateEnd = "/late-end/";
 
 class TestHandler final : public RequestHandler {
  public:
@@ -33,6 +35,13 @@
     } else if (request_->head.path == "/stamped") {
       request_->writer->SendHead({200, {{"server", request_->body}}});
       request_->writer->Finish();
+    } else if (request_->head.path.starts_with(kLateEnd)) {
+      request_->writer->SendHead({200, {}});
+      const bool has_room = request_->writer->WriteBody(BytesOf(content_));
+      request_->unsent = 0;
+      if (has_room) {
+        request_->writer->Finish();
+      }
     } else if (!content_.empty()) {
       request_->writer->SendHead({200, {{"content-length", std::to_string(content_.size())}}});
       OnWritable();
@@ -90,11 +99,12 @@
 std::unique_ptr<RequestHandler> TestApplication::OnRequest(const RequestHead& head,
                                                            const Path& path,
                                                            ResponseWriter& writer) {
-  constexpr std::string_view kObject = "/object/";
   std::string content;
-  if (head.path.starts_with(kObject)) {
-    const std::size_t size = std::stoul(head.path.substr(kObject.size()));
-    content = Pattern(size, size);
+  for (const std::string_view prefix : {kObject, kLateEnd}) {
+    if (head.path.starts_with(prefix)) {
+      const std::size_t size = std::stoul(head.path.substr(prefix.size()));
+      content = Pattern(size, size);
+    }
   }
   auto request = std::make_shared<ServedRequest>();
   request->head = head;
--- a/libs/quic/tests/test_application.h
+++ b/libs/quic/tests/test_application.h
@@ -35,7 +35,8 @@
 
 // Serves: "/echo" answers with the request's body when it is whole; "/stamped" with the field
 // server, which is the request's body; "/object/N" with N bytes of Pattern() as fast as the queue
-// takes them; "/slow" consumes nothing; all else waits for the test.
+// takes them; "/late-end/N" with N bytes at once, and ends when the queue, if that was full, has
+// room again; "/slow" consumes nothing; all else waits for the test.
 class TestApplication final : public RequestHandlerFactory {
  public:
   std::unique_ptr<RequestHandler> OnRequest(const RequestHead& head, const Path& path,
