--- a/libs/quic/src/connection.h
+++ b/libs/quic/src/connection.h
@@ -147,6 +147,7 @@
   int OnHeaderField(std::int64_t id, std::int32_t token, nghttp3_rcbuf* name, nghttp3_rcbuf* value);
   void RemoveStream(std::int64_t id);
   void ApplyStreamActions();
+  void ResumeWindowBlockedStreams();
   bool WritePackets(base::TimePoint now);
   ngtcp2_ssize WritePacket(ngtcp2_path_storage& path, std::span<std::uint8_t> buffer,
                            base::TimePoint now);
@@ -165,6 +166,7 @@
   std::map<std::int64_t, std::unique_ptr<Stream>> streams_;
   std::vector<std::unique_ptr<Stream>> closed_streams_;  // kept until no callback runs
   std::vector<std::int64_t> resumed_streams_;
+  std::vector<std::int64_t> window_blocked_streams_;  // by the connection's window
   std::vector<StreamAction> stream_actions_;
   std::optional<std::uint64_t> http_error_;  // application error to close with
   State state_ = State::kOpen;
--- a/libs/quic/src/connection_packets.cpp
+++ b/libs/quic/src/connection_packets.cpp
@@ -1,6 +1,7 @@
 // The datagrams of a connection, in and out, and its timers.
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "connection.h"
 #include "native.h"
@@ -77,6 +78,7 @@
     return;
   }
   ApplyStreamActions();
+  ResumeWindowBlockedStreams();
   const std::size_t packets_before = packets_sent_;
   if (!WritePackets(now)) {
     return;
@@ -87,6 +89,17 @@
   earliest_timer_ = has_written ? base::TimePoint{} : now + kTimerGranularity;
 }
 
+// The libraries report only the windows of streams. Ends without bytes need no room in the
+// connection's window, so HTTP/3 is asked for output while that is used up, too.
+void Connection::ResumeWindowBlockedStreams() {
+  if (window_blocked_streams_.empty() || ngtcp2_conn_get_max_data_left(transport_.get()) == 0) {
+    return;
+  }
+  for (const std::int64_t id : std::exchange(window_blocked_streams_, {})) {
+    nghttp3_conn_unblock_stream(http_.get(), id);
+  }
+}
+
 // Writes as many packets as congestion control and pacing allow now; false when the connection
 // ended.
 bool Connection::WritePackets(base::TimePoint now) {
@@ -120,7 +133,7 @@
     int is_last = 0;
     std::array<nghttp3_vec, kMaxVectors> vectors;
     nghttp3_ssize count = 0;
-    if (http_ != nullptr && ngtcp2_conn_get_max_data_left(transport_.get()) > 0) {
+    if (http_ != nullptr) {
       count = nghttp3_conn_writev_stream(http_.get(), &id, &is_last, vectors.data(), kMaxVectors);
       if (count < 0) {
         return HttpFailure(static_cast<int>(count));
@@ -150,6 +163,9 @@
         continue;
       case NGTCP2_ERR_STREAM_DATA_BLOCKED:
         nghttp3_conn_block_stream(http_.get(), id);
+        if (ngtcp2_conn_get_max_data_left(transport_.get()) == 0) {
+          window_blocked_streams_.push_back(id);
+        }
         continue;
       case NGTCP2_ERR_STREAM_SHUT_WR:
       case NGTCP2_ERR_STREAM_NOT_FOUND:
--- a/libs/quic/tests/http3_test.cpp
+++ b/libs/quic/tests/http3_test.cpp
@@ -137,6 +137,8 @@
   CPPUNIT_TEST(AnEndThatWaitsForRoomArrives);
   CPPUNIT_TEST(SeveralEndsThatWaitForRoomArrive);
   CPPUNIT_TEST(EndsWrittenOnWritableArrive);
+  CPPUNIT_TEST(AnEndNeedsNoRoomInTheConnectionsWindow);
+  CPPUNIT_TEST(AnAnswerGoesOnWhenOnlyTheConnectionsWindowOpens);
   CPPUNIT_TEST(ASlowCallerHoldsTheAnswerBack);
   CPPUNIT_TEST(ASlowApplicationHoldsTheRequestBack);
   CPPUNIT_TEST(AnEventStreamArrivesAsWrittenAndOutlivesTheIdleTimeout);
@@ -351,6 +353,51 @@
     CPPUNIT_ASSERT_EQUAL(0, lost);
   }
 
+  // RFC 9000, section 4.1: only bytes count. Answers that their caller doesn't read use up the
+  // connection's window; the end of another answer has to come all the same.
+  void AnEndNeedsNoRoomInTheConnectionsWindow() {
+    constexpr std::size_t kStreamWindow = 32 * kMegabyte;
+    World world;
+    Caller caller(world, 1, "", kStreamWindow);
+    CPPUNIT_ASSERT(caller.Connect());
+    const auto answer = caller.Ask("GET", "/by-hand");
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return world.Application().size() == 1; }));
+    ResponseWriter& writer = *world.Application().At(0).writer;
+    writer.SendHead({200, {}});
+    writer.WriteBody(BytesOf("body"));
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->body == "body"; }));
+    const auto object = caller.Ask("GET", "/object/20000000");
+    const RequestId request = caller.LastRequest();
+    caller.Client().PauseReading(request, true);
+    world.Network().RunFor(std::chrono::seconds(5));
+    const std::size_t window = Http3ClientOptions{}.connection_window;
+    CPPUNIT_ASSERT(object->body.size() < window && object->body.size() > window - 10'000);
+    writer.Finish();
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return answer->IsOver(); }));
+    CPPUNIT_ASSERT(answer->is_whole);
+    caller.Client().PauseReading(request, false);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return object->IsOver(); }));
+    CPPUNIT_ASSERT(object->is_whole);
+  }
+
+  // Another answer holds the whole window until its caller gives it up.
+  void AnAnswerGoesOnWhenOnlyTheConnectionsWindowOpens() {
+    constexpr std::size_t kStreamWindow = 32 * kMegabyte;
+    World world;
+    Caller caller(world, 1, "", kStreamWindow);
+    CPPUNIT_ASSERT(caller.Connect());
+    caller.Ask("GET", "/object/20000000");
+    const RequestId request = caller.LastRequest();
+    caller.Client().PauseReading(request, true);
+    world.Network().RunFor(std::chrono::seconds(5));
+    const auto small = caller.Ask("GET", "/object/200000");
+    world.Network().RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(!small->IsOver());
+    caller.Client().Cancel(request);
+    CPPUNIT_ASSERT(world.Network().RunUntil([&] { return small->IsOver(); }));
+    CPPUNIT_ASSERT(small->is_whole);
+  }
+
   void ASlowCallerHoldsTheAnswerBack() {
     constexpr std::size_t kWindow = 100'000;
     World world;
