--- a/libs/quic/tests/http3_test.cpp
+++ b/libs/quic/tests/http3_test.cpp
@@ -802,7 +802,6 @@
   static bool EndArrives(World& world, Caller& caller, base::RandomSource& random, int& waited) {
     constexpr std::size_t kLongestBody = 40'000;
     constexpr std::size_t kFewBytes = 3'000;
-    constexpr std::int64_t kLongestPause = 5'000;  // microseconds
     MemoryNetwork& network = world.Network();
     const std::size_t served = world.Application().size();
     const auto answer = caller.Ask("GET", "/by-hand");
