--- a/libs/quic/src/connection_packets.cpp
+++ b/libs/quic/src/connection_packets.cpp
@@ -89,8 +89,9 @@
   earliest_timer_ = has_written ? base::TimePoint{} : now + kTimerGranularity;
 }
 
-// The libraries report only the windows of streams. Ends without bytes need no room in the
-// connection's window, so HTTP/3 is asked for output while that is used up, too.
+// Asks HTTP/3 again for streams that the connection's window held back, once that has room: the
+// libraries report only the windows of streams. They were asked while it was used up because an end
+// without bytes needs no room in it.
 void Connection::ResumeWindowBlockedStreams() {
   if (window_blocked_streams_.empty() || ngtcp2_conn_get_max_data_left(transport_.get()) == 0) {
     return;
