--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -60,6 +60,10 @@
     module_->HandlePeerMessage(peer->sender, peer->payload);
     return;
   }
+  if (const auto* const heard = std::get_if<AgentContacts>(&message)) {
+    module_->HandleContacts(heard->contacts);
+    return;
+  }
   ApplyView(*std::get<ViewPointer>(message));
 }
 
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "agent_output.h"
 #include "gaugevalve/base/clock.h"
@@ -35,10 +36,15 @@
   std::string payload;
 };
 
+// Other agents of the service that the control task has heard.
+struct AgentContacts {
+  std::vector<routing::AgentContact> contacts;
+};
+
 // A message from another task to the data task: a newer view, a request to drain, a newer
-// certificate or a message of another agent.
-using AgentMessage =
-    std::variant<ViewPointer, StartDraining, quic::CertificateCredentials, PeerMessage>;
+// certificate, a message of another agent or contacts with other agents.
+using AgentMessage = std::variant<ViewPointer, StartDraining, quic::CertificateCredentials,
+                                  PeerMessage, AgentContacts>;
 
 // Status that the data task reports a few times per second.
 struct AgentStatus {
--- a/daemons/agent/src/hand_over_service.cpp
+++ b/daemons/agent/src/hand_over_service.cpp
@@ -94,7 +94,10 @@
       .Field("cause", ToString(loss.cause))
       .Field("silence_ms", loss.silence / std::chrono::milliseconds(1))
       .Field("last_message", MessageName(loss.last_message))
-      .Field("accepted", loss.is_accepted);
+      .Field("accepted", loss.is_accepted)
+      .Field("listed_live", loss.is_listed_as_live)
+      .Field("contact", loss.contact ? ToString(loss.contact->source) : "none")
+      .Field("contact_ms", loss.contact_age / std::chrono::milliseconds(1));
 }
 
 prometheus::Gauge* MakeGauge(prometheus::Registry& registry, const std::string& side) {
@@ -161,6 +164,16 @@
   PerformAndHandle(core_.SetTable(table, clock_.Now()));
 }
 
+void HandOverService::SetLiveAgents(const std::shared_ptr<const routing::LiveAgents>& agents) {
+  core_.SetLiveAgents(agents);
+}
+
+void HandOverService::NoteContacts(std::span<const routing::AgentContact> contacts) {
+  for (const routing::AgentContact& contact : contacts) {
+    core_.NoteContact(contact);
+  }
+}
+
 void HandOverService::OnMessage(base::NodeId sender,
                                 const requests::proto::HandOverMessage& message) {
   PerformAndHandle(core_.OnMessage(sender, message, clock_.Now()));
--- a/daemons/agent/src/hand_over_service.h
+++ b/daemons/agent/src/hand_over_service.h
@@ -63,6 +63,9 @@
   }
 
   void SetTable(const std::shared_ptr<const routing::BucketTable>& table);
+  // Agents that membership counts as live; null if there is no membership.
+  void SetLiveAgents(const std::shared_ptr<const routing::LiveAgents>& agents);
+  void NoteContacts(std::span<const routing::AgentContact> contacts);
   void OnMessage(base::NodeId sender, const requests::proto::HandOverMessage& message);
   void OnTimer(const requests::LocalLoad& load);
   void PublishCounters();
--- a/daemons/agent/src/http3_service.h
+++ b/daemons/agent/src/http3_service.h
@@ -62,6 +62,9 @@
   void HandlePeerMessage(base::NodeId sender, std::string_view payload) override {
     backend_->HandlePeerMessage(sender, payload);
   }
+  void HandleContacts(std::span<const routing::AgentContact> contacts) override {
+    backend_->HandleContacts(contacts);
+  }
   void HandleTick(base::TimePoint now) override { LogUnacknowledged(now); }
   void StartDraining(base::TimePoint now) override;
   void FillReport(routing::AgentReport& report) const override;
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "agent_worker.h"
 #include "datagram_service.h"
@@ -157,10 +158,14 @@
         daemon::ControlTaskSettings{node_, identity_.incarnation, worker_.DataAddress()}, admin_,
         *registry_, [this](const agent::ViewPointer& view) { return worker_.Send(view); },
         [this] { End(daemon::kFailure); });
+    control_->SetContactHandler([this](std::vector<routing::AgentContact> contacts) {
+      return worker_.Send(agent::AgentContacts{std::move(contacts)});
+    });
     control_->SetReceiver(
         transport::MessageKind::kRequestHandOver, [this](const transport::Envelope& envelope) {
           if (!worker_.Send(agent::PeerMessage{envelope.sender.node, envelope.payload})) {
-            control_->RecordDroppedMessages(daemon::PeerMessageDrop::kInboxFull, 1);
+            control_->RecordDroppedMessages(daemon::PeerMessageDrop::kInboxFull, 1,
+                                            envelope.sender.node);
           }
         });
     control_->Start();
@@ -178,7 +183,7 @@
     const std::uint64_t refused = peer_outbox_.RefusedCount();
     if (refused > recorded_refusals_) {
       control_->RecordDroppedMessages(daemon::PeerMessageDrop::kOutboxFull,
-                                      refused - recorded_refusals_);
+                                      refused - recorded_refusals_, std::nullopt);
       recorded_refusals_ = refused;
     }
   }
--- a/daemons/agent/src/request_backend.h
+++ b/daemons/agent/src/request_backend.h
@@ -7,6 +7,7 @@
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/control/node_view.h"
 #include "gaugevalve/quic/request_handler.h"
+#include "gaugevalve/routing/agent_incarnation.h"
 #include "gaugevalve/routing/agent_report.h"
 #include "gaugevalve/settings/effective_settings.h"
 
@@ -26,6 +27,9 @@
   // counted and dropped.
   virtual void HandlePeerMessage(base::NodeId sender, std::string_view payload) = 0;
 
+  // Other agents of the service were heard by the control task, whatever became of their messages.
+  virtual void HandleContacts(std::span<const routing::AgentContact> contacts) = 0;
+
   // Stops accepting new requests. Accepted requests are finished.
   virtual void StartDraining() = 0;
 
--- a/daemons/agent/src/request_service.cpp
+++ b/daemons/agent/src/request_service.cpp
@@ -391,6 +391,7 @@
 void RequestService::SetView(const control::ServiceView& service, base::TimePoint confirmed_at) {
   Perform(pipeline_.SetTable(service.table, confirmed_at, clock_.Now()));
   hand_over_.SetTable(service.table);
+  hand_over_.SetLiveAgents(service.live_agents);
 }
 
 void RequestService::SetEndpoint(const settings::EndpointSettings& endpoint) {
--- a/daemons/agent/src/request_service.h
+++ b/daemons/agent/src/request_service.h
@@ -55,6 +55,9 @@
   void SetView(const control::ServiceView& service, base::TimePoint confirmed_at) override;
   void SetEndpoint(const settings::EndpointSettings& endpoint) override;
   void HandlePeerMessage(base::NodeId sender, std::string_view payload) override;
+  void HandleContacts(std::span<const routing::AgentContact> contacts) override {
+    hand_over_.NoteContacts(contacts);
+  }
   void StartDraining() override;
   void FillReport(routing::AgentReport& report) override;
   void PublishCounters() override;
--- a/daemons/agent/src/service_module.h
+++ b/daemons/agent/src/service_module.h
@@ -1,12 +1,14 @@
 // Interface of a service kind's module in the agent's data task.
 #pragma once
 
+#include <span>
 #include <string_view>
 
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/control/node_view.h"
 #include "gaugevalve/quic/credentials.h"
+#include "gaugevalve/routing/agent_incarnation.h"
 #include "gaugevalve/routing/agent_report.h"
 #include "gaugevalve/settings/effective_settings.h"
 #include "gaugevalve/wire/forwarding_header.h"
@@ -32,6 +34,10 @@
   // messages need not override this.
   virtual void HandlePeerMessage(base::NodeId /*sender*/, std::string_view /*payload*/) {}
 
+  // Other agents of the service were heard by the control task, whatever became of their messages.
+  // Modules that hand nothing over need not override this.
+  virtual void HandleContacts(std::span<const routing::AgentContact> /*contacts*/) {}
+
   // Handles a datagram that a balancer or another agent has sent. The header may be changed.
   virtual void HandleDatagram(const wire::ProxyDatagram& datagram, wire::ForwardingHeader& header,
                               base::TimePoint now) = 0;
--- a/daemons/common/include/gaugevalve/daemon/control_task.h
+++ b/daemons/common/include/gaugevalve/daemon/control_task.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gaugevalve/base/clock.h"
 #include "gaugevalve/control/control_node.h"
@@ -38,6 +39,10 @@
   // again.
   using ViewHandler = std::function<bool(std::shared_ptr<const control::NodeView>)>;
 
+  // Passes contacts with agents of the own service to the data task. Returns false when its inbox
+  // is full; they are then offered again.
+  using ContactHandler = std::function<bool(std::vector<routing::AgentContact>)>;
+
   // Called when a newer process uses this node's name, so that this process must end.
   using SupersededHandler = std::function<void()>;
 
@@ -72,9 +77,14 @@
   // Sets the receiver of a message kind that the control task doesn't handle itself.
   void SetReceiver(transport::MessageKind kind, transport::PeerTransport::Receiver receiver);
 
+  // Sets who is told of agents that this node hears. Call it before Start().
+  void SetContactHandler(ContactHandler handler) { contact_handler_ = std::move(handler); }
+
   /// Records messages of the daemon that were dropped on their way to or from this task.
-  void RecordDroppedMessages(PeerMessageDrop drop, std::uint64_t count) {
-    m_drops.Record(drop, count, clock_.Now());
+  /// `peer` is the other node, or nothing if it isn't known.
+  void RecordDroppedMessages(PeerMessageDrop drop, std::uint64_t count,
+                             std::optional<base::NodeId> peer) {
+    m_drops.Record(drop, count, peer, clock_.Now());
   }
 
   // Returns the control address, with the port the system chose.
@@ -99,9 +109,12 @@
   void Perform(control::ControlActions& actions);
   void Send(const base::SocketAddress& destination, transport::MessageKind kind,
             std::string payload,
-            transport::TrafficClass traffic = transport::TrafficClass::kControl);
+            transport::TrafficClass traffic = transport::TrafficClass::kControl,
+            std::optional<base::NodeId> peer = std::nullopt);
   void Log(const control::ControlActions& actions) const;
   void OfferView();
+  void NoteContact(const transport::Envelope& envelope);
+  void OfferContacts();
   void AddHandlers(telemetry::AdminServer& admin);
   control::StoreStatus StoreState() const;
 
@@ -112,6 +125,7 @@
   LoopMonitor m_loop_monitor;
   ViewHandler view_handler_;
   SupersededHandler superseded_handler_;
+  ContactHandler contact_handler_;
   std::unique_ptr<transport::NngPeerTransport> transport_;
   std::unique_ptr<control::ControlNode> node_;
   control::Readiness readiness_;
--- a/daemons/common/include/gaugevalve/daemon/peer_message_drops.h
+++ b/daemons/common/include/gaugevalve/daemon/peer_message_drops.h
@@ -4,8 +4,11 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
+#include "absl/container/flat_hash_map.h"
+#include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/time.h"
 #include "gaugevalve/daemon/reason_counters.h"
 #include "gaugevalve/transport/peer_transport.h"
@@ -29,23 +32,29 @@
 std::string_view ToString(PeerMessageDrop drop);
 
 /// The metric `gaugevalve_peer_messages_dropped_total` and one event `peer_messages_dropped` a
-/// second and reason at most. Belongs to the control task's thread.
+/// second and reason at most, which names the peer that most of them were for or from. Belongs to
+/// the control task's thread.
 class PeerMessageDrops {
  public:
   explicit PeerMessageDrops(prometheus::Registry& registry);
 
-  /// Records dropped messages.
-  void Record(PeerMessageDrop drop, std::uint64_t count, base::TimePoint now);
+  /// Records dropped messages. `peer` is the other node, or nothing if it isn't known.
+  void Record(PeerMessageDrop drop, std::uint64_t count, std::optional<base::NodeId> peer,
+              base::TimePoint now);
 
-  /// Records the result of a transport's Send() unless the message was queued.
-  void RecordSend(transport::SendResult result, base::TimePoint now);
+  /// Records the result of a transport's Send() to `peer` unless the message was queued.
+  void RecordSend(transport::SendResult result, std::optional<base::NodeId> peer,
+                  base::TimePoint now);
 
  private:
   struct Unlogged {
     std::uint64_t count = 0;
+    absl::flat_hash_map<base::NodeId, std::uint64_t> by_peer;
     base::TimePoint logged_at{};
   };
 
+  static void Log(PeerMessageDrop drop, const Unlogged& unlogged);
+
   ReasonCounters m_counters;
   std::array<Unlogged, kPeerMessageDropCount> m_unlogged{};
 };
--- a/daemons/common/src/control_task.cpp
+++ b/daemons/common/src/control_task.cpp
@@ -92,6 +92,7 @@
     transport_->SetReceiver(kind, [this](const transport::Envelope& envelope) {
       control::ControlActions actions;
       node_->OnEnvelope(envelope, clock_.Now(), actions);
+      NoteContact(envelope);
       Perform(actions);
     });
   }
@@ -131,21 +132,27 @@
                              const std::string& payload, transport::TrafficClass traffic) {
   const membership::Member* const member = node_->Directory().Find(node);
   if (member == nullptr) {
-    m_drops.Record(PeerMessageDrop::kUnknownMember, 1, clock_.Now());
+    m_drops.Record(PeerMessageDrop::kUnknownMember, 1, node, clock_.Now());
     return;
   }
-  Send(member->metadata->control_address, kind, payload, traffic);
+  Send(member->metadata->control_address, kind, payload, traffic, node);
 }
 
 void ControlTask::Send(const base::SocketAddress& destination, transport::MessageKind kind,
-                       std::string payload, transport::TrafficClass traffic) {
-  m_drops.RecordSend(transport_->Send(destination, kind, std::move(payload), traffic),
+                       std::string payload, transport::TrafficClass traffic,
+                       std::optional<base::NodeId> peer) {
+  m_drops.RecordSend(transport_->Send(destination, kind, std::move(payload), traffic), peer,
                      clock_.Now());
 }
 
 void ControlTask::SetReceiver(transport::MessageKind kind,
                               transport::PeerTransport::Receiver receiver) {
-  transport_->SetReceiver(kind, std::move(receiver));
+  transport_->SetReceiver(
+      kind, [this, receiver = std::move(receiver)](const transport::Envelope& envelope) {
+        NoteContact(envelope);
+        OfferContacts();
+        receiver(envelope);
+      });
 }
 
 base::SocketAddress ControlTask::ControlAddress() const {
@@ -274,6 +281,7 @@
     waiting_view_ = std::move(actions.view);
   }
   OfferView();
+  OfferContacts();
   const base::TimePoint now = clock_.Now();
   base::TimePoint due = std::min(node_->NextWakeUp(), now + kMaxSleep);
   if (waiting_view_ != nullptr) {
@@ -317,6 +325,19 @@
   }
 }
 
+void ControlTask::NoteContact(const transport::Envelope& envelope) {
+  node_->NoteContact(envelope.sender, envelope.kind, clock_.Now());
+}
+
+void ControlTask::OfferContacts() {
+  const base::TimePoint now = clock_.Now();
+  control::AgentContacts& contacts = node_->Contacts();
+  if (contact_handler_ != nullptr && contacts.IsReportDue(now) &&
+      contact_handler_(contacts.Pending())) {
+    contacts.OnReported(now);
+  }
+}
+
 control::StoreStatus ControlTask::StoreState() const {
   control::StoreStatus status;
   status.in_use = store_.has_value();
--- a/daemons/common/src/peer_message_drops.cpp
+++ b/daemons/common/src/peer_message_drops.cpp
@@ -1,6 +1,6 @@
 #include "gaugevalve/daemon/peer_message_drops.h"
 
-#include <utility>
+#include <algorithm>
 
 #include "gaugevalve/telemetry/event.h"
 
@@ -36,33 +36,49 @@
                  "Messages between nodes that this node dropped, by reason.",
                  ReasonNames<PeerMessageDrop>(kPeerMessageDropCount)) {}
 
-void PeerMessageDrops::Record(PeerMessageDrop drop, std::uint64_t count, base::TimePoint now) {
+void PeerMessageDrops::Record(PeerMessageDrop drop, std::uint64_t count,
+                              std::optional<base::NodeId> peer, base::TimePoint now) {
   for (std::uint64_t message = 0; message < count; ++message) {
     m_counters.Add(drop);
   }
   m_counters.Publish();
   Unlogged& unlogged = m_unlogged.at(static_cast<std::size_t>(drop));
   unlogged.count += count;
+  if (peer) {
+    unlogged.by_peer[*peer] += count;
+  }
   if (unlogged.count > 0 && now - unlogged.logged_at >= kLogInterval) {
-    unlogged.logged_at = now;
-    telemetry::Event(telemetry::Level::kWarning, "peer_messages_dropped")
-        .Field("reason", ToString(drop))
-        .Field("count", std::exchange(unlogged.count, 0));
+    Log(drop, unlogged);
+    unlogged = Unlogged{0, {}, now};
+  }
+}
+
+void PeerMessageDrops::Log(PeerMessageDrop drop, const Unlogged& unlogged) {
+  telemetry::Event event(telemetry::Level::kWarning, "peer_messages_dropped");
+  event.Field("reason", ToString(drop)).Field("count", unlogged.count);
+  const auto most = std::max_element(
+      unlogged.by_peer.begin(), unlogged.by_peer.end(),
+      [](const auto& left, const auto& right) { return left.second < right.second; });
+  if (most != unlogged.by_peer.end()) {
+    event.Field("peers", unlogged.by_peer.size())
+        .Field("most_peer", most->first)
+        .Field("most_count", most->second);
   }
 }
 
-void PeerMessageDrops::RecordSend(transport::SendResult result, base::TimePoint now) {
+void PeerMessageDrops::RecordSend(transport::SendResult result, std::optional<base::NodeId> peer,
+                                  base::TimePoint now) {
   switch (result) {
     case transport::SendResult::kQueued:
       return;
     case transport::SendResult::kQueueFull:
-      return Record(PeerMessageDrop::kQueueFull, 1, now);
+      return Record(PeerMessageDrop::kQueueFull, 1, peer, now);
     case transport::SendResult::kOverBudget:
-      return Record(PeerMessageDrop::kOverBudget, 1, now);
+      return Record(PeerMessageDrop::kOverBudget, 1, peer, now);
     case transport::SendResult::kTooLarge:
-      return Record(PeerMessageDrop::kTooLarge, 1, now);
+      return Record(PeerMessageDrop::kTooLarge, 1, peer, now);
     case transport::SendResult::kFailed:
-      return Record(PeerMessageDrop::kNoSocket, 1, now);
+      return Record(PeerMessageDrop::kNoSocket, 1, peer, now);
   }
 }
 
--- a/libs/control/include/gaugevalve/control/control_node.h
+++ b/libs/control/include/gaugevalve/control/control_node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gaugevalve/base/random_source.h"
+#include "gaugevalve/control/agent_contacts.h"
 #include "gaugevalve/control/agent_reporter.h"
 #include "gaugevalve/control/control_actions.h"
 #include "gaugevalve/control/coordinator.h"
@@ -68,6 +69,14 @@
   void OnEnvelope(const transport::Envelope& envelope, base::TimePoint now,
                   ControlActions& actions);
 
+  // Agents: notes that the sender's process runs. Called for each message of the transport. A newer
+  // process of the same node counts as the known one until membership has learned of it.
+  void NoteContact(const transport::SenderIdentity& sender, transport::MessageKind kind,
+                   base::TimePoint now);
+
+  // Agents: contacts with other agents of the own service, to be reported to the data path.
+  AgentContacts& Contacts() { return contacts_; }
+
   // Performs the work that is due. Early calls are harmless.
   void OnTick(base::TimePoint now, ControlActions& actions);
   base::TimePoint NextWakeUp() const;
@@ -126,6 +135,8 @@
                                ControlActions& actions);
   void HandleMemberEvent(const membership::MembershipEvent& event, base::TimePoint now);
   void UpsertPeer(const membership::Member& member);
+  bool IsAgentOfOwnService(const membership::Member& member) const;
+  std::shared_ptr<const routing::LiveAgents> LiveAgentsOfOwnService();
   void HandleDisseminationActions(dissemination::Actions& from, base::TimePoint now,
                                   ControlActions& actions);
   void HandleChangedRecord(const dissemination::RecordKey& key, base::TimePoint now,
@@ -163,6 +174,8 @@
   AgentReporter reporter_;
   Roster roster_;
   std::map<base::ServiceId, std::shared_ptr<const routing::BucketTable>> tables_;
+  AgentContacts contacts_;
+  std::shared_ptr<const routing::LiveAgents> live_agents_;  // null after a change
   std::shared_ptr<const NodeView> view_;
   base::TimePoint started_at_{};
   base::TimePoint next_view_at_{};
--- a/libs/control/include/gaugevalve/control/node_view.h
+++ b/libs/control/include/gaugevalve/control/node_view.h
@@ -9,6 +9,7 @@
 #include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/socket_address.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/routing/agent_incarnation.h"
 #include "gaugevalve/routing/bucket_table.h"
 #include "gaugevalve/settings/effective_settings.h"
 
@@ -27,6 +28,9 @@
   ServiceKind kind = ServiceKind::kDatagram;
   base::SocketAddress virtual_address;  // address that clients send to
   std::shared_ptr<const routing::BucketTable> table;
+  // Agents: the live agents of the service, listed in the table or not. Null on balancers and with
+  // static settings. The same object while they don't change.
+  std::shared_ptr<const routing::LiveAgents> live_agents = nullptr;
 };
 
 // Snapshot for the data path of one node. Never changed after it is published; a new one replaces
--- a/libs/control/include/gaugevalve/control/view_builder.h
+++ b/libs/control/include/gaugevalve/control/view_builder.h
@@ -19,10 +19,10 @@
                                                   const TablesByService& tables,
                                                   base::TimePoint confirmed_at);
 
-// Returns the view of an agent: its own service once it has settings and a table. `table` may be
-// null.
-std::shared_ptr<const NodeView> BuildAgentView(const ServiceSettingsReader& reader,
-                                               std::shared_ptr<const routing::BucketTable> table,
-                                               base::TimePoint confirmed_at);
+// Returns the view of an agent: its own service once it has settings and a table. `table` and
+// `live_agents` may be null.
+std::shared_ptr<const NodeView> BuildAgentView(
+    const ServiceSettingsReader& reader, std::shared_ptr<const routing::BucketTable> table,
+    std::shared_ptr<const routing::LiveAgents> live_agents, base::TimePoint confirmed_at);
 
 }  // namespace gaugevalve::control
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -103,6 +103,20 @@
   UpdateDerivedState(now, actions);
 }
 
+void ControlNode::NoteContact(const transport::SenderIdentity& sender, transport::MessageKind kind,
+                              base::TimePoint now) {
+  if (IsBalancer()) {
+    return;
+  }
+  const std::optional<membership::Member> member = membership_.Find(sender.node);
+  const bool is_known = member.has_value() && IsAgentOfOwnService(*member) &&
+                        sender.incarnation >= member->metadata->process_incarnation;
+  if (is_known) {
+    contacts_.Note(
+        {{sender.node, member->metadata->process_incarnation}, ContactSourceOf(kind), now});
+  }
+}
+
 void ControlNode::OnTick(base::TimePoint now, ControlActions& actions) {
   if (now >= membership_.NextWakeUp()) {
     membership::MembershipActions from;
@@ -140,6 +154,12 @@
 
 void ControlNode::HandleMemberEvent(const membership::MembershipEvent& event, base::TimePoint now) {
   const base::NodeId node = event.member.node;
+  if (node != self_ && event.member.state == membership::MemberState::kAlive &&
+      IsAgentOfOwnService(event.member)) {
+    contacts_.Note({{node, event.member.metadata->process_incarnation},
+                    routing::ContactSource::kMembership,
+                    now});
+  }
   const DirectoryChange change = directory_.Apply(event);
   if (change == DirectoryChange::kNone) {
     return;
@@ -154,6 +174,10 @@
     election_stale_ = true;
   } else {
     agents_stale_.insert(event.member.metadata->service);
+    if (IsAgentOfOwnService(event.member)) {
+      live_agents_ = nullptr;
+      view_stale_ = true;
+    }
   }
   if (event.kind == membership::EventKind::kLeft) {
     planners_.NoteGracefulLeave(event.member.metadata->service, node,
@@ -170,6 +194,23 @@
   }
 }
 
+// False on balancers, which have no service of their own.
+bool ControlNode::IsAgentOfOwnService(const membership::Member& member) const {
+  return !IsBalancer() && member.metadata->role == membership::Role::kAgent &&
+         member.metadata->service == options_.metadata.service;
+}
+
+std::shared_ptr<const routing::LiveAgents> ControlNode::LiveAgentsOfOwnService() {
+  if (live_agents_ == nullptr) {
+    routing::LiveAgents agents;
+    for (const base::NodeId node : directory_.AgentsOf(options_.metadata.service)) {
+      agents.push_back({node, directory_.Find(node)->metadata->process_incarnation});
+    }
+    live_agents_ = std::make_shared<const routing::LiveAgents>(std::move(agents));
+  }
+  return live_agents_;
+}
+
 void ControlNode::SetLeaving(bool leaving, base::TimePoint now, ControlActions& actions) {
   membership::MemberMetadata metadata = *membership_.Self().metadata;
   metadata.leaving = leaving;
@@ -514,9 +555,9 @@
   }
   view_stale_ = false;
   next_view_at_ = now + options_.view_interval;
-  view_ = IsBalancer()
-              ? BuildBalancerView(activator_.Active(), tables_, ConfirmedAt())
-              : BuildAgentView(service_reader_, TableOf(options_.metadata.service), ConfirmedAt());
+  view_ = IsBalancer() ? BuildBalancerView(activator_.Active(), tables_, ConfirmedAt())
+                       : BuildAgentView(service_reader_, TableOf(options_.metadata.service),
+                                        LiveAgentsOfOwnService(), ConfirmedAt());
   actions.view = view_;
 }
 
--- a/libs/control/src/view_builder.cpp
+++ b/libs/control/src/view_builder.cpp
@@ -10,7 +10,7 @@
                             std::shared_ptr<const routing::BucketTable> table) {
   const ServiceKind kind =
       service.kind == settings::ServiceKind::kHttp3 ? ServiceKind::kHttp3 : ServiceKind::kDatagram;
-  return {service.id, service.name, kind, service.virtual_address, std::move(table)};
+  return {service.id, service.name, kind, service.virtual_address, std::move(table), nullptr};
 }
 
 }  // namespace
@@ -37,15 +37,16 @@
   return view;
 }
 
-std::shared_ptr<const NodeView> BuildAgentView(const ServiceSettingsReader& reader,
-                                               std::shared_ptr<const routing::BucketTable> table,
-                                               base::TimePoint confirmed_at) {
+std::shared_ptr<const NodeView> BuildAgentView(
+    const ServiceSettingsReader& reader, std::shared_ptr<const routing::BucketTable> table,
+    std::shared_ptr<const routing::LiveAgents> live_agents, base::TimePoint confirmed_at) {
   auto view = std::make_shared<NodeView>();
   view->revision = reader.Revision();
   view->confirmed_at = confirmed_at;
   view->own_service = reader.Settings();
   if (view->own_service != nullptr && table != nullptr) {
     view->services.push_back(MakeServiceView(*view->own_service, std::move(table)));
+    view->services.back().live_agents = std::move(live_agents);
   }
   return view;
 }
--- a/libs/requests/include/gaugevalve/requests/hand_over.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "gaugevalve/base/random_source.h"
 #include "gaugevalve/requests/hand_over_executor.h"
@@ -41,6 +42,14 @@
   HandOverActions SetTable(const std::shared_ptr<const routing::BucketTable>& table,
                            base::TimePoint now);
 
+  // Agents of the service that membership counts as live; null if there is no membership.
+  void SetLiveAgents(std::shared_ptr<const LiveAgents> agents) {
+    liveness_.SetLiveAgents(std::move(agents));
+  }
+
+  // Another agent was heard, though not necessarily here.
+  void NoteContact(const AgentContact& contact) { liveness_.NoteContact(contact); }
+
   // Handles a message from another agent; malformed messages are ignored.
   HandOverActions OnMessage(base::NodeId sender, const proto::HandOverMessage& message,
                             base::TimePoint now);
--- a/libs/requests/include/gaugevalve/requests/hand_over_actions.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_actions.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -12,6 +13,7 @@
 #include "gaugevalve/requests/hand_over_id.h"
 #include "gaugevalve/requests/request_outcome.h"
 #include "gaugevalve/requests/requests.pb.h"
+#include "gaugevalve/routing/agent_incarnation.h"
 
 namespace gaugevalve::requests {
 
@@ -89,7 +91,12 @@
   proto::HandOverMessage::BodyCase last_message = proto::HandOverMessage::BODY_NOT_SET;
   /// Time since the executor's last message about any request, or since the offer.
   base::Duration silence{0};
-  bool is_accepted = false;  ///< the executor had accepted the request
+  bool is_accepted = false;        ///< the executor had accepted the request
+  bool is_listed_as_live = false;  ///< membership counts the executor as live
+  /// The newest sign of the executor's process within the time-out, whatever it was about.
+  std::optional<routing::AgentContact> contact;
+  /// Time since that sign.
+  base::Duration contact_age{0};
 };
 
 // The actions that result from one event; each list is in order.
--- a/libs/requests/include/gaugevalve/requests/peer_liveness.h
+++ b/libs/requests/include/gaugevalve/requests/peer_liveness.h
@@ -3,26 +3,18 @@
 #pragma once
 
 #include <cstddef>
-#include <utility>
+#include <memory>
+#include <optional>
 
 #include "absl/container/flat_hash_map.h"
-#include "gaugevalve/base/identifiers.h"
 #include "gaugevalve/base/time.h"
+#include "gaugevalve/routing/agent_incarnation.h"
 
 namespace gaugevalve::requests {
 
-/// One incarnation of an agent.
-struct AgentIncarnation {
-  base::NodeId node;
-  base::Incarnation incarnation;
-
-  friend bool operator==(const AgentIncarnation&, const AgentIncarnation&) = default;
-
-  template <class HashState>
-  friend HashState AbslHashValue(HashState state, const AgentIncarnation& id) {
-    return HashState::combine(std::move(state), id.node, id.incarnation);
-  }
-};
+using routing::AgentContact;
+using routing::AgentIncarnation;
+using routing::LiveAgents;
 
 /// Liveness of the agents that send messages to this one. It is a property of an agent's
 /// incarnation: while an agent sends anything, none of its hand-overs counts as silent, since the
@@ -36,6 +28,20 @@
   /// Records a message of this incarnation.
   void NoteMessage(const AgentIncarnation& agent, base::TimePoint now);
 
+  /// Records that the process was heard, whether or not its message came here.
+  void NoteContact(const AgentContact& contact);
+
+  /// Sets the agents that membership counts as live; null if there is no membership.
+  void SetLiveAgents(std::shared_ptr<const LiveAgents> agents) {
+    m_live_agents = std::move(agents);
+  }
+
+  /// Returns whether membership counts this incarnation as live.
+  bool IsListedAsLive(const AgentIncarnation& agent) const;
+
+  /// Returns the newest contact with the process within the time-out.
+  std::optional<AgentContact> LastContact(const AgentIncarnation& agent) const;
+
   /// Returns the time since the agent's last message, or since `since` if that is later: the time
   /// from which on a message was expected.
   base::Duration Silence(const AgentIncarnation& agent, base::TimePoint since,
@@ -52,11 +58,11 @@
   /// Removes agents that have been silent for the time-out.
   void ForgetLost(base::TimePoint now);
 
-  std::size_t Size() const { return m_heard_at.size(); }
-
  private:
   base::Duration m_timeout;
   absl::flat_hash_map<AgentIncarnation, base::TimePoint> m_heard_at;
+  absl::flat_hash_map<AgentIncarnation, AgentContact> m_contacts;
+  std::shared_ptr<const LiveAgents> m_live_agents;
 };
 
 }  // namespace gaugevalve::requests
--- a/libs/requests/src/hand_over_origin.cpp
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -280,9 +280,16 @@
                                     base::TimePoint now, HandOverActions& actions) {
   const RequestId id = exchange.request.id;
   const AgentIncarnation executor{exchange.id.executor, exchange.id.executor_incarnation};
-  actions.executor_losses.push_back({id, exchange.id, cause, exchange.last_message,
-                                     liveness_.Silence(executor, exchange.last_message_at, now),
-                                     exchange.is_accepted});
+  ExecutorLoss loss{id,
+                    exchange.id,
+                    cause,
+                    exchange.last_message,
+                    liveness_.Silence(executor, exchange.last_message_at, now),
+                    exchange.is_accepted,
+                    liveness_.IsListedAsLive(executor),
+                    liveness_.LastContact(executor)};
+  loss.contact_age = loss.contact ? now - loss.contact->heard_at : base::Duration(0);
+  actions.executor_losses.push_back(loss);
   if (exchange.has_answer_begun) {
     actions.origin.push_back({id, AnswerAborted{}});
     End(id, actions);
--- a/libs/requests/src/peer_liveness.cpp
+++ b/libs/requests/src/peer_liveness.cpp
@@ -8,6 +8,23 @@
   m_heard_at[agent] = now;
 }
 
+void PeerLiveness::NoteContact(const AgentContact& contact) {
+  AgentContact& newest = m_contacts[contact.agent];
+  if (contact.heard_at >= newest.heard_at) {
+    newest = contact;
+  }
+}
+
+bool PeerLiveness::IsListedAsLive(const AgentIncarnation& agent) const {
+  return m_live_agents != nullptr &&
+         std::find(m_live_agents->begin(), m_live_agents->end(), agent) != m_live_agents->end();
+}
+
+std::optional<AgentContact> PeerLiveness::LastContact(const AgentIncarnation& agent) const {
+  const auto found = m_contacts.find(agent);
+  return found == m_contacts.end() ? std::nullopt : std::optional(found->second);
+}
+
 base::Duration PeerLiveness::Silence(const AgentIncarnation& agent, base::TimePoint since,
                                      base::TimePoint now) const {
   const auto found = m_heard_at.find(agent);
@@ -18,10 +35,15 @@
   for (auto& [agent, heard_at] : m_heard_at) {
     heard_at = std::min(heard_at + pause, now);
   }
+  for (auto& [agent, contact] : m_contacts) {
+    contact.heard_at = std::min(contact.heard_at + pause, now);
+  }
 }
 
 void PeerLiveness::ForgetLost(base::TimePoint now) {
   absl::erase_if(m_heard_at, [&](const auto& entry) { return now - entry.second >= m_timeout; });
+  absl::erase_if(m_contacts,
+                 [&](const auto& entry) { return now - entry.second.heard_at >= m_timeout; });
 }
 
 }  // namespace gaugevalve::requests
