--- a/daemons/agent/src/hand_over_service.cpp
+++ b/daemons/agent/src/hand_over_service.cpp
@@ -165,7 +165,7 @@
 }
 
 void HandOverService::SetLiveAgents(const std::shared_ptr<const routing::LiveAgents>& agents) {
-  core_.SetLiveAgents(agents);
+  PerformAndHandle(core_.SetLiveAgents(agents, clock_.Now()));
 }
 
 void HandOverService::NoteContacts(std::span<const routing::AgentContact> contacts) {
--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -67,10 +67,15 @@
     const std::scoped_lock lock(mutex_);
     workers_.erase(node);
   }
+  // Whether messages are lost.
+  void SetLossy(bool is_lossy) {
+    const std::scoped_lock lock(mutex_);
+    is_lossy_ = is_lossy;
+  }
   void Send(base::NodeId sender, base::NodeId destination, const std::string& payload) {
     const std::scoped_lock lock(mutex_);
     const auto found = workers_.find(destination);
-    if (found != workers_.end()) {
+    if (found != workers_.end() && !is_lossy_) {
       found->second->Send(PeerMessage{sender, payload});
     }
   }
@@ -78,6 +83,7 @@
  private:
   std::mutex mutex_;
   std::map<base::NodeId, AgentWorker*> workers_;
+  bool is_lossy_ = false;
 };
 
 // Returns the name of an agent's endpoint in the settings tree.
@@ -212,6 +218,7 @@
   CPPUNIT_TEST(NothingIsHandedOverWhenSwitchedOff);
   CPPUNIT_TEST(ACancelledRequestEndsAtTheOtherEndpoint);
   CPPUNIT_TEST(ALostPeerLeavesTheOutcomeUnknown);
+  CPPUNIT_TEST(AnAnswerComesThoughMessagesOfALivePeerWereLost);
   CPPUNIT_TEST_SUITE_END();
 
   tasks::LoopPointer loop_;
@@ -277,6 +284,12 @@
     view->own_service = std::move(service_settings);
     view->services.push_back(
         {kService, "orders", control::ServiceKind::kHttp3, fabric_->CallerAddress(), table});
+    routing::LiveAgents live;
+    for (const routing::AgentEntry& agent : table->agents) {
+      live.push_back({agent.node, agent.incarnation});
+    }
+    view->services.back().live_agents =
+        std::make_shared<const routing::LiveAgents>(std::move(live));
     fabric_->SetView(view);
     for (const auto& agent : agents_) {
       CPPUNIT_ASSERT(agent->Worker().Send(ViewPointer(view)));
@@ -638,6 +651,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown"), OutcomeOf(*answer));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_endpoint_->Count());
   }
+
+  // Guards against requests that run and are answered "outcome unknown" (executor-lost) though the
+  // agent that runs them lives and membership says so.
+  void AnAnswerComesThoughMessagesOfALivePeerWereLost() {
+    PublishView(DrainFirst(settings::HandOverSwitch::kOn));
+    const auto answer = RequestUntilHandedOver("POST", "order", {}, 1, "order\r\n0\r\n\r\n");
+    peers_.SetLossy(true);
+    const base::TimePoint end =
+        clock_.Now() + requests::HandOverLimits().peer_timeout + std::chrono::seconds(1);
+    RunUntil(loop_.get(), [&] { return clock_.Now() >= end; });
+    peers_.SetLossy(false);
+    other_endpoint_->Send(0, "HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\ndone");
+    WaitForAnswer(*answer);
+    CPPUNIT_ASSERT(answer->is_complete);
+    CPPUNIT_ASSERT_EQUAL(201, answer->head.status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_endpoint_->Count());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(Http3ServiceTest);
--- a/libs/control/tests/control_node_test.cpp
+++ b/libs/control/tests/control_node_test.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(EditReachesEveryBalancer);
   CPPUNIT_TEST(AgentsGetTheirServiceAndConfirmation);
   CPPUNIT_TEST(DeadAgentLosesItsBuckets);
+  CPPUNIT_TEST(AgentsKnowWhichAgentsOfTheirServiceLive);
   CPPUNIT_TEST(AnotherPlannerTakesOver);
   CPPUNIT_TEST(AgentsAreConfirmedWithinTheFreshnessLimitAfterPlannerDeath);
   CPPUNIT_TEST(JoinsDuringStoreOutage);
@@ -149,6 +150,38 @@
     CPPUNIT_ASSERT(deployment.simulator.RunUntil(owns_nothing, std::chrono::seconds(60)));
   }
 
+  void AgentsKnowWhichAgentsOfTheirServiceLive() {
+    Deployment deployment(9);
+    CPPUNIT_ASSERT(deployment.RunUntilInForce(base::Revision(1)));
+    deployment.simulator.RunFor(std::chrono::seconds(20));
+    const std::size_t first = deployment.nodes.BalancerCount();
+    const base::ServiceId service =
+        deployment.nodes.Process(first).Core().Options().metadata.service;
+    std::size_t other = first + 1;
+    while (deployment.nodes.Process(other).Core().Options().metadata.service != service) {
+      ++other;
+    }
+    const auto live = [&] {
+      return *deployment.nodes.Process(first).Core().View()->services.at(0).live_agents;
+    };
+    const base::NodeId killed =
+        base::MakeNodeId(deployment.nodes.Process(other).Core().Options().name);
+    const auto lists_killed = [&] {
+      const routing::LiveAgents agents = live();
+      return std::any_of(agents.begin(), agents.end(), [&](const routing::AgentIncarnation& agent) {
+        return agent.node == killed;
+      });
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, live().size());
+    CPPUNIT_ASSERT(lists_killed());
+    deployment.nodes.Kill(other);
+    CPPUNIT_ASSERT(
+        deployment.simulator.RunUntil([&] { return !lists_killed(); }, std::chrono::seconds(60)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live().size());
+    deployment.nodes.Restart(other);
+    CPPUNIT_ASSERT(deployment.simulator.RunUntil(lists_killed, std::chrono::seconds(60)));
+  }
+
   void AnotherPlannerTakesOver() {
     Deployment deployment(5);
     // A roster is published and planners run.
--- a/libs/requests/include/gaugevalve/requests/hand_over.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over.h
@@ -42,10 +42,10 @@
   HandOverActions SetTable(const std::shared_ptr<const routing::BucketTable>& table,
                            base::TimePoint now);
 
-  // Agents of the service that membership counts as live; null if there is no membership.
-  void SetLiveAgents(std::shared_ptr<const LiveAgents> agents) {
-    liveness_.SetLiveAgents(std::move(agents));
-  }
+  // Applies the agents of the service that membership counts as live; null if there is no
+  // membership. A newer incarnation ends the hand-overs with the previous one.
+  HandOverActions SetLiveAgents(const std::shared_ptr<const LiveAgents>& agents,
+                                base::TimePoint now);
 
   // Another agent was heard, though not necessarily here.
   void NoteContact(const AgentContact& contact) { liveness_.NoteContact(contact); }
@@ -65,6 +65,8 @@
 
  private:
   void Announce(const LocalLoad& load, HandOverActions& actions);
+  void EndOlderIncarnations(const AgentIncarnation& agent, base::TimePoint now,
+                            HandOverActions& actions);
   void DetectPause(base::TimePoint now);
 
   base::NodeId self_;
@@ -75,6 +77,7 @@
   HandOverOrigin origin_;
   HandOverExecutor executor_;
   std::shared_ptr<const routing::BucketTable> table_;
+  std::shared_ptr<const LiveAgents> live_agents_;
   base::TimePoint announce_at_{};
   std::optional<base::TimePoint> timer_called_at_;
   std::size_t next_announced_ = 0;  // index into the table's agents
--- a/libs/requests/include/gaugevalve/requests/hand_over_origin.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_origin.h
@@ -33,11 +33,12 @@
 // AnswerAborted and HandOverRefused, or with Cancel().
 //
 // "Not run" is reported only if the peer reported it, before any byte reached its endpoint, and no
-// other peer accepts the request. If a peer falls silent altogether, restarts or no longer knows
-// the request, the outcome is unknown; only a safe request of which no part was consumed is then
-// offered again, within the retry budget. The deadline ends a request whose answer has not begun,
-// as it does at the agent's own endpoint. An answer that has begun is aborted if the peer falls
-// silent.
+// other peer accepts the request. If a peer is lost (PeerLiveness), restarts or no longer knows the
+// request, the outcome is unknown; only a safe request of which no part was consumed is then
+// offered again, within the retry budget. Such a request is offered elsewhere as soon as the peer
+// is silent, lost or not. The deadline ends a request whose answer has not begun, as it does at the
+// agent's own endpoint. An answer that has begun is aborted if the peer is lost, or silent for as
+// long as the request had to be answered.
 //
 // Bounded by HandOverLimits: when full, no request is accepted. Not thread-safe.
 class HandOverOrigin {
@@ -91,6 +92,8 @@
     bool is_accepted = false;
     bool has_answer_begun = false;
     bool waits_for_room = false;
+    bool has_sought_other_peer = false;  // for the silence of the present one
+    base::Duration patience{0};          // time until the deadline when the request came
     base::TimePoint last_message_at{};
     proto::HandOverMessage::BodyCase last_message = proto::HandOverMessage::BODY_NOT_SET;
     base::TimePoint offered_at{};  // time of the first offer to this peer
@@ -108,6 +111,7 @@
   void SendAcknowledgement(Exchange& exchange, base::TimePoint now, HandOverActions& actions) const;
   void HandleMessage(Exchange& exchange, const proto::HandOverMessage& message, base::TimePoint now,
                      HandOverActions& actions);
+  bool IsExecutorSilent(const Exchange& exchange, base::TimePoint now) const;
   bool IsExecutorLost(const Exchange& exchange, base::TimePoint now) const;
   void OnAnswerFrame(Exchange& exchange, const proto::HandOverFrame& frame, base::TimePoint now,
                      HandOverActions& actions);
@@ -117,6 +121,10 @@
                  HandOverActions& actions);
   void OnExecutorLost(Exchange& exchange, ExecutorLossCause cause, base::TimePoint now,
                       HandOverActions& actions);
+  void OnExecutorSilent(Exchange& exchange, base::TimePoint now, HandOverActions& actions);
+  ExecutorLoss DescribeLoss(const Exchange& exchange, ExecutorLossCause cause,
+                            base::TimePoint now) const;
+  bool RepeatElsewhere(Exchange& exchange, base::TimePoint now, HandOverActions& actions);
   bool MayRepeat(const Exchange& exchange, base::TimePoint now);
   bool OfferElsewhere(Exchange& exchange, base::TimePoint now, HandOverActions& actions);
   void RefuseAsLost(RequestId id, HandOverActions& actions);
--- a/libs/requests/include/gaugevalve/requests/peer_liveness.h
+++ b/libs/requests/include/gaugevalve/requests/peer_liveness.h
@@ -18,8 +18,12 @@
 
 /// Liveness of the agents that send messages to this one. It is a property of an agent's
 /// incarnation: while an agent sends anything, none of its hand-overs counts as silent, since the
-/// messages of one may wait behind those of others. Holds only agents that were heard within the
-/// peer time-out. Not thread-safe.
+/// messages of one may wait behind those of others.
+///
+/// Silence alone doesn't show that an agent is lost: an overloaded one may run and its messages be
+/// dropped on their way. So a silent agent is lost only if its process isn't known to live: it
+/// isn't listed by membership and wasn't heard by the control task. Holds only agents that were
+/// heard within the peer time-out. Not thread-safe.
 class PeerLiveness {
  public:
   /// @param timeout  silence after which an agent counts as lost
@@ -36,7 +40,7 @@
     m_live_agents = std::move(agents);
   }
 
-  /// Returns whether membership counts this incarnation as live.
+  /// Returns whether membership counts this incarnation as live. False if it lists another one.
   bool IsListedAsLive(const AgentIncarnation& agent) const;
 
   /// Returns the newest contact with the process within the time-out.
@@ -48,10 +52,19 @@
                          base::TimePoint now) const;
 
   /// Returns whether that silence has reached the time-out.
-  bool IsLost(const AgentIncarnation& agent, base::TimePoint since, base::TimePoint now) const {
+  bool IsSilent(const AgentIncarnation& agent, base::TimePoint since, base::TimePoint now) const {
     return Silence(agent, since, now) >= m_timeout;
   }
 
+  /// Returns whether the process runs as far as this agent can know: membership lists it, or it was
+  /// heard within the time-out.
+  bool IsKnownToLive(const AgentIncarnation& agent, base::TimePoint now) const;
+
+  /// Returns whether a silent agent is to be given up: its process isn't known to live, or its
+  /// silence has reached `patience`, as when its data task hangs.
+  bool IsLost(const AgentIncarnation& agent, base::TimePoint since, base::Duration patience,
+              base::TimePoint now) const;
+
   /// This process stood still for `pause`: agents were not silent meanwhile.
   void SkipPause(base::Duration pause, base::TimePoint now);
 
--- a/libs/requests/src/hand_over.cpp
+++ b/libs/requests/src/hand_over.cpp
@@ -63,14 +63,35 @@
   table_ = table;
   loads_.SetTable(*table);
   for (const routing::AgentEntry& agent : table->agents) {
-    if (agent.node != self_) {
-      origin_.OnNewIncarnation(agent.node, agent.incarnation, now, actions);
-      executor_.OnNewIncarnation(agent.node, agent.incarnation, actions);
+    EndOlderIncarnations({agent.node, agent.incarnation}, now, actions);
+  }
+  return actions;
+}
+
+HandOverActions HandOver::SetLiveAgents(const std::shared_ptr<const LiveAgents>& agents,
+                                        base::TimePoint now) {
+  HandOverActions actions;
+  if (agents == live_agents_) {
+    return actions;
+  }
+  live_agents_ = agents;
+  liveness_.SetLiveAgents(agents);
+  if (agents != nullptr) {
+    for (const AgentIncarnation& agent : *agents) {
+      EndOlderIncarnations(agent, now, actions);
     }
   }
   return actions;
 }
 
+void HandOver::EndOlderIncarnations(const AgentIncarnation& agent, base::TimePoint now,
+                                    HandOverActions& actions) {
+  if (agent.node != self_) {
+    origin_.OnNewIncarnation(agent.node, agent.incarnation, now, actions);
+    executor_.OnNewIncarnation(agent.node, agent.incarnation, actions);
+  }
+}
+
 HandOverActions HandOver::OnMessage(base::NodeId sender, const proto::HandOverMessage& message,
                                     base::TimePoint now) {
   HandOverActions actions;
--- a/libs/requests/src/hand_over_origin.cpp
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -50,7 +50,8 @@
                     .tried_peers = {},
                     // The body is sent only after the executor has granted credit.
                     .body = FrameSender(0),
-                    .answer = FrameReceiver(limits_.mechanisms.check_sequence)};
+                    .answer = FrameReceiver(limits_.mechanisms.check_sequence),
+                    .patience = request.deadline - now};
   if (!OfferTo(exchange, now, actions)) {
     return false;
   }
@@ -73,6 +74,7 @@
   exchange.body.Rewind();
   exchange.answer = FrameReceiver(limits_.mechanisms.check_sequence);
   exchange.is_accepted = false;
+  exchange.has_sought_other_peer = false;
   exchange.offer_count = 0;
   exchange.offered_at = now;
   exchange.last_message_at = now;
@@ -279,8 +281,22 @@
 void HandOverOrigin::OnExecutorLost(Exchange& exchange, ExecutorLossCause cause,
                                     base::TimePoint now, HandOverActions& actions) {
   const RequestId id = exchange.request.id;
+  actions.executor_losses.push_back(DescribeLoss(exchange, cause, now));
+  if (exchange.has_answer_begun) {
+    actions.origin.push_back({id, AnswerAborted{}});
+    End(id, actions);
+    return;
+  }
+  exchange.may_have_run = limits_.mechanisms.remember_loss;
+  if (!RepeatElsewhere(exchange, now, actions)) {
+    RefuseAsLost(id, actions);
+  }
+}
+
+ExecutorLoss HandOverOrigin::DescribeLoss(const Exchange& exchange, ExecutorLossCause cause,
+                                          base::TimePoint now) const {
   const AgentIncarnation executor{exchange.id.executor, exchange.id.executor_incarnation};
-  ExecutorLoss loss{id,
+  ExecutorLoss loss{exchange.request.id,
                     exchange.id,
                     cause,
                     exchange.last_message,
@@ -289,15 +305,23 @@
                     liveness_.IsListedAsLive(executor),
                     liveness_.LastContact(executor)};
   loss.contact_age = loss.contact ? now - loss.contact->heard_at : base::Duration(0);
-  actions.executor_losses.push_back(loss);
-  if (exchange.has_answer_begun) {
-    actions.origin.push_back({id, AnswerAborted{}});
-    End(id, actions);
-    return;
-  }
-  exchange.may_have_run = limits_.mechanisms.remember_loss;
-  if (!MayRepeat(exchange, now) || !OfferElsewhere(exchange, now, actions)) {
-    RefuseAsLost(id, actions);
+  return loss;
+}
+
+// Offers the request to another peer if it may be repeated.
+bool HandOverOrigin::RepeatElsewhere(Exchange& exchange, base::TimePoint now,
+                                     HandOverActions& actions) {
+  return MayRepeat(exchange, now) && OfferElsewhere(exchange, now, actions);
+}
+
+// The peer is silent and may live. Its answer is awaited unless the request can be repeated.
+void HandOverOrigin::OnExecutorSilent(Exchange& exchange, base::TimePoint now,
+                                      HandOverActions& actions) {
+  exchange.has_sought_other_peer = true;
+  const ExecutorLoss loss = DescribeLoss(exchange, ExecutorLossCause::kSilent, now);
+  if (!exchange.has_answer_begun && RepeatElsewhere(exchange, now, actions)) {
+    exchange.may_have_run = limits_.mechanisms.remember_loss;
+    actions.executor_losses.push_back(loss);
   }
 }
 
@@ -365,13 +389,19 @@
 }
 
 // Returns whether the agent that runs the request has sent nothing for the peer time-out.
+bool HandOverOrigin::IsExecutorSilent(const Exchange& exchange, base::TimePoint now) const {
+  const AgentIncarnation executor{exchange.id.executor, exchange.id.executor_incarnation};
+  return liveness_.IsSilent(executor, exchange.last_message_at, now);
+}
+
 bool HandOverOrigin::IsExecutorLost(const Exchange& exchange, base::TimePoint now) const {
   const AgentIncarnation executor{exchange.id.executor, exchange.id.executor_incarnation};
-  return liveness_.IsLost(executor, exchange.last_message_at, now);
+  return liveness_.IsLost(executor, exchange.last_message_at, exchange.patience, now);
 }
 
 void HandOverOrigin::OnTimer(base::TimePoint now, HandOverActions& actions) {
   std::vector<RequestId> overdue;
+  std::vector<RequestId> lost;
   std::vector<RequestId> silent;
   std::size_t heartbeats_left = limits_.heartbeats_per_tick;
   for (auto& [id, exchange] : exchanges_) {
@@ -380,9 +410,12 @@
       continue;
     }
     if (IsExecutorLost(exchange, now)) {
-      silent.push_back(id);
+      lost.push_back(id);
       continue;
     }
+    if (IsExecutorSilent(exchange, now) && !exchange.has_sought_other_peer) {
+      silent.push_back(id);
+    }
     if (!exchange.is_accepted && now >= exchange.offer_at) {
       SendOffer(exchange, now, actions);
     }
@@ -401,9 +434,12 @@
            {RequestOutcome::kOutcomeUnknown, RefusalReason::kDeadlineAfterStart, base::Duration(0)},
            actions);
   }
-  for (const RequestId id : silent) {
+  for (const RequestId id : lost) {
     OnExecutorLost(exchanges_.at(id), ExecutorLossCause::kSilent, now, actions);
   }
+  for (const RequestId id : silent) {
+    OnExecutorSilent(exchanges_.at(id), now, actions);
+  }
   for (const auto& [id, exchange] : exchanges_) {
     SendBodies(exchange.id.executor, now, actions);
   }
--- a/libs/requests/src/peer_liveness.cpp
+++ b/libs/requests/src/peer_liveness.cpp
@@ -16,8 +16,13 @@
 }
 
 bool PeerLiveness::IsListedAsLive(const AgentIncarnation& agent) const {
-  return m_live_agents != nullptr &&
-         std::find(m_live_agents->begin(), m_live_agents->end(), agent) != m_live_agents->end();
+  if (m_live_agents == nullptr) {
+    return false;
+  }
+  const auto found = std::lower_bound(
+      m_live_agents->begin(), m_live_agents->end(), agent.node,
+      [](const AgentIncarnation& listed, base::NodeId node) { return listed.node < node; });
+  return found != m_live_agents->end() && *found == agent;
 }
 
 std::optional<AgentContact> PeerLiveness::LastContact(const AgentIncarnation& agent) const {
@@ -31,6 +36,17 @@
   return now - (found == m_heard_at.end() ? since : std::max(since, found->second));
 }
 
+bool PeerLiveness::IsKnownToLive(const AgentIncarnation& agent, base::TimePoint now) const {
+  const std::optional<AgentContact> contact = LastContact(agent);
+  return IsListedAsLive(agent) || (contact && now - contact->heard_at < m_timeout);
+}
+
+bool PeerLiveness::IsLost(const AgentIncarnation& agent, base::TimePoint since,
+                          base::Duration patience, base::TimePoint now) const {
+  return IsSilent(agent, since, now) &&
+         (!IsKnownToLive(agent, now) || Silence(agent, since, now) >= patience);
+}
+
 void PeerLiveness::SkipPause(base::Duration pause, base::TimePoint now) {
   for (auto& [agent, heard_at] : m_heard_at) {
     heard_at = std::min(heard_at + pause, now);
--- a/libs/requests/tests/hand_over_test.cpp
+++ b/libs/requests/tests/hand_over_test.cpp
@@ -15,6 +15,7 @@
 constexpr base::NodeId kExecutor(2);
 constexpr base::Incarnation kIncarnation(7);
 constexpr RequestId kRequest(1);
+constexpr base::Duration kTimeLeft = seconds(10);  // of a request that is offered
 
 std::shared_ptr<const routing::BucketTable> TableOf(base::Incarnation listed_incarnation) {
   auto table = std::make_shared<routing::BucketTable>();
@@ -42,6 +43,15 @@
   CPPUNIT_TEST(ASilentPeerLeavesTheOutcomeUnknown);
   CPPUNIT_TEST(AnAgentThatStoodStillTakesNoPeerForSilent);
   CPPUNIT_TEST(APeerThatStaysSilentAfterAPauseIsLost);
+  CPPUNIT_TEST(AnExecutorWhoseMessagesAreDroppedIsNotLost);
+  CPPUNIT_TEST(AnExecutorThatMembershipListsIsNotLost);
+  CPPUNIT_TEST(AnExecutorThatMembershipDeclaredDeadIsLost);
+  CPPUNIT_TEST(AnExecutorWhoseDataTaskHangsIsGivenUpAtTheDeadline);
+  CPPUNIT_TEST(AnAnswerWhoseExecutorsDataTaskHangsIsAborted);
+  CPPUNIT_TEST(ANewProcessInMembershipEndsWhatThePreviousOneRan);
+  CPPUNIT_TEST(ARunWhoseOriginIsSilentAndLivesGoesOn);
+  CPPUNIT_TEST(ARunWhoseOriginsDataTaskHangsEnds);
+  CPPUNIT_TEST(ASafeRequestDoesNotWaitForASilentExecutor);
   CPPUNIT_TEST(ALateRepeatOfAnEndedOfferRunsNothing);
   CPPUNIT_TEST(AnOfferCancelledBeforeItArrivedRunsNothing);
   CPPUNIT_TEST(TheBetterOfTwoPeersIsChosen);
@@ -71,9 +81,62 @@
     }
   }
 
+  // Lets both agents run without any message between them, until `duration` has passed or the
+  // origin has an event. Every 200 ms `during` is called.
+  template <class During>
+  void RunSilently(base::Duration duration, During during) {
+    const base::TimePoint end = now_ + duration;
+    int step = 0;
+    while (now_ < end && at_origin_.empty()) {
+      now_ += milliseconds(20);
+      if (++step % 10 == 0) {
+        during();
+      }
+      Collect(origin_->OnTimer({}, now_));
+      Collect(executor_->OnTimer({}, now_));
+    }
+  }
+
+  void RunSilently(base::Duration duration) {
+    RunSilently(duration, [] {});
+  }
+
+  // Keeps the events of these actions; their messages are lost.
+  void Collect(HandOverActions actions) {
+    actions.send.clear();
+    Perform(kOrigin, actions);
+  }
+
+  void ListAsLive(const std::vector<AgentIncarnation>& agents) {
+    const auto live = std::make_shared<const LiveAgents>(agents);
+    Collect(origin_->SetLiveAgents(live, now_));
+    Collect(executor_->SetLiveAgents(live, now_));
+  }
+
+  void Accept() {
+    HandOverActions accepted;
+    executor_->Executor().Accept(at_executor_.at(0).run, accepted);
+    Perform(kExecutor, accepted);
+  }
+
+  void BeginAnswer() {
+    HandOverActions answer;
+    proto::HandOverAnswerHead head;
+    head.set_status(200);
+    executor_->Executor().BeginAnswer(at_executor_.at(0).run, head, now_, answer);
+    Perform(kExecutor, answer);
+  }
+
+  void Answer() {
+    BeginAnswer();
+    HandOverActions end;
+    executor_->Executor().EndAnswer(at_executor_.at(0).run, now_, end);
+    Perform(kExecutor, end);
+  }
+
   bool Offer() {
     HandOverActions actions;
-    const bool is_taken = origin_->Origin().Offer(MakeRequest(now_ + seconds(10)),
+    const bool is_taken = origin_->Origin().Offer(MakeRequest(now_ + kTimeLeft),
                                                   HandOverNeed::kCannotRunHere, now_, actions);
     Perform(kOrigin, actions);
     return is_taken;
@@ -192,6 +255,137 @@
     CPPUNIT_ASSERT(actions.executor_losses[0].cause == ExecutorLossCause::kSilent);
   }
 
+  // Guards against reservations that run and whose callers are told "outcome unknown"
+  // (executor-lost): the executor's control task is heard, its heartbeats were dropped.
+  void AnExecutorWhoseMessagesAreDroppedIsNotLost() {
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    const auto be_heard = [&] {
+      const base::TimePoint heard_at = now_ - seconds(1);
+      origin_->NoteContact(
+          {{kExecutor, kIncarnation}, routing::ContactSource::kMembership, heard_at});
+      executor_->NoteContact(
+          {{kOrigin, kIncarnation}, routing::ContactSource::kMembership, heard_at});
+    };
+    RunSilently(HandOverLimits().peer_timeout + seconds(2), be_heard);
+    CPPUNIT_ASSERT(at_origin_.empty());
+    Answer();
+    CPPUNIT_ASSERT(std::holds_alternative<AnswerEnded>(at_origin_.at(1).what));
+  }
+
+  void AnExecutorThatMembershipListsIsNotLost() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    RunSilently(HandOverLimits().peer_timeout + seconds(2));
+    CPPUNIT_ASSERT(at_origin_.empty());
+    Answer();
+    CPPUNIT_ASSERT(std::holds_alternative<AnswerEnded>(at_origin_.at(1).what));
+  }
+
+  void AnExecutorThatMembershipDeclaredDeadIsLost() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    const base::TimePoint heard_at = now_;
+    RunSilently(seconds(2));
+    ListAsLive({{kOrigin, kIncarnation}});
+    RunSilently(seconds(20));
+    CPPUNIT_ASSERT_EQUAL(RefusalReason::kExecutorLost, RefusalAtOrigin().reason);
+    CPPUNIT_ASSERT(now_ == heard_at + HandOverLimits().peer_timeout);
+  }
+
+  void AnExecutorWhoseDataTaskHangsIsGivenUpAtTheDeadline() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    const base::TimePoint deadline = now_ + kTimeLeft;
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    RunSilently(seconds(60));
+    CPPUNIT_ASSERT_EQUAL(RequestOutcome::kOutcomeUnknown, RefusalAtOrigin().outcome);
+    CPPUNIT_ASSERT(now_ == deadline);
+  }
+
+  void AnAnswerWhoseExecutorsDataTaskHangsIsAborted() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    BeginAnswer();
+    at_origin_.clear();  // the head
+    const base::TimePoint heard_at = now_;
+    RunSilently(seconds(60));
+    CPPUNIT_ASSERT(std::holds_alternative<AnswerAborted>(at_origin_.at(0).what));
+    CPPUNIT_ASSERT(now_ == heard_at + kTimeLeft);
+  }
+
+  void ANewProcessInMembershipEndsWhatThePreviousOneRan() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    CPPUNIT_ASSERT(Offer());
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, base::Incarnation(8)}});
+    CPPUNIT_ASSERT_EQUAL(RefusalReason::kExecutorLost, RefusalAtOrigin().reason);
+  }
+
+  void ARunWhoseOriginIsSilentAndLivesGoesOn() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    RunSilently(HandOverLimits().peer_timeout + seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, at_executor_.size());  // the offer; no RunCancelled
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor_->Executor().Size());
+  }
+
+  void ARunWhoseOriginsDataTaskHangsEnds() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    CPPUNIT_ASSERT(Offer());
+    Accept();
+    BeginAnswer();
+    const base::TimePoint end = now_ + kTimeLeft;
+    while (now_ < end) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor_->Executor().Size());
+      now_ += milliseconds(20);
+      Collect(executor_->OnTimer({}, now_));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, executor_->Executor().Size());
+    CPPUNIT_ASSERT(std::holds_alternative<RunCancelled>(at_executor_.back().what));
+  }
+
+  // A safe request is offered to another peer once its executor is silent, though that may live.
+  void ASafeRequestDoesNotWaitForASilentExecutor() {
+    constexpr base::NodeId kOther(3);
+    HandOverLimits limits;
+    limits.retry_share = 1;
+    origin_ = std::make_unique<HandOver>(kOrigin, kIncarnation, limits, random_);
+    auto table = std::make_shared<routing::BucketTable>(*TableOf(kIncarnation));
+    table->agents.push_back({kOther, kIncarnation, {}, ""});
+    Collect(origin_->SetTable(table, now_));
+    Perform(kExecutor, executor_->OnTimer({1, 0, true}, now_ += seconds(1)));
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}, {kOther, kIncarnation}});
+    HandOverActions actions;
+    HandOverRequest request = MakeRequest(now_ + kTimeLeft);
+    request.is_safe = true;
+    CPPUNIT_ASSERT(origin_->Origin().Offer(request, HandOverNeed::kCannotRunHere, now_, actions));
+    Perform(kOrigin, actions);
+    RunSilently(seconds(2));
+    proto::HandOverMessage announcement;
+    announcement.mutable_load()->set_node(kOther.value());
+    announcement.mutable_load()->set_incarnation(kIncarnation.value());
+    announcement.mutable_load()->set_free_slots(1);
+    announcement.mutable_load()->set_takes_requests(true);
+    Collect(origin_->OnMessage(kOther, announcement, now_));
+    std::vector<ExecutorLoss> losses;
+    while (losses.empty() && now_ < request.deadline) {
+      now_ += milliseconds(20);
+      HandOverActions ticked = origin_->OnTimer({}, now_);
+      losses = ticked.executor_losses;
+      Collect(ticked);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, losses.size());
+    CPPUNIT_ASSERT(losses[0].cause == ExecutorLossCause::kSilent);
+    CPPUNIT_ASSERT(losses[0].is_listed_as_live);
+    CPPUNIT_ASSERT(losses[0].silence == HandOverLimits().peer_timeout);
+    CPPUNIT_ASSERT(at_origin_.empty());  // it runs at the other peer
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, origin_->Loads().InFlight(kOther));
+  }
+
   void ALateRepeatOfAnEndedOfferRunsNothing() {
     CPPUNIT_ASSERT(Offer());
     HandOverActions actions;
