--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -35,6 +35,10 @@
       module_(make_module(task_.Loop(), output_)),
       inbox_(task_.Loop(), kInboxCapacity,
              [this](const AgentMessage& message) { OnMessage(message); }),
+      peer_inbox_(task_.Loop(), kInboxCapacity,
+                  [this](const PeerMessage& message) {
+                    module_->HandlePeerMessage(message.sender, message.payload);
+                  }),
       readable_(
           tasks::Watch::Readable(task_.Loop(), socket_.Descriptor(), [this] { OnReadable(); })),
       tick_timer_(task_.Loop(), [this] { OnTick(); }) {
@@ -56,10 +60,6 @@
     module_->SetCredentials(*credentials);
     return;
   }
-  if (const auto* const peer = std::get_if<PeerMessage>(&message)) {
-    module_->HandlePeerMessage(peer->sender, peer->payload);
-    return;
-  }
   if (const auto* const heard = std::get_if<AgentContacts>(&message)) {
     module_->HandleContacts(heard->contacts);
     return;
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -41,10 +41,10 @@
   std::vector<routing::AgentContact> contacts;
 };
 
-// A message from another task to the data task: a newer view, a request to drain, a newer
-// certificate, a message of another agent or contacts with other agents.
-using AgentMessage = std::variant<ViewPointer, StartDraining, quic::CertificateCredentials,
-                                  PeerMessage, AgentContacts>;
+// A message from another task of this agent to the data task: a newer view, a request to drain, a
+// newer certificate or contacts with other agents.
+using AgentMessage =
+    std::variant<ViewPointer, StartDraining, quic::CertificateCredentials, AgentContacts>;
 
 // Status that the data task reports a few times per second.
 struct AgentStatus {
@@ -84,6 +84,10 @@
   // Sends the task a message. Returns false when its inbox is full: try again later. Any thread.
   bool Send(AgentMessage message) { return inbox_.TrySend(std::move(message)); }
 
+  // Sends the task a message of another agent, through an inbox of its own: other agents send as
+  // fast as they like. Returns false when it is full; the message may be dropped. Any thread.
+  bool Send(PeerMessage message) { return peer_inbox_.TrySend(std::move(message)); }
+
   // Returns the address bound, with the port the system chose.
   base::SocketAddress DataAddress() const { return socket_.LocalAddress(); }
 
@@ -106,6 +110,7 @@
   daemon::LoopMonitor loop_monitor_;
   std::unique_ptr<ServiceModule> module_;
   tasks::Inbox<AgentMessage> inbox_;
+  tasks::Inbox<PeerMessage> peer_inbox_;
   tasks::Watch readable_;
   tasks::Timer tick_timer_;
 };
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <deque>
 #include <memory>
 #include <string>
 #include <utility>
@@ -47,6 +48,7 @@
 constexpr std::size_t kPeerOutboxCapacity = 1024;
 constexpr base::Duration kDropLogPeriod = std::chrono::seconds(10);
 constexpr base::Duration kDrainPollPeriod = std::chrono::milliseconds(100);
+constexpr base::Duration kDeliveryRetryDelay = std::chrono::milliseconds(20);
 
 // Raises the soft limit of file descriptors to the hard limit, since each flow needs a socket.
 void RaiseDescriptorLimit() {
@@ -81,6 +83,7 @@
         log_losses_(*registry_),
         drop_timer_(loop_.get(), [this] { WriteDropLogs(); }),
         drain_timer_(loop_.get(), [this] { PollDrain(); }),
+        delivery_timer_(loop_.get(), [this] { DeliverWaiting(); }),
         signals_(
             loop_.get(), [this] { StartDrain(); }, [this] { End(daemon::kForcedStop); }),
         reload_watch_(tasks::Watch::Signal(loop_.get(), SIGHUP, [this] { ReloadCertificate(); })) {}
@@ -143,7 +146,7 @@
       return;
     }
     if (auto credentials = agent::ReloadCertificate(node_)) {
-      worker_.Send(std::move(credentials));
+      Deliver(std::move(credentials));
     }
   }
 
@@ -171,6 +174,21 @@
     control_->Start();
   }
 
+  // Sends the data task a message that must not be lost; repeats it while the inbox is full.
+  void Deliver(agent::AgentMessage message) {
+    undelivered_.push_back(std::move(message));
+    DeliverWaiting();
+  }
+
+  void DeliverWaiting() {
+    while (!undelivered_.empty() && worker_.Send(undelivered_.front())) {
+      undelivered_.pop_front();
+    }
+    if (!undelivered_.empty()) {
+      delivery_timer_.StartOnce(kDeliveryRetryDelay);
+    }
+  }
+
   void SendToPeer(const OutgoingPeerMessage& message) {
     if (control_ != nullptr) {
       control_->SendToNode(message.destination, transport::MessageKind::kRequestHandOver,
@@ -207,7 +225,7 @@
         .Field("open_flows", status_.report.open_flows);
     admin_.AddReadinessCheck([] { return std::vector<std::string>{"draining"}; });
     drain_started_ = clock_.Now();
-    worker_.Send(agent::StartDraining());
+    Deliver(agent::StartDraining());
     if (control_ != nullptr) {
       control_->StartLeaving();
     }
@@ -259,6 +277,8 @@
   daemon::LogLossCounter log_losses_;
   tasks::Timer drop_timer_;
   tasks::Timer drain_timer_;
+  std::deque<agent::AgentMessage> undelivered_;
+  tasks::Timer delivery_timer_;
   daemon::ShutdownSignals signals_;
   tasks::Watch reload_watch_;
   base::TimePoint drain_started_{};
--- a/daemons/agent/tests/agent_worker_test.cpp
+++ b/daemons/agent/tests/agent_worker_test.cpp
@@ -46,17 +46,12 @@
   CPPUNIT_TEST_SUITE(AgentWorkerTest);
   CPPUNIT_TEST(DatagramReachesTheEndpointAndTheAnswerTheEgress);
   CPPUNIT_TEST(DatagramOfAnotherOwnerIsPassedOn);
+  CPPUNIT_TEST(MessagesOfOtherAgentsLeaveRoomForARequestToDrain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
-    worker_ = std::make_unique<AgentWorker>(
-        AgentWorkerSettings{Loopback(), fabric_.LocalAddress(), kService, "endpoint-1"},
-        [this](event_base* loop, AgentOutput& output) {
-          return std::make_unique<DatagramService>(loop, output, endpoint_.LocalAddress(),
-                                                   identity_, flow::FlowCoreSettings(), registry_);
-        },
-        [this](AgentStatus status) { statuses_.TrySend(std::move(status)); }, registry_);
+    worker_ = MakeWorker();
     worker_->Start();
   }
 
@@ -91,7 +86,32 @@
     CPPUNIT_ASSERT_EQUAL(std::uint8_t{1}, header.hop_count);
   }
 
+  // Guards against an agent that never drains, and misses views and certificates, because other
+  // agents' messages fill its inbox.
+  void MessagesOfOtherAgentsLeaveRoomForARequestToDrain() {
+    const std::unique_ptr<AgentWorker> busy = MakeWorker();  // handles nothing before its start
+    int accepted = 0;
+    while (busy->Send(PeerMessage{base::NodeId(2), "message"})) {
+      ++accepted;
+    }
+    CPPUNIT_ASSERT(accepted > 0);
+    CPPUNIT_ASSERT(busy->Send(StartDraining()));
+    CPPUNIT_ASSERT(busy->Send(ViewPointer(std::make_shared<const control::NodeView>())));
+    busy->Start();
+    busy->Stop();
+  }
+
  private:
+  std::unique_ptr<AgentWorker> MakeWorker() {
+    return std::make_unique<AgentWorker>(
+        AgentWorkerSettings{Loopback(), fabric_.LocalAddress(), kService, "endpoint-1"},
+        [this](event_base* loop, AgentOutput& output) {
+          return std::make_unique<DatagramService>(loop, output, endpoint_.LocalAddress(),
+                                                   identity_, flow::FlowCoreSettings(), registry_);
+        },
+        [this](AgentStatus status) { statuses_.TrySend(std::move(status)); }, registry_);
+  }
+
   // Sends the worker a table in which `owner` owns all buckets.
   void SendView(base::NodeId owner) {
     auto table = std::make_shared<routing::BucketTable>();
