--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -31,6 +31,7 @@
 #include "gaugevalve/telemetry/logging.h"
 #include "http3_service.h"
 #include "http3_setup.h"
+#include "peer_outbox.h"
 #include "prometheus/registry.h"
 #include "request_service.h"
 
@@ -70,7 +71,7 @@
         statuses_(loop_.get(), kStatusInboxCapacity,
                   [this](AgentStatus status) { UpdateStatus(std::move(status)); }),
         peer_outbox_(loop_.get(), kPeerOutboxCapacity,
-                     [this](const OutgoingPeerMessage& message) { SendToPeer(message); }),
+                     [this](const agent::OutgoingPeerMessage& message) { SendToPeer(message); }),
         worker_(
             {node_.data_address, *node_.egress_address, identity_.service, node_.agent->endpoint},
             [this](event_base* loop, agent::AgentOutput& output) {
@@ -107,13 +108,6 @@
  private:
   using AgentStatus = agent::AgentStatus;
 
-  // A message that the data task sends to another agent through the control task.
-  struct OutgoingPeerMessage {
-    base::NodeId destination;
-    std::string payload;
-    transport::TrafficClass traffic = transport::TrafficClass::kControl;
-  };
-
   std::unique_ptr<agent::ServiceModule> MakeModule(event_base* loop, agent::AgentOutput& output) {
     if (agent::ServesHttp3(node_)) {
       return MakeHttp3Module(loop, output);
@@ -132,7 +126,7 @@
     auto backend = std::make_unique<agent::RequestService>(
         loop, requests,
         [this](base::NodeId destination, std::string payload, transport::TrafficClass traffic) {
-          peer_outbox_.TrySend({destination, std::move(payload), traffic});
+          peer_outbox_.Send({destination, std::move(payload), traffic});
         },
         *registry_);
     return std::make_unique<agent::Http3Service>(
@@ -189,7 +183,7 @@
     }
   }
 
-  void SendToPeer(const OutgoingPeerMessage& message) {
+  void SendToPeer(const agent::OutgoingPeerMessage& message) {
     if (control_ != nullptr) {
       control_->SendToNode(message.destination, transport::MessageKind::kRequestHandOver,
                            message.payload, message.traffic);
@@ -267,8 +261,8 @@
   std::shared_ptr<prometheus::Registry> registry_;
   AgentStatus status_;
   tasks::Inbox<AgentStatus> statuses_;
-  tasks::Inbox<OutgoingPeerMessage> peer_outbox_;  // drops messages when full; senders repeat them
-  std::uint64_t recorded_refusals_ = 0;            // of the outbox
+  agent::PeerOutbox peer_outbox_;
+  std::uint64_t recorded_refusals_ = 0;  // of the outbox
   agent::AgentWorker worker_;
   telemetry::AdminServer admin_;
   std::unique_ptr<daemon::ControlTask> control_;  // null with static settings
