--- a/libs/requests/include/gaugevalve/requests/hand_over_executor.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_executor.h
@@ -19,8 +19,7 @@
 // Runs requests for other agents. Each offer results in at most one RunOffered: OfferDeduplicator
 // detects a repeated offer of a run that has ended, and an offer to a previous incarnation of this
 // agent is ignored. The messages of a run are retransmitted until its origin closes it, is lost
-// (PeerLiveness), is silent for as long as the request had to be answered, or is replaced by a
-// newer incarnation.
+// (PeerLiveness) or is replaced by a newer incarnation.
 //
 // A run whose deadline passes before its answer begins is cancelled. A run that is cancelled before
 // its end leaves the origin without an answer ("outcome unknown" there). When the table is full, an
@@ -70,7 +69,6 @@
     FrameReceiver body;
     FrameSender answer;
     base::TimePoint deadline{};
-    base::Duration patience{0};  // time until the deadline when the offer came
     bool is_accepted = false;
     bool has_answer_begun = false;
     bool has_whole_body = false;
--- a/libs/requests/include/gaugevalve/requests/hand_over_limits.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_limits.h
@@ -54,7 +54,9 @@
   // Such acknowledgements per call of OnTimer() and direction, so that those of many hand-overs do
   // not fill the transport's queue at once.
   std::size_t heartbeats_per_tick = 16;
-  base::Duration peer_timeout{3'000'000};   // silence after which another agent counts as lost
+  base::Duration peer_timeout{3'000'000};  // silence after which another agent counts as lost
+  // The same if its process is known to live: messages may be dropped, but not for so long.
+  base::Duration live_peer_timeout{10'000'000};
   base::Duration load_interval{1'000'000};  // between announcements of this agent's load
   base::Duration max_load_age{5'000'000};   // older announcements of a peer are ignored
   std::size_t announced_peers = 8;          // peers notified per announcement, in rotation
--- a/libs/requests/include/gaugevalve/requests/hand_over_origin.h
+++ b/libs/requests/include/gaugevalve/requests/hand_over_origin.h
@@ -37,8 +37,7 @@
 // request, the outcome is unknown; only a safe request of which no part was consumed is then
 // offered again, within the retry budget. Such a request is offered elsewhere as soon as the peer
 // is silent, lost or not. The deadline ends a request whose answer has not begun, as it does at the
-// agent's own endpoint. An answer that has begun is aborted if the peer is lost, or silent for as
-// long as the request had to be answered.
+// agent's own endpoint. An answer that has begun is aborted if the peer is lost.
 //
 // Bounded by HandOverLimits: when full, no request is accepted. Not thread-safe.
 class HandOverOrigin {
@@ -93,7 +92,6 @@
     bool has_answer_begun = false;
     bool waits_for_room = false;
     bool has_sought_other_peer = false;  // for the silence of the present one
-    base::Duration patience{0};          // time until the deadline when the request came
     base::TimePoint last_message_at{};
     proto::HandOverMessage::BodyCase last_message = proto::HandOverMessage::BODY_NOT_SET;
     base::TimePoint offered_at{};  // time of the first offer to this peer
--- a/libs/requests/include/gaugevalve/requests/peer_liveness.h
+++ b/libs/requests/include/gaugevalve/requests/peer_liveness.h
@@ -23,11 +23,13 @@
 /// Silence alone doesn't show that an agent is lost: an overloaded one may run and its messages be
 /// dropped on their way. So a silent agent is lost only if its process isn't known to live: it
 /// isn't listed by membership and wasn't heard by the control task. Holds only agents that were
-/// heard within the peer time-out. Not thread-safe.
+/// heard within the longer time-out. Not thread-safe.
 class PeerLiveness {
  public:
-  /// @param timeout  silence after which an agent counts as lost
-  explicit PeerLiveness(base::Duration timeout) : m_timeout(timeout) {}
+  /// @param timeout       silence after which an agent counts as lost
+  /// @param live_timeout  the same if its process is known to live, as when its data task hangs
+  PeerLiveness(base::Duration timeout, base::Duration live_timeout)
+      : m_timeout(timeout), m_live_timeout(live_timeout) {}
 
   /// Records a message of this incarnation.
   void NoteMessage(const AgentIncarnation& agent, base::TimePoint now);
@@ -60,19 +62,19 @@
   /// heard within the time-out.
   bool IsKnownToLive(const AgentIncarnation& agent, base::TimePoint now) const;
 
-  /// Returns whether a silent agent is to be given up: its process isn't known to live, or its
-  /// silence has reached `patience`, as when its data task hangs.
-  bool IsLost(const AgentIncarnation& agent, base::TimePoint since, base::Duration patience,
-              base::TimePoint now) const;
+  /// Returns whether the agent is to be given up: it is silent and its process isn't known to live,
+  /// or it is silent for too long even so.
+  bool IsLost(const AgentIncarnation& agent, base::TimePoint since, base::TimePoint now) const;
 
   /// This process stood still for `pause`: agents were not silent meanwhile.
   void SkipPause(base::Duration pause, base::TimePoint now);
 
-  /// Removes agents that have been silent for the time-out.
+  /// Removes agents that have been silent for their time-out.
   void ForgetLost(base::TimePoint now);
 
  private:
   base::Duration m_timeout;
+  base::Duration m_live_timeout;
   absl::flat_hash_map<AgentIncarnation, base::TimePoint> m_heard_at;
   absl::flat_hash_map<AgentIncarnation, AgentContact> m_contacts;
   std::shared_ptr<const LiveAgents> m_live_agents;
--- a/libs/requests/src/hand_over.cpp
+++ b/libs/requests/src/hand_over.cpp
@@ -50,7 +50,7 @@
       incarnation_(incarnation),
       limits_(limits),
       loads_(self, limits),
-      liveness_(limits.peer_timeout),
+      liveness_(limits.peer_timeout, limits.live_peer_timeout),
       origin_(self, incarnation, limits, loads_, liveness_, random),
       executor_(self, incarnation, limits, liveness_) {}
 
--- a/libs/requests/src/hand_over_executor.cpp
+++ b/libs/requests/src/hand_over_executor.cpp
@@ -111,7 +111,6 @@
   Run run{.body = FrameReceiver(limits_.mechanisms.check_sequence),
           .answer = FrameSender(kWindowFrames),
           .deadline = now + time_left,
-          .patience = time_left,
           .last_message_at = now,
           .heartbeat_at = now + limits_.heartbeat_interval};
   runs_.emplace(KeyOf(id), std::move(run));
@@ -322,7 +321,7 @@
   std::size_t heartbeats_left = limits_.heartbeats_per_tick;
   for (auto& [id, run] : runs_) {
     const AgentIncarnation origin{id.origin, id.origin_incarnation};
-    if (liveness_.IsLost(origin, run.last_message_at, run.patience, now)) {
+    if (liveness_.IsLost(origin, run.last_message_at, now)) {
       over.push_back(id);
       continue;
     }
--- a/libs/requests/src/hand_over_origin.cpp
+++ b/libs/requests/src/hand_over_origin.cpp
@@ -50,8 +50,7 @@
                     .tried_peers = {},
                     // The body is sent only after the executor has granted credit.
                     .body = FrameSender(0),
-                    .answer = FrameReceiver(limits_.mechanisms.check_sequence),
-                    .patience = request.deadline - now};
+                    .answer = FrameReceiver(limits_.mechanisms.check_sequence)};
   if (!OfferTo(exchange, now, actions)) {
     return false;
   }
@@ -396,7 +395,7 @@
 
 bool HandOverOrigin::IsExecutorLost(const Exchange& exchange, base::TimePoint now) const {
   const AgentIncarnation executor{exchange.id.executor, exchange.id.executor_incarnation};
-  return liveness_.IsLost(executor, exchange.last_message_at, exchange.patience, now);
+  return liveness_.IsLost(executor, exchange.last_message_at, now);
 }
 
 void HandOverOrigin::OnTimer(base::TimePoint now, HandOverActions& actions) {
--- a/libs/requests/src/peer_liveness.cpp
+++ b/libs/requests/src/peer_liveness.cpp
@@ -42,9 +42,9 @@
 }
 
 bool PeerLiveness::IsLost(const AgentIncarnation& agent, base::TimePoint since,
-                          base::Duration patience, base::TimePoint now) const {
+                          base::TimePoint now) const {
   return IsSilent(agent, since, now) &&
-         (!IsKnownToLive(agent, now) || Silence(agent, since, now) >= patience);
+         (!IsKnownToLive(agent, now) || Silence(agent, since, now) >= m_live_timeout);
 }
 
 void PeerLiveness::SkipPause(base::Duration pause, base::TimePoint now) {
@@ -57,7 +57,8 @@
 }
 
 void PeerLiveness::ForgetLost(base::TimePoint now) {
-  absl::erase_if(m_heard_at, [&](const auto& entry) { return now - entry.second >= m_timeout; });
+  absl::erase_if(m_heard_at,
+                 [&](const auto& entry) { return now - entry.second >= m_live_timeout; });
   absl::erase_if(m_contacts,
                  [&](const auto& entry) { return now - entry.second.heard_at >= m_timeout; });
 }
--- a/libs/requests/tests/hand_over_test.cpp
+++ b/libs/requests/tests/hand_over_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(AnExecutorThatMembershipDeclaredDeadIsLost);
   CPPUNIT_TEST(AnExecutorWhoseDataTaskHangsIsGivenUpAtTheDeadline);
   CPPUNIT_TEST(AnAnswerWhoseExecutorsDataTaskHangsIsAborted);
+  CPPUNIT_TEST(ALongDeadlineDoesNotWaitForADataTaskThatHangs);
   CPPUNIT_TEST(ANewProcessInMembershipEndsWhatThePreviousOneRan);
   CPPUNIT_TEST(ARunWhoseOriginIsSilentAndLivesGoesOn);
   CPPUNIT_TEST(ARunWhoseOriginsDataTaskHangsEnds);
@@ -314,7 +315,19 @@
     const base::TimePoint heard_at = now_;
     RunSilently(seconds(60));
     CPPUNIT_ASSERT(std::holds_alternative<AnswerAborted>(at_origin_.at(0).what));
-    CPPUNIT_ASSERT(now_ == heard_at + kTimeLeft);
+    CPPUNIT_ASSERT(now_ == heard_at + HandOverLimits().live_peer_timeout);
+  }
+
+  void ALongDeadlineDoesNotWaitForADataTaskThatHangs() {
+    ListAsLive({{kOrigin, kIncarnation}, {kExecutor, kIncarnation}});
+    HandOverActions offer;
+    CPPUNIT_ASSERT(origin_->Origin().Offer(MakeRequest(now_ + std::chrono::hours(1)),
+                                           HandOverNeed::kCannotRunHere, now_, offer));
+    Perform(kOrigin, offer);
+    const base::TimePoint heard_at = now_;
+    RunSilently(seconds(60));
+    CPPUNIT_ASSERT_EQUAL(RefusalReason::kExecutorLost, RefusalAtOrigin().reason);
+    CPPUNIT_ASSERT(now_ == heard_at + HandOverLimits().live_peer_timeout);
   }
 
   void ANewProcessInMembershipEndsWhatThePreviousOneRan() {
@@ -338,7 +351,7 @@
     CPPUNIT_ASSERT(Offer());
     Accept();
     BeginAnswer();
-    const base::TimePoint end = now_ + kTimeLeft;
+    const base::TimePoint end = now_ + HandOverLimits().live_peer_timeout;
     while (now_ < end) {
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor_->Executor().Size());
       now_ += milliseconds(20);
