--- a/daemons/agent/src/agent_worker.cpp
+++ b/daemons/agent/src/agent_worker.cpp
@@ -60,8 +60,8 @@
     module_->SetCredentials(*credentials);
     return;
   }
-  if (const auto* const heard = std::get_if<AgentContacts>(&message)) {
-    module_->HandleContacts(heard->contacts);
+  if (const auto* const report = std::get_if<ContactReport>(&message)) {
+    module_->HandleContacts(report->contacts);
     return;
   }
   ApplyView(*std::get<ViewPointer>(message));
--- a/daemons/agent/src/agent_worker.h
+++ b/daemons/agent/src/agent_worker.h
@@ -37,14 +37,14 @@
 };
 
 // Other agents of the service that the control task has heard.
-struct AgentContacts {
+struct ContactReport {
   std::vector<routing::AgentContact> contacts;
 };
 
 // A message from another task of this agent to the data task: a newer view, a request to drain, a
 // newer certificate or contacts with other agents.
 using AgentMessage =
-    std::variant<ViewPointer, StartDraining, quic::CertificateCredentials, AgentContacts>;
+    std::variant<ViewPointer, StartDraining, quic::CertificateCredentials, ContactReport>;
 
 // Status that the data task reports a few times per second.
 struct AgentStatus {
--- a/daemons/agent/src/main.cpp
+++ b/daemons/agent/src/main.cpp
@@ -156,7 +156,7 @@
         *registry_, [this](const agent::ViewPointer& view) { return worker_.Send(view); },
         [this] { End(daemon::kFailure); });
     control_->SetContactHandler([this](std::vector<routing::AgentContact> contacts) {
-      return worker_.Send(agent::AgentContacts{std::move(contacts)});
+      return worker_.Send(agent::ContactReport{std::move(contacts)});
     });
     control_->SetReceiver(
         transport::MessageKind::kRequestHandOver, [this](const transport::Envelope& envelope) {
