--- a/libs/control/tests/agent_contacts_test.cpp
+++ b/libs/control/tests/agent_contacts_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr base::TimePoint kStart(seconds(100));
 constexpr base::Incarnation kProcess(1'000);
-const base::ServiceId kService = base::MakeServiceId("stock");
+const base::ServiceId k_service = base::MakeServiceId("stock");
 
 membership::Member MakeAgent(const std::string& name, base::ServiceId service) {
   membership::MemberMetadata metadata;
@@ -27,7 +27,7 @@
   return member;
 }
 
-// An agent of `kService` that knows two others, one of them of another service.
+// An agent of `k_service` that knows two others, one of them of another service.
 class AgentContactsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AgentContactsTest);
   CPPUNIT_TEST(ContactsAreReportedAFewTimesASecond);
@@ -49,10 +49,10 @@
   void setUp() override {
     ControlNodeOptions options;
     options.name = "self";
-    options.metadata = *MakeAgent("self", kService).metadata;
+    options.metadata = *MakeAgent("self", k_service).metadata;
     node_ = std::make_unique<ControlNode>(options);
     const std::vector<membership::Member> others{
-        MakeAgent("peer", kService), MakeAgent("foreign", base::MakeServiceId("drawings"))};
+        MakeAgent("peer", k_service), MakeAgent("foreign", base::MakeServiceId("drawings"))};
     node_->Preload(others);
   }
 
