--- a/daemons/agent/tests/http3_service_test.cpp
+++ b/daemons/agent/tests/http3_service_test.cpp
@@ -13,6 +13,7 @@
 #include "agent_worker.h"
 #include "gaugevalve/quic/udp_client.h"
 #include "gaugevalve/tasks/task.h"
+#include "gaugevalve/tasks/timer.h"
 #include "request_service.h"
 #include "scripted_endpoint.h"
 #include "test_fabric.h"
@@ -658,14 +659,15 @@
     PublishView(DrainFirst(settings::HandOverSwitch::kOn));
     const auto answer = RequestUntilHandedOver("POST", "order", {}, 1, "order\r\n0\r\n\r\n");
     peers_.SetLossy(true);
-    const base::TimePoint end =
-        clock_.Now() + requests::HandOverLimits().peer_timeout + std::chrono::seconds(1);
-    RunUntil(loop_.get(), [&] { return clock_.Now() >= end; });
+    bool has_passed = false;
+    tasks::Timer timer(loop_.get(), [&] { has_passed = true; });
+    timer.StartOnce(requests::HandOverLimits().peer_timeout + std::chrono::seconds(1));
+    RunUntil(loop_.get(), [&] { return has_passed; });
     peers_.SetLossy(false);
     other_endpoint_->Send(0, "HTTP/1.1 201 Created\r\nContent-Length: 4\r\n\r\ndone");
     WaitForAnswer(*answer);
     CPPUNIT_ASSERT(answer->is_complete);
-    CPPUNIT_ASSERT_EQUAL(201, answer->head.status);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer->body, 201, answer->head.status);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_endpoint_->Count());
   }
 };
