--- a/review/deployment.py
+++ b/review/deployment.py
@@ -38,6 +38,8 @@
 BOUNDS = Bounds(drain=3.0, contact=4.0, config_apply=3.0, outer=12.0, flow=2.0, grace=6.0, recovery=12.0)
 HEARTBEAT_SECONDS = FILE_BOUNDS["heartbeat_ms"] / 1000
 
+WORK_SECONDS = 0.072  # of part-reserve in cantabria-gv
+
 ZONES = ("east", "west")
 BALANCERS_PER_ZONE = 2
 SERVICES = {"orders": 4, "drawings": 3}
@@ -125,9 +127,22 @@
         self.incarnation = self.identifier  # every start has a new id
         self.late_beats: dict[int, float] = {}  # by seq: by how much a heartbeat is late
         self.acknowledged_at = asyncio.Event()  # set when a heartbeat has been acknowledged
+        self.at_work: dict[bytes, tuple] = {}  # requests that are being worked on, with their flows
+        self.cut_short: list[bytes] = []       # requests at work when the endpoint ended
         self._beats: set[asyncio.Task] = set()
         self._ends_its_beats = False
 
+    async def _work(self, request: bytes, flow, held) -> None:
+        self._ledger.record.note(f"run       {self.incarnation} begins request {request.decode('latin-1')} of {_text(flow)}")
+        self.at_work[request] = flow
+        await super()._work(request, flow, held)
+        del self.at_work[request]
+
+    @property
+    def sent_beats(self) -> int:
+        """The number of heartbeats sent so far, which is the `seq` of the last one."""
+        return self._sequence
+
     async def _answer_health(self, _: http_stub.Request) -> http_stub.Answer:
         return http_stub.Answer(503 if self.is_leaving else 200)
 
@@ -187,7 +202,9 @@
 
     def crash(self) -> None:
         if not self.is_ended:
-            self._ledger.record.note(f"endpoint  {self.identifier} on {self.machine} ends")
+            self.cut_short = list(self.at_work)
+            cut = b", ".join(self.cut_short).decode("latin-1") or "none"
+            self._ledger.record.note(f"endpoint  {self.identifier} on {self.machine} ends; requests at work: {cut}")
         self._ends_its_beats = True
         super().crash()
 
@@ -290,7 +307,8 @@
         settings = EndpointSettings(
             service=agent.service, zone=agent.zone, address=agent.address, app_port=self.ports.app,
             outbound_port=self.ports.outbound, control=f"{agent.address}:{_RELAYED_CONTROL_PORT}",
-            capacity=6, heartbeat_seconds=HEARTBEAT_SECONDS, drain_seconds=BOUNDS.drain, work_seconds=0.03)
+            capacity=7, heartbeat_seconds=HEARTBEAT_SECONDS, drain_seconds=BOUNDS.drain,
+            work_seconds=WORK_SECONDS)
         endpoint = PageEndpoint(settings, agent.name, self.ledger, self.dice)
         endpoint.late_beats = late_beats or {}
         self.record.note(f"endpoint  {endpoint.identifier} of {agent.service} starts on {agent.name}")
@@ -330,6 +348,17 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def kill_all(self, down_seconds: float) -> float:
+        """Kills all processes and starts them again; returns when the last one was started."""
+        self.record.note("process   all are killed")
+        for machine in self.all_machines():
+            machine.kill()
+        await asyncio.sleep(down_seconds)
+        for machine in self.all_machines():
+            machine.start()
+        self.record.note("process   all are started")
+        return time.monotonic()
+
     async def _watch_processes(self) -> None:
         while True:
             for machine in self.all_machines():
