--- a/libs/http_client/include/gaugevalve/http_client/timed_call.h
+++ b/libs/http_client/include/gaugevalve/http_client/timed_call.h
@@ -27,6 +27,11 @@
 
   /// Starts a call; `handler` gets the answer, or nothing when there is none in time.
   void Start(const HttpRequest& request, base::Duration timeout, Handler handler);
+
+  /// Gives the current call up and closes its connection; the handler isn't called. Does nothing
+  /// when there is none.
+  void Cancel();
+
   bool IsBusy() const { return m_handler != nullptr; }
   std::uint64_t Count() const { return m_count; }
 
--- a/libs/http_client/src/timed_call.cpp
+++ b/libs/http_client/src/timed_call.cpp
@@ -25,6 +25,17 @@
   }
 }
 
+void TimedCall::Cancel() {
+  if (!IsBusy()) {
+    return;
+  }
+  m_timeout.Cancel();
+  m_finish.Cancel();
+  m_exchange.reset();
+  m_answer.reset();
+  m_handler = nullptr;
+}
+
 void TimedCall::OnHttpAnswer(const HttpAnswer& answer) {
   m_answer = answer;
   m_finish.StartOnce(base::Duration(0));
--- a/libs/http_client/tests/timed_call_test.cpp
+++ b/libs/http_client/tests/timed_call_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(TheNextCallAfterSilenceIsAnswered);
   CPPUNIT_TEST(ARefusedConnectionIsTold);
   CPPUNIT_TEST(AHandlerMayStartTheNextCall);
+  CPPUNIT_TEST(ACancelledCallIsNotReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,6 +84,17 @@
     CPPUNIT_ASSERT_EQUAL(2, answers);
   }
 
+  void ACancelledCallIsNotReported() {
+    TimedCall call(m_loop.get(), m_address);
+    call.Start({Method::kGet, "/", ""}, kLong,
+               [](const auto& /*answer*/) { CPPUNIT_FAIL("the call was cancelled"); });
+    call.Cancel();
+    CPPUNIT_ASSERT(!call.IsBusy());
+    CPPUNIT_ASSERT_EQUAL(std::string("200 hello"), Run(call, kLong));
+    call.Cancel();  // no call is in progress
+    CPPUNIT_ASSERT_EQUAL(std::string("200 hello"), Run(call, kLong));
+  }
+
  private:
   static void OnRequest(evhttp_request* request, void* self) {
     if (static_cast<TimedCallTest*>(self)->m_is_silent) {
--- a/libs/placement/include/gaugevalve/placement/store_call_scheduler.h
+++ b/libs/placement/include/gaugevalve/placement/store_call_scheduler.h
@@ -32,7 +32,8 @@
   kReadAgain,   ///< the store no longer keeps the changes, or the entries cannot be used
 };
 
-/// Make this call and report its end with OnCallEnded().
+/// Make this call, on a connection that no other call waits on, and report its end with
+/// OnCallEnded().
 struct StartStoreCall {
   StoreCallId call;
   StoreCallKind kind = StoreCallKind::kRead;
@@ -40,18 +41,34 @@
   base::Duration timeout{0};  ///< after this the call counts as unanswered
 };
 
-using StoreCallAction = std::variant<StartStoreCall>;
+/// This call has not been answered in the usual time, which counts as a failure. It goes on, as the
+/// store may be slow.
+struct NoteOverdueStoreCall {
+  StoreCallId call;
+};
+
+/// Give this call up; its end is not to be reported.
+struct CancelStoreCall {
+  StoreCallId call;
+};
+
+using StoreCallAction = std::variant<StartStoreCall, NoteOverdueStoreCall, CancelStoreCall>;
 
 struct StoreCallSettings {
-  /// Time-out of a read of a store that answers as usual.
+  /// After this a read is overdue, and another one is made beside it.
   base::Duration call_timeout = std::chrono::milliseconds(700);
-  /// Where all balancers watch: the time within which a watch on a dead connection is detected and
-  /// the entries are read again.
+  /// Maximum time from the store's return until the entries are known again. Reads are overdue
+  /// after a quarter of it at the latest; where all balancers watch, a watch takes 3/4 of it.
   base::Duration contact_limit = std::chrono::seconds(4);
 };
 
 /// Decision core. Reads the entries, then watches them, while StoreReaderRole assigns this balancer
-/// to do so; repeats failed calls after a pause with jitter. Not thread-safe.
+/// to do so; repeats failed calls after a pause with jitter.
+///
+/// A connection on which an answer was lost stays silent, while a slow store answers late. Both
+/// look alike to the caller. So a read that is overdue goes on, and further reads are made beside
+/// it at a constant pace, however long the store is silent: the first read that is answered ends
+/// all of them. Not thread-safe.
 class StoreCallScheduler {
  public:
   /// Returns the other balancers that are alive.
@@ -70,31 +87,35 @@
   /// Does what is due.
   void Tick(base::TimePoint now);
 
-  /// Returns when Tick() is next needed; nothing while a call is awaited.
+  /// Returns when Tick() is next needed; nothing while a watch is awaited.
   std::optional<base::TimePoint> NextDue() const { return m_due; }
 
   /// Returns the actions decided since the last call, in order.
   std::vector<StoreCallAction> TakeActions();
 
  private:
-  void StartRead();
+  void StartRead(base::TimePoint now);
   void StartWatch();
   void StartCall(StoreCallKind kind, base::Duration wait, base::Duration timeout);
+  void CancelCalls();
   void OnComplete(base::TimePoint now);
   void OnFailure(base::TimePoint now);
   void Resume(base::TimePoint now);
   bool DoAllWatch() const;
+  bool ShouldWatch(base::TimePoint now) const;
+  base::Duration ReadInterval() const;
   base::Duration NextPause();
 
   StoreCallSettings m_settings;
   StoreReaderRole& m_role;
   AliveBalancers m_alive;
   base::RandomSource& m_random;
-  base::Duration m_read_timeout;
   base::Duration m_pause_bound;
   std::uint64_t m_last_call = 0;
-  std::optional<StartStoreCall> m_call;   // in progress
-  std::optional<base::TimePoint> m_due;  // end of a pause
+  std::vector<StartStoreCall> m_calls;   // in progress: one watch, or reads
+  std::optional<StoreCallId> m_awaited;  // the call that is in progress and not overdue
+  std::optional<base::TimePoint> m_due;  // when the awaited read is overdue, or a pause ends
+  unsigned m_unanswered_watches = 0;     // since a call was last answered with entries
   bool m_may_watch = false;  // the entries are known and the store still has the changes after them
   std::vector<StoreCallAction> m_actions;
 };
