--- a/libs/placement/src/store_reader_role.cpp
+++ b/libs/placement/src/store_reader_role.cpp
@@ -21,9 +21,12 @@
 // together to 40 a second.
 constexpr base::Duration kTakeOverWindowPerBalancer = std::chrono::milliseconds(25);
 // Mean time between two calls to a store that does not answer, per balancer. It limits the calls of
-// all balancers together to 20 a second.
+// all balancers together to 20 a second, as long as that leaves each of them at least one call in
+// the time in which a change has to be in force: a call is made after half to one and a half times
+// the mean, which is kMaxRetryPercent of that time at most.
 constexpr base::Duration kRetryPeriodPerBalancer = std::chrono::milliseconds(50);
 constexpr base::Duration kMinRetryPeriod = std::chrono::milliseconds(250);
+constexpr int kMaxRetryPercent = 66;
 // A reader whose calls fail while other balancers reach the store does not call it for this time.
 constexpr base::Duration kFailedReaderBackoff = std::chrono::seconds(5);
 // In this time after its start a balancer does not know its peers yet, and what it has read first
@@ -62,7 +65,7 @@
   }
   const base::Duration share =
       std::clamp(kRetryPeriodPerBalancer * static_cast<int>(others.size() + 1), kMinRetryPeriod,
-                 m_settings.change_limit);
+                 PercentOf(m_settings.change_limit, kMaxRetryPercent));
   m_take_over_at = now + share / 2 + m_random.NextJitter(share);
   m_backoff_until = *m_take_over_at;
 }
--- a/libs/placement/tests/store_reader_role_test.cpp
+++ b/libs/placement/tests/store_reader_role_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ANewerContactEndsATakeOver);
   CPPUNIT_TEST(ARejectedReaderBacksOffWhileOthersReachTheStore);
   CPPUNIT_TEST(AStoreThatRejectsAllIsCalledAtABoundedRate);
+  CPPUNIT_TEST(EveryBalancerCallsASilentStoreWithinTheLimit);
   CPPUNIT_TEST(AContactIsGossipedOnce);
   CPPUNIT_TEST(AContactAgeGrowsWhileItCirculates);
   CPPUNIT_TEST(RanksDifferBetweenDuties);
@@ -123,6 +124,19 @@
     CPPUNIT_ASSERT(calls > 30 * 5);
   }
 
+  // Guards against pauses that grow with the deployment beyond the time in which a change has to be
+  // in force: a balancer that no peer reaches noticed the store's return too late.
+  void EveryBalancerCallsASilentStoreWithinTheLimit() {
+    for (const std::uint32_t balancers : {4U, 91U, 660U}) {
+      std::vector<StoreReaderRole>& roles = MakeRoles(balancers);
+      Hear(roles, 1'000);
+      for (std::size_t index = 0; index < roles.size(); ++index) {
+        roles[index].NoteFailure(Others(index), At(10'000));
+        CPPUNIT_ASSERT(roles[index].ShouldRead(Others(index), At(10'000) + kChangeLimit));
+      }
+    }
+  }
+
   void AContactIsGossipedOnce() {
     StoreReaderRole& role = MakeRoles(1).front();
     CPPUNIT_ASSERT(!role.TakeContactUpdate());
