--- a/libs/placement/tests/store_call_scheduler_test.cpp
+++ b/libs/placement/tests/store_call_scheduler_test.cpp
@@ -225,7 +225,7 @@
       for (const std::size_t balancers : {1U, 2U, 3U, 4U, 9U}) {
         for (milliseconds silence(100); silence <= seconds(20); silence += milliseconds(100)) {
           StoreDeployment deployment(balancers, limits, 1);
-          deployment.RunFor(seconds(5));
+          deployment.RunFor(seconds(5) + silence / 7);  // at various moments of a watch
           CheckSilence(deployment, balancers, limits, silence);
         }
       }
--- a/proofs/placement/src/reader_proof.cpp
+++ b/proofs/placement/src/reader_proof.cpp
@@ -21,7 +21,7 @@
   void (*run)(ReaderSimulation& simulation, std::uint32_t choice);
 };
 
-constexpr std::array<NamedStep, 9> kSteps = {{
+constexpr std::array<NamedStep, 10> kSteps = {{
     {"advance", [](ReaderSimulation& simulation, std::uint32_t) { simulation.Advance(); }},
     {"rest", [](ReaderSimulation& simulation, std::uint32_t) { simulation.AdvanceOneSecond(); }},
     {"change", [](ReaderSimulation& simulation, std::uint32_t) { simulation.Change(); }},
@@ -34,6 +34,8 @@
                      std::uint32_t choice) { simulation.ToggleStoreRejection(choice); }},
     {"turn readers away",
      [](ReaderSimulation& simulation, std::uint32_t) { simulation.RejectReadersAtStore(); }},
+    {"silence",
+     [](ReaderSimulation& simulation, std::uint32_t) { simulation.ToggleStoreSilence(); }},
     {"cut",
      [](ReaderSimulation& simulation, std::uint32_t choice) { simulation.ToggleLink(choice); }},
 }};
@@ -46,7 +48,7 @@
  public:
   Perform()
       : step_(*rc::gen::weightedElement<std::size_t>(
-            {{20, 0}, {12, 1}, {4, 2}, {1, 3}, {2, 4}, {1, 5}, {3, 6}, {1, 7}, {4, 8}})),
+            {{20, 0}, {12, 1}, {4, 2}, {1, 3}, {2, 4}, {1, 5}, {3, 6}, {1, 7}, {1, 8}, {4, 9}})),
         choice_(*rc::gen::inRange<std::uint32_t>(0, 1'000'000)) {}
 
   void run(const Model& /*model*/, ReaderSimulation& simulation) const override {
--- a/proofs/placement/src/reader_simulation.cpp
+++ b/proofs/placement/src/reader_simulation.cpp
@@ -11,7 +11,7 @@
 constexpr base::Duration kStep = std::chrono::milliseconds(100);
 constexpr base::Duration kPause = std::chrono::seconds(2);
 constexpr base::Duration kReadTime = std::chrono::milliseconds(100);
-constexpr base::Duration kCallTimeout = std::chrono::milliseconds(700);
+constexpr placement::StoreCallSettings kCallSettings{.contact_limit = std::chrono::seconds(8)};
 constexpr int kStepsPerSecond = 10;
 
 base::SocketAddress AddressOf(std::size_t index) {
@@ -48,6 +48,11 @@
       AddressOf(index), base::Incarnation(random_.NextUint64()), *balancer.core, random_, now_,
       placement::StoreReaderSettings{settings_.change_limit});
   balancer.gossip->SetSeeds({AddressOf(0), AddressOf(1), AddressOf(2)});
+  balancer.scheduler = std::make_unique<placement::StoreCallScheduler>(
+      kCallSettings, balancer.gossip->Reader(),
+      [gossip = balancer.gossip.get(), this] { return gossip->Alive(now_); }, random_);
+  balancer.scheduler->Start(now_);
+  ExecuteCalls(index);
 }
 
 void ReaderSimulation::Advance() {
@@ -83,11 +88,7 @@
     Send(index, balancer.gossip->PeerRound(now_));
     balancer.next_round = now_ + balancer.gossip->PeerPeriod(now_);
   }
-  if (balancer.call_ends) {
-    EndCall(index);
-  } else if (balancer.gossip->Reader().ShouldRead(balancer.gossip->Alive(now_), now_)) {
-    CallStore(index);
-  }
+  RunCalls(index);
 }
 
 void ReaderSimulation::Take(std::size_t index, const Message& message) {
@@ -105,41 +106,63 @@
   }
 }
 
-void ReaderSimulation::CallStore(std::size_t index) {
+void ReaderSimulation::RunCalls(std::size_t index) {
   Balancer& balancer = balancers_[index];
-  ++calls_;
-  placement::StoreReaderRole& reader = balancer.gossip->Reader();
-  const std::uint64_t version = balancer.core->Routes().version;
-  const bool is_watch = version > 0 && !reader.IsStale(now_);
-  balancer.watched = is_watch ? version : 0;
-  balancer.call_fails = balancer.is_rejected;
-  if (balancer.call_fails) {
-    balancer.call_ends = now_ + (balancer.is_silent ? kCallTimeout : kReadTime);
-  } else {
-    balancer.call_ends = now_ + (is_watch ? reader.WatchTimeout() : kReadTime);
+  std::vector<placement::StoreCallId> calls;
+  for (const auto& [id, call] : balancer.calls) {
+    calls.push_back(id);
+  }
+  for (const placement::StoreCallId id : calls) {
+    const auto call = balancer.calls.find(id);
+    if (call != balancer.calls.end()) {
+      RunCall(index, call->second);
+    }
+  }
+  const std::optional<base::TimePoint> due = balancer.scheduler->NextDue();
+  if (due && now_ >= *due) {
+    balancer.scheduler->Tick(now_);
+    ExecuteCalls(index);
   }
 }
 
-void ReaderSimulation::EndCall(std::size_t index) {
-  Balancer& balancer = balancers_[index];
-  // A store that rejects the balancer also ends its current watch, or lets it hang.
-  balancer.call_fails = balancer.call_fails || balancer.is_rejected;
+// A store that rejects the balancer also ends its current watch, or lets it hang.
+void ReaderSimulation::RunCall(std::size_t index, Call& call) {
+  const Balancer& balancer = balancers_[index];
+  const base::Duration age = now_ - call.started_at;
+  const bool is_read = call.started.kind == placement::StoreCallKind::kRead;
   const std::uint64_t newest = changes_.size();
-  const bool has_news = !balancer.call_fails && balancer.watched > 0 && newest > balancer.watched;
-  if (now_ < *balancer.call_ends && !has_news) {
-    return;
-  }
-  balancer.call_ends.reset();
-  if (balancer.call_fails && !settings_.detects_failed_calls) {
-    balancer.gossip->Reader().NoteContact(now_);
-    return;
+  call.is_lost = call.is_lost || (balancer.is_rejected && balancer.is_silent);
+  if (call.is_lost) {
+    if (age >= call.started.timeout) {
+      EndCall(index, call.started.call, placement::StoreCallEnd::kUnanswered);
+    }
+  } else if (balancer.is_rejected && age >= kReadTime) {
+    EndCall(index, call.started.call, placement::StoreCallEnd::kRefused);
+  } else if (is_read ? age >= kReadTime : newest > call.known_version || age >= call.started.wait) {
+    SetVersion(index, newest);
+    EndCall(index, call.started.call, placement::StoreCallEnd::kComplete);
   }
-  if (balancer.call_fails) {
-    balancer.gossip->Reader().NoteFailure(balancer.gossip->Alive(now_), now_);
-    return;
+}
+
+void ReaderSimulation::EndCall(std::size_t index, placement::StoreCallId call,
+                               placement::StoreCallEnd end) {
+  Balancer& balancer = balancers_[index];
+  balancer.calls.erase(call);
+  balancer.scheduler->OnCallEnded(
+      call, settings_.detects_failed_calls ? end : placement::StoreCallEnd::kComplete, now_);
+  ExecuteCalls(index);
+}
+
+void ReaderSimulation::ExecuteCalls(std::size_t index) {
+  Balancer& balancer = balancers_[index];
+  for (const placement::StoreCallAction& action : balancer.scheduler->TakeActions()) {
+    if (const auto* start = std::get_if<placement::StartStoreCall>(&action)) {
+      ++calls_;
+      balancer.calls[start->call] = {*start, now_, balancer.core->Routes().version, false};
+    } else if (const auto* cancel = std::get_if<placement::CancelStoreCall>(&action)) {
+      balancer.calls.erase(cancel->call);
+    }
   }
-  SetVersion(index, newest);
-  balancer.gossip->Reader().NoteContact(now_);
 }
 
 void ReaderSimulation::SetVersion(std::size_t index, std::uint64_t version) {
@@ -212,6 +235,13 @@
   }
 }
 
+void ReaderSimulation::ToggleStoreSilence() {
+  is_store_silent_ = !is_store_silent_;
+  for (std::size_t index = 0; index < kBalancers; ++index) {
+    SetStoreRejection(index, is_store_silent_, true);
+  }
+}
+
 void ReaderSimulation::ToggleLink(std::uint32_t choice) {
   const std::size_t link = choice % broken_links_.size();
   broken_links_[link] = !broken_links_[link];
@@ -219,6 +249,7 @@
 
 void ReaderSimulation::EndFaultsAndSettle() {
   std::fill(broken_links_.begin(), broken_links_.end(), false);
+  is_store_silent_ = false;
   for (std::size_t index = 0; index < kBalancers; ++index) {
     if (balancers_[index].is_rejected) {
       SetStoreRejection(index, false, false);
--- a/proofs/placement/src/reader_simulation.h
+++ b/proofs/placement/src/reader_simulation.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "gaugevalve/base/random_source.h"
 #include "gaugevalve/placement/balancer_core.h"
 #include "gaugevalve/placement/balancer_gossip.h"
+#include "gaugevalve/placement/store_call_scheduler.h"
 
 namespace gaugevalve::proofs {
 
@@ -39,6 +41,7 @@
   void PauseReaders();
   void ToggleStoreRejection(std::uint32_t choice);  // for one balancer
   void RejectReadersAtStore();
+  void ToggleStoreSilence();              // for all balancers
   void ToggleLink(std::uint32_t choice);  // breaks or restores one direction
   void EndFaultsAndSettle();              // ends all faults and waits 8 s
 
@@ -52,25 +55,33 @@
     placement::BalancerGreeting greeting;
   };
 
+  struct Call {
+    placement::StartStoreCall started;
+    base::TimePoint started_at{};
+    std::uint64_t known_version = 0;  // of the balancer at its start
+    bool is_lost = false;             // the connection stays silent
+  };
+
   struct Balancer {
     std::unique_ptr<placement::BalancerCore> core;
     std::unique_ptr<placement::BalancerGossip> gossip;
     std::deque<Message> inbox;
     std::optional<base::TimePoint> paused_until;
     base::TimePoint next_round{};
-    base::TimePoint healthy_since{};           // running and served by the store
-    std::optional<base::TimePoint> call_ends;  // of the current call
+    base::TimePoint healthy_since{};  // running and served by the store
     bool is_rejected = false;
     bool is_silent = false;  // rejected without an answer
-    bool call_fails = false;
-    std::uint64_t watched = 0;  // version at the start of the current watch; 0 for a read
+    std::unique_ptr<placement::StoreCallScheduler> scheduler;
+    std::map<placement::StoreCallId, Call> calls;
   };
 
   void Start(std::size_t index);
   void Run(std::size_t index);
   void Take(std::size_t index, const Message& message);
-  void CallStore(std::size_t index);
-  void EndCall(std::size_t index);
+  void RunCalls(std::size_t index);
+  void RunCall(std::size_t index, Call& call);
+  void EndCall(std::size_t index, placement::StoreCallId call, placement::StoreCallEnd end);
+  void ExecuteCalls(std::size_t index);
   void SetVersion(std::size_t index, std::uint64_t version);
   void Send(std::size_t index, const std::vector<placement::OutgoingGreeting>& greetings);
   void PauseOne(std::size_t index);
@@ -87,6 +98,7 @@
   std::optional<std::string> violation_;
   std::size_t changes_seen_ = 0;
   std::size_t calls_ = 0;
+  bool is_store_silent_ = false;
 };
 
 }  // namespace gaugevalve::proofs
