--- a/libs/placement/src/store_call_scheduler.cpp
+++ b/libs/placement/src/store_call_scheduler.cpp
@@ -8,8 +8,9 @@
 
 using std::chrono::milliseconds;
 
-// How many reads may wait for a slow store at once, which bounds how slow it may be.
-constexpr int kReadsInProgress = 8;
+// A read is given up after this number of intervals. A store that is slower can't be read, and no
+// more reads than this are in progress at once.
+constexpr int kReadTimeoutIntervals = 8;
 // How often a balancer that doesn't read the store checks whether it has become a reader.
 constexpr base::Duration kIdlePeriod = milliseconds(150);
 // Upper bounds of the first pause after a failure and of all pauses.
@@ -73,7 +74,7 @@
 }
 
 void StoreCallScheduler::StartRead(base::TimePoint now) {
-  StartCall(StoreCallKind::kRead, base::Duration(0), kReadsInProgress * ReadInterval());
+  StartCall(StoreCallKind::kRead, base::Duration(0), kReadTimeoutIntervals * ReadInterval());
   m_due = now + ReadInterval();
 }
 
--- a/libs/placement/tests/store_call_scheduler_test.cpp
+++ b/libs/placement/tests/store_call_scheduler_test.cpp
@@ -248,10 +248,14 @@
     for (milliseconds silence(100); silence <= seconds(10); silence += milliseconds(100)) {
       StoreDeployment deployment(4, kShortLimits, 3);
       deployment.RunFor(seconds(5));
-      for (int outage = 0; outage < 3; ++outage) {
-        CheckSilence(deployment, 4, kShortLimits, outage < 2 ? milliseconds(9'000) : silence);
-        deployment.RunFor(seconds(6));
+      for (int former = 0; former < 2; ++former) {
+        deployment.FallSilent();
+        deployment.RunFor(seconds(9));
+        deployment.Return();
+        deployment.Change();
+        deployment.RunFor(seconds(8));
       }
+      CheckSilence(deployment, 4, kShortLimits, silence);
     }
   }
 
