--- a/libs/placement/tests/store_call_scheduler_test.cpp
+++ b/libs/placement/tests/store_call_scheduler_test.cpp
@@ -37,8 +37,7 @@
 // while the store is silent is never answered. Balancers learn at once what another one has read.
 class StoreDeployment {
  public:
-  StoreDeployment(std::size_t balancers, Limits limits, std::uint64_t seed)
-      : m_limits(limits), m_random(seed) {
+  StoreDeployment(std::size_t balancers, Limits limits, std::uint64_t seed) : m_random(seed) {
     for (std::size_t index = 0; index < balancers; ++index) {
       m_balancers.push_back(std::make_unique<Balancer>());
       Balancer& balancer = *m_balancers.back();
@@ -188,7 +187,6 @@
     }
   }
 
-  Limits m_limits;
   base::RandomSource m_random;
   base::TimePoint m_now = At(0);
   std::vector<std::unique_ptr<Balancer>> m_balancers;
