--- a/libs/placement/tests/store_call_scheduler_test.cpp
+++ b/libs/placement/tests/store_call_scheduler_test.cpp
@@ -96,8 +96,8 @@
   struct Call {
     StartStoreCall started;
     base::TimePoint started_at{};
-    std::uint64_t store_version = 0;  // when the call was made
-    std::uint64_t known_version = 0;  // of the balancer then
+    std::uint64_t answer_version = 0;  // of a read: the store's when the call was made
+    std::uint64_t known_version = 0;   // of the balancer then
     std::optional<base::TimePoint> answer_at;
     bool is_lost = false;
   };
@@ -141,23 +141,23 @@
   }
 
   void Advance(Balancer& balancer, Call& call) {
-    const bool has_news = call.started.kind == StoreCallKind::kRead ||
-                          m_version > call.known_version ||
-                          m_now - call.started_at >= call.started.wait;
-    if (!call.answer_at && has_news && !call.is_lost) {
-      call.answer_at = m_now + m_latency - kStep;
-      call.store_version =
-          call.started.kind == StoreCallKind::kRead ? call.store_version : m_version;
+    const base::Duration age = m_now - call.started_at;
+    const bool is_watch = call.started.kind == StoreCallKind::kWatch;
+    const bool is_executed =
+        !is_watch || m_version > call.known_version || age >= call.started.wait;
+    if (is_executed && !call.answer_at) {
+      call.answer_at = m_now + m_latency;
+      call.answer_version = is_watch ? m_version : call.answer_version;
     }
-    if (call.answer_at && m_now >= *call.answer_at && !call.is_lost) {
+    if (!call.is_lost && call.answer_at && m_now >= *call.answer_at) {
       OnAnswer(balancer, call);
-    } else if (m_now - call.started_at >= call.started.timeout) {
+    } else if (age >= call.started.timeout) {
       End(balancer, call.started.call, StoreCallEnd::kUnanswered);
     }
   }
 
   void OnAnswer(Balancer& balancer, const Call& call) {
-    const std::uint64_t version = call.store_version;
+    const std::uint64_t version = call.answer_version;
     balancer.version = std::max(balancer.version, version);
     End(balancer, call.started.call, StoreCallEnd::kComplete);
     const bool is_news = balancer.role->TakeContactUpdate();
