--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,7 +26,7 @@
     await world.until(lambda: courier.taken >= sent + 3, 10, "announcements")
     await asyncio.sleep(world.dice.uniform(0.05, 0.6))
     world.crash_endpoint(agent)
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(0.5)
     second = await world.start_endpoint(agent)
     started_at = time.monotonic()
     await asyncio.sleep(0.3)
