--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,7 @@
 
 import world2  # noqa: E402
 
-_BOARDS = 12
+_BOARDS = 20
 _BOARD_PAUSE_SECONDS = 0.8
 _LATE_SECONDS = 5.0
 _SAVING_SECONDS = 5.1  # between two looks of a balancer at what it has to save
@@ -42,7 +42,7 @@
     world.crash_endpoint(agent)
     if world2.has_trouble():
         courier.delay_seconds = _LATE_SECONDS
-    await asyncio.sleep(0.05)
+    await asyncio.sleep(0.1)
     second = await world.start_endpoint(agent)
     started_at = time.monotonic()
     await asyncio.sleep(0.2)
