--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,62 +1,42 @@
-"""A balancer that is restarted as planned resets flows that it had saved under the former endpoint's incarnation."""
+"""A heartbeat of another writer, which names no endpoint, opens the gate of an endpoint that drains."""
 
 import asyncio
+import json
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import world2  # noqa: E402
 
-_BOARDS = 20
-_BOARD_PAUSE_SECONDS = 0.8
-_LATE_SECONDS = 5.0
-_SAVING_SECONDS = 5.1  # between two looks of a balancer at what it has to save
+_REQUESTS_PER_SECOND = 10.0   # of each client
+_FOREIGN_AFTER_SECONDS = 2.8  # after the acknowledgement
+_SERVES_ON_SECONDS = 5.0      # drain_ms and a little longer
 
 
 async def play(world: world2.Deployment) -> None:
-    """The order of events; the announcements of an endpoint that starts again are late for a while, or not."""
-    record = world.record
-    saved: dict[str, list[float]] = {}
-    write = world.store.write
-
-    def note_write(key: str, value: bytes, lease: int = 0) -> int:
-        if key.startswith("flows/"):
-            saved.setdefault(key, []).append(time.monotonic())
-            record.note(f"a balancer saves its flows under {key}, {len(value)} bytes")
-        return write(key, value, lease)
-
-    world.store.write = note_write
-    balancer = world.balancers[0]
-    agent, other = world.agents
-    courier = world.couriers[agent.name]
-
-    for number in range(4):
-        world.spawn(world.clients[number % 2].hold_board(world2.ROUTE, _BOARD_PAUSE_SECONDS))
-    await world.until(lambda: saved, 15, "the first flows saved")
-    saved_at = max(times[-1] for times in saved.values())
-
-    # The endpoint crashes and is back at once; its first announcements are some seconds late.
-    await asyncio.sleep(max(0.0, saved_at + _SAVING_SECONDS - 4.2 - time.monotonic()))
-    world.crash_endpoint(agent)
+    """The order of events; the other writer calls once, or not."""
+    agent = world.agents[0]
+    endpoint = world.endpoints[agent.name]
+    for client in world.clients:
+        world.spawn(client.ask_for_ever(world2.ROUTE, _REQUESTS_PER_SECOND))
+    await asyncio.sleep(3)
+
+    # Planned work: the endpoint drains. It says so in each of its heartbeats until it ends.
+    world.record.note(f"endpoint {endpoint.incarnation} says draining and serves on")
+    if not await world.drain(endpoint):
+        raise world2.CannotRun("the leave was not acknowledged")
+    await asyncio.sleep(_FOREIGN_AFTER_SECONDS)
     if world2.has_trouble():
-        courier.delay_seconds = _LATE_SECONDS
-    await asyncio.sleep(0.1)
-    second = await world.start_endpoint(agent)
-    started_at = time.monotonic()
-    await asyncio.sleep(0.2)
-    for number in range(_BOARDS):
-        world.spawn(world.clients[number % 2].hold_board(world2.ROUTE, _BOARD_PAUSE_SECONDS))
-    await asyncio.sleep(max(0.0, started_at + _LATE_SECONDS - 0.6 - time.monotonic()))
-    courier.delay_seconds = 0.0
-    await asyncio.sleep(max(0.0, started_at + _LATE_SECONDS + world2.BOUNDS.contact + 0.5 - time.monotonic()))
-
-    # Planned work: the balancer is restarted.
-    record.note(f"{len(record.held_by(second.incarnation))} flows are open at {second.incarnation}")
-    await world.restart(balancer)
-    await asyncio.sleep(5)
+        # All that a heartbeat has, but for `born`: whoever wrote it, it names no endpoint.
+        body = {"service": agent.service, "address": f"{agent.address}:{world.ports.app}", "zone": agent.zone,
+                "version": "v1", "capacity": 5, "state": "ready", "warmup_left_ms": 0, "seq": 9}
+        await world.call_as_other_writer(agent, "i-of-nobody", json.dumps(body).encode())
+    await asyncio.sleep(_SERVES_ON_SECONDS - _FOREIGN_AFTER_SECONDS)
+    if endpoint.is_ended:
+        raise world2.CannotRun("the endpoint has ended")
+    endpoint.crash()
 
 
 if __name__ == "__main__":
-    sys.exit(world2.run(__file__, play, "FLOW", balancers=2, agents={"booking": 2}))
+    sys.exit(world2.run(__file__, play, "DRAIN", balancers=2, agents={"booking": 3}))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,6 @@
-"""A heartbeat of another writer, which names no endpoint, opens the gate of an endpoint that drains."""
+"""Two late announcements of a crashed endpoint open the gate of its successor, which has left."""
 
 import asyncio
-import json
 import pathlib
 import sys
 
@@ -9,33 +8,34 @@
 
 import world2  # noqa: E402
 
-_REQUESTS_PER_SECOND = 10.0   # of each client
-_FOREIGN_AFTER_SECONDS = 2.8  # after the acknowledgement
-_SERVES_ON_SECONDS = 5.0      # drain_ms and a little longer
+_REQUESTS_PER_SECOND = 10.0  # of each client
+_LATE_SECONDS = 6.0
+_SERVES_ON_SECONDS = 8.0     # drain_ms and some seconds
 
 
 async def play(world: world2.Deployment) -> None:
-    """The order of events; the other writer calls once, or not."""
+    """The order of events; all heartbeats of one machine's endpoints come equally late, and in order, or not."""
     agent = world.agents[0]
-    endpoint = world.endpoints[agent.name]
+    courier = world.couriers[agent.name]
     for client in world.clients:
         world.spawn(client.ask_for_ever(world2.ROUTE, _REQUESTS_PER_SECOND))
-    await asyncio.sleep(3)
-
-    # Planned work: the endpoint drains. It says so in each of its heartbeats until it ends.
-    world.record.note(f"endpoint {endpoint.incarnation} says draining and serves on")
-    if not await world.drain(endpoint):
-        raise world2.CannotRun("the leave was not acknowledged")
-    await asyncio.sleep(_FOREIGN_AFTER_SECONDS)
     if world2.has_trouble():
-        # All that a heartbeat has, but for `born`: whoever wrote it, it names no endpoint.
-        body = {"service": agent.service, "address": f"{agent.address}:{world.ports.app}", "zone": agent.zone,
-                "version": "v1", "capacity": 5, "state": "ready", "warmup_left_ms": 0, "seq": 9}
-        await world.call_as_other_writer(agent, "i-of-nobody", json.dumps(body).encode())
-    await asyncio.sleep(_SERVES_ON_SECONDS - _FOREIGN_AFTER_SECONDS)
-    if endpoint.is_ended:
-        raise world2.CannotRun("the endpoint has ended")
-    endpoint.crash()
+        courier.delay_seconds = _LATE_SECONDS
+    taken = courier.taken
+    await world.until(lambda: courier.taken >= taken + 4, 15, "heartbeats")
+    await asyncio.sleep(world.dice.uniform(0.05, 0.6))
+
+    world.crash_endpoint(agent)
+    await asyncio.sleep(1.0)
+    second = await world.start_endpoint(agent)
+    await asyncio.sleep(1.0)
+    # Planned work: the second endpoint leaves, without a word of draining, and serves on.
+    if not await world.deregister(second):
+        raise world2.CannotRun("the leave was not acknowledged")
+    await asyncio.sleep(_SERVES_ON_SECONDS)
+    if second.is_ended:
+        raise world2.CannotRun("the second endpoint has ended")
+    second.crash()
 
 
 if __name__ == "__main__":
