--- a/review/world2.py
+++ b/review/world2.py
@@ -301,13 +301,15 @@
         self.record.note(f"operator writes version {self._version}: "
                          f"{', '.join(f'{end.host()}:{end.port} -> {service}' for end, service in routes.items())}")
 
-    async def start_endpoint(self, agent: machines.Machine) -> SoundEndpoint:
-        """Starts an endpoint with a new id."""
+    async def start_endpoint(self, agent: machines.Machine, clock_ahead_ms: int = 0) -> SoundEndpoint:
+        """Starts an endpoint with a new id, on a machine whose time of day may be ahead of the true one."""
         settings = EndpointSettings(
             service=agent.service, zone=agent.zone, address=agent.address, app_port=self.ports.app,
             outbound_port=self.ports.outbound, control=f"{agent.address}:{_CONTROL_RELAY_PORT}", capacity=5,
             heartbeat_seconds=FILE_BOUNDS["heartbeat_ms"] / 1000, drain_seconds=BOUNDS.drain, work_seconds=0.03)
         endpoint = SoundEndpoint(settings, agent.name, self.record, self.dice)
+        endpoint.born_ms += clock_ahead_ms
+        endpoint.incarnation = f"{endpoint.identifier}@{endpoint.born_ms}"
         await endpoint.start()
         self.endpoints[agent.name] = endpoint
         self.record.note(f"endpoint {endpoint.incarnation} has started on {agent.name}")
