--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,8 +9,8 @@
 
 import world2  # noqa: E402
 
-_BOARDS = 24
-_BOARD_PAUSE_SECONDS = 2.0
+_BOARDS = 36
+_BOARD_PAUSE_SECONDS = 4.0
 _LATE_SECONDS = 5.0
 
 
