--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 
 import world2  # noqa: E402
 
-_BOARDS = 36
+_BOARDS = 120
 _BOARD_PAUSE_SECONDS = 4.0
 _LATE_SECONDS = 5.0
 
@@ -43,4 +43,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(world2.run(__file__, play, "FLOW", balancers=2, agents={world2.SERVICE: 3}))
+    sys.exit(world2.run(__file__, play, "FLOW", balancers=2, agents={world2.SERVICE: world2.ENDPOINTS}))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 
 import world2  # noqa: E402
 
-_REQUESTS_PER_SECOND = 10.0   # of each client
+_REQUESTS_PER_SECOND = 30.0   # of each client
 _FOREIGN_AFTER_SECONDS = 2.8  # after the acknowledgement
 _SERVES_ON_SECONDS = 5.0      # drain_ms and a little longer
 
@@ -36,4 +36,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(world2.run(__file__, play, "DRAIN", balancers=2, agents={world2.SERVICE: 3}))
+    sys.exit(world2.run(__file__, play, "DRAIN", balancers=2, agents={world2.SERVICE: world2.ENDPOINTS}))
--- a/review/world2.py
+++ b/review/world2.py
@@ -41,7 +41,9 @@
 BOUNDS = Bounds(drain=3.0, contact=4.0, config_apply=3.0, outer=12.0, flow=2.0, grace=6.0, recovery=12.0)
 IDLE_TIMEOUT_SECONDS = _IDLE_TIMEOUT_MS / 1000
 RESTART_SECONDS = 0.55  # from the end of a process to its next start, as on days of the bench
-ROUTE = End.of("198.18.0.1", 443)
+ROUTE = End.of("127.18.0.1", 443)  # stands in packets only: nothing is sent to it
+# One endpoint of ten: no more than the smallest share that the pages have for what strikes or takes away endpoints.
+ENDPOINTS = 10
 SERVICE = "orders"  # one of the two of the soak's configuration; the other has no endpoints here
 
 _CONTROL_RELAY_PORT = 8165
@@ -136,6 +138,14 @@
     async def _answer_health(self, _: http_stub.Request) -> http_stub.Answer:
         return http_stub.Answer(503 if self.is_leaving else 200)
 
+    async def _announce(self) -> None:
+        """A heartbeat every period, also while an earlier one has no answer."""
+        while True:
+            beat = asyncio.create_task(self._beat())
+            self._works.add(beat)
+            beat.add_done_callback(self._works.discard)
+            await asyncio.sleep(self.settings.heartbeat_seconds)
+
     def stop_announcing(self) -> None:
         """It leaves, and sends no more heartbeats."""
         self.is_leaving = True
@@ -233,7 +243,7 @@
         # What the soak's operator asks of a deployment.
         self._version = 3
         self._moved: dict[str, str] = {}
-        self.main_routes = {SERVICE: ROUTE, "drawings": End.of("198.18.0.2", 443)}
+        self.main_routes = {SERVICE: ROUTE, "drawings": End.of("127.18.0.2", 443)}
         self.extra_routes: list[tuple[End, str]] = []
         self.ledger = self.record
         self._tasks: set[asyncio.Task] = set()
