--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
 """A heartbeat of another writer, which names no endpoint, opens the gate of an endpoint that drains."""
 
 import asyncio
-import json
 import pathlib
 import sys
 
@@ -29,9 +28,7 @@
     await asyncio.sleep(_FOREIGN_AFTER_SECONDS)
     if world2.has_trouble():
         # All that a heartbeat has, but for `born`: whoever wrote it, it names no endpoint.
-        body = {"service": agent.service, "address": f"{agent.address}:{world.ports.app}", "zone": agent.zone,
-                "version": "v1", "capacity": 5, "state": "ready", "warmup_left_ms": 0, "seq": 9}
-        await world.call_as_other_writer(agent, "i-of-nobody", json.dumps(body).encode())
+        await world.call_as_other_writer(agent, "i-of-nobody", without="born")
     await asyncio.sleep(_SERVES_ON_SECONDS - _FOREIGN_AFTER_SECONDS)
     if endpoint.is_ended:
         raise world2.CannotRun("the endpoint has ended")
@@ -39,4 +36,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(world2.run(__file__, play, "DRAIN", balancers=2, agents={"booking": 3}))
+    sys.exit(world2.run(__file__, play, "DRAIN", balancers=2, agents={world2.SERVICE: 3}))
